--- /dev/null
+++ b/cmake/flags.cmake
@@ -0,0 +1,7 @@
+add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Wconversion
+    -Wnon-virtual-dtor -Werror)
+if(JUJUBESTAND_SANITIZE)
+    add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
+        -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=address,undefined)
+endif()
