--- a/jujubestand/http/client.cpp
+++ b/jujubestand/http/client.cpp
@@ -95,7 +95,7 @@
         for (auto const* line = headers->tqh_first; line != nullptr;
              line = line->next.tqe_next)
             head.headers.push_back(field{line->key, line->value});
-        row.owner->owner->head.emit(row.id, std::move(head));
+        row.owner->owner->head.emit(row.id, head);
         return 0;
     }
 
@@ -108,7 +108,7 @@
         std::string bytes(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
         if (!bytes.empty())
-            row.owner->owner->data.emit(row.id, std::move(bytes));
+            row.owner->owner->data.emit(row.id, bytes);
     }
 
     static void on_error(evhttp_request_error error, void* argument)
--- a/jujubestand/http/server.cpp
+++ b/jujubestand/http/server.cpp
@@ -138,10 +138,10 @@
         caller_id const caller = self->callers.insert(pending{handle, false});
         auto* connection = evhttp_request_get_connection(handle);
         self->by_connection[connection] = caller;
-        request received = read_request(handle);
+        request const received = read_request(handle);
         watch_for_close(handle);
         evhttp_connection_set_closecb(connection, on_close, self);
-        self->owner->requested.emit(caller, std::move(received));
+        self->owner->requested.emit(caller, received);
     }
 
     static void on_close(evhttp_connection* connection, void* argument)
