--- a/jujubestand/link/node.hpp
+++ b/jujubestand/link/node.hpp
@@ -10,6 +10,7 @@
 #include <jujubestand/core/ids.hpp>
 #include <jujubestand/core/slot_map.hpp>
 #include <jujubestand/link/frame.hpp>
+#include <jujubestand/link/peer.hpp>
 #include <memory>
 #include <optional>
 #include <sigc++/sigc++.h>
@@ -23,14 +24,6 @@
 /// \brief Address of one stream of a node.
 using stream_id = slot_id<struct stream_tag>;
 
-/// \brief Who is at the other end of a link, as its hello proved.
-struct peer
-{
-    instance_id instance;
-    incarnation_id incarnation;
-    std::string role;
-};
-
 /// \brief Identity, shared key and limits of a node.
 struct node_options
 {
