Add the choice of an upstream

Cause: a request should go where its first token comes soonest, and no node can follow the cache events of all engines.

Change: candidates come from rendezvous hashing of the level that brings the most tokens, from a bounded memory of earlier placements, and from the less busy of two drawn upstreams. Two or three of them are probed; the least of wait, unseen own work, missing tokens times prefill cost and distance wins, with the pool's weight on computing again. Role, weights version, leaving and readiness rule out; a newcomer's time counts dearer at first. A differential test compares the choice with one that scores every upstream.

--- /dev/null
+++ b/jujubestand/placement/test/placement_test.cpp
@@ -0,0 +1,306 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+#include <jujubestand/placement/placement.hpp>
+#include <jujubestand/placement/rendezvous.hpp>
+
+namespace jujubestand::placement
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+mono_time const start{100s};
+
+upstream_id upstream_of(std::size_t number)
+{
+    return upstream_id("engine-" + std::to_string(number));
+}
+
+std::vector<member> members_of(std::size_t count)
+{
+    std::vector<member> members;
+    for (std::size_t number = 0; number < count; ++number)
+        members.push_back(member{upstream_of(number),
+                                 data_centre_id("almaty-a"), 100us, false,
+                                 false});
+    return members;
+}
+
+placement_state state_of(std::size_t count)
+{
+    placement_state state;
+    set_members(state, members_of(count));
+    return state;
+}
+
+placement_request request_of(std::uint64_t annex, std::uint64_t rest)
+{
+    placement_request request;
+    request.prompt.levels = {prefix::level{{1, 1}, 500},
+                             prefix::level{{2, annex * 7919}, 4000},
+                             prefix::level{{3, rest * 104'729}, 4100}};
+    request.prompt.prompt_tokens = 4100;
+    return request;
+}
+
+link::probe_reply idle_reply()
+{
+    link::probe_reply reply;
+    reply.ready = true;
+    reply.role = "mixed";
+    reply.weights_version = "7";
+    reply.prefill_us_per_token = 100;
+    reply.engine_age_us = 1'000'000'000;
+    return reply;
+}
+
+probe_outcome outcome_of(std::size_t number, link::probe_reply const& reply)
+{
+    return probe_outcome{upstream_of(number), start, reply};
+}
+
+std::optional<choice> choose_of(placement_state const& state,
+                                placement_request const& request,
+                                std::vector<probe_outcome> const& outcomes)
+{
+    return choose(state, request, outcomes, start, 3);
+}
+
+} // namespace
+
+TEST(placement, restarted_entry_probes_the_same_upstreams_at_once)
+{
+    placement_state const one = state_of(20);
+    placement_state const other = state_of(20);
+    for (std::uint64_t annex = 1; annex < 50; ++annex)
+    {
+        auto const left = plan_probes(one, request_of(annex, 1), start, 1);
+        auto const right = plan_probes(other, request_of(annex, 2), start, 1);
+        ASSERT_FALSE(left.probes.empty());
+        EXPECT_LE(left.probes.size(), one.options.probes_limit);
+        EXPECT_EQ(left.probes.front(), right.probes.front());
+    }
+}
+
+TEST(placement, only_the_keys_of_a_lost_upstream_move)
+{
+    placement_state const before = state_of(20);
+    auto members = members_of(20);
+    members.erase(members.begin() + 4);
+    placement_state after;
+    set_members(after, members);
+    std::size_t moved = 0;
+    for (std::uint64_t annex = 1; annex <= 500; ++annex)
+    {
+        auto const left = plan_probes(before, request_of(annex, 1), start, 1);
+        auto const right = plan_probes(after, request_of(annex, 1), start, 1);
+        if (left.probes.front() == upstream_of(4))
+            continue;
+        moved += left.probes.front() == right.probes.front() ? 0 : 1;
+    }
+    EXPECT_EQ(moved, 0U);
+}
+
+TEST(placement, keys_spread_evenly)
+{
+    placement_state const state = state_of(10);
+    std::map<upstream_id, std::size_t> counts;
+    for (std::uint64_t annex = 1; annex <= 2000; ++annex)
+        ++counts[plan_probes(state, request_of(annex, 1), start, 1)
+                     .probes.front()];
+    for (auto const& [upstream, count] : counts)
+        EXPECT_NEAR(static_cast<double>(count), 200.0, 70.0) << upstream.text;
+}
+
+TEST(placement, remembered_upstreams_are_probed)
+{
+    placement_state state = state_of(20);
+    auto const request = request_of(5, 1);
+    take_sent(state, request, choice{upstream_of(13), {}, true}, start);
+    auto const plan = plan_probes(state, request_of(5, 2), start, 1);
+    EXPECT_NE(
+        std::find(plan.probes.begin(), plan.probes.end(), upstream_of(13)),
+        plan.probes.end());
+}
+
+TEST(placement, short_prompts_are_not_probed_for)
+{
+    placement_state const state = state_of(20);
+    placement_request request;
+    request.prompt.levels = {prefix::level{{1, 1}, 10}};
+    request.prompt.prompt_tokens = 10;
+    EXPECT_TRUE(plan_probes(state, request, start, 1).probes.empty());
+    EXPECT_TRUE(choose(state, request, {}, start, 1).has_value());
+}
+
+TEST(placement, cached_prefix_wins_until_its_queue_costs_more)
+{
+    placement_state const state = state_of(2);
+    auto const request = request_of(1, 1);
+    link::probe_reply holder = idle_reply();
+    holder.cached_tokens = 4000;
+    holder.queue_wait_us = 50'000;
+    auto outcomes =
+        std::vector{outcome_of(0, holder), outcome_of(1, idle_reply())};
+    EXPECT_EQ(choose_of(state, request, outcomes)->upstream, upstream_of(0));
+    outcomes[0].reply.queue_wait_us = 2'000'000;
+    EXPECT_EQ(choose_of(state, request, outcomes)->upstream, upstream_of(1));
+}
+
+TEST(placement, pool_weight_moves_the_balance_of_the_one_formula)
+{
+    placement_state const state = state_of(2);
+    auto request = request_of(1, 1);
+    link::probe_reply holder = idle_reply();
+    holder.cached_tokens = 4000;
+    holder.queue_wait_us = 500'000;
+    auto const outcomes =
+        std::vector{outcome_of(0, holder), outcome_of(1, idle_reply())};
+    request.tail_weight = 1.0;
+    EXPECT_EQ(choose_of(state, request, outcomes)->upstream, upstream_of(1));
+    request.tail_weight = 0.0;
+    EXPECT_EQ(choose_of(state, request, outcomes)->upstream, upstream_of(0));
+}
+
+TEST(placement, work_sent_since_the_probe_counts)
+{
+    placement_state state = state_of(2);
+    auto const request = request_of(1, 1);
+    auto const outcomes =
+        std::vector{outcome_of(0, idle_reply()), outcome_of(1, idle_reply())};
+    for (auto const& each : outcomes)
+        take_reply(state, each, start);
+    auto const first = choose_of(state, request, outcomes);
+    ASSERT_TRUE(first);
+    take_sent(state, request, *first, start);
+    EXPECT_NE(choose_of(state, request, outcomes)->upstream, first->upstream);
+}
+
+TEST(placement, unfit_upstreams_are_never_chosen)
+{
+    placement_state const state = state_of(5);
+    auto request = request_of(1, 1);
+    request.weights_version = "7";
+    request.excluded = {upstream_of(4)};
+    auto outcomes = std::vector<probe_outcome>{};
+    for (std::size_t number = 0; number < 5; ++number)
+        outcomes.push_back(outcome_of(number, idle_reply()));
+    outcomes[0].reply.leaving = true;
+    outcomes[1].reply.ready = false;
+    outcomes[2].reply.role = "decode";
+    outcomes[3].reply.weights_version = "6";
+    placement_state known = state;
+    for (auto const& each : outcomes)
+        take_reply(known, each, start);
+    EXPECT_FALSE(choose_of(known, request, outcomes).has_value());
+    request.excluded.clear();
+    EXPECT_EQ(choose_of(known, request, outcomes)->upstream, upstream_of(4));
+}
+
+TEST(placement, upstream_with_the_adapter_is_preferred)
+{
+    placement_state const state = state_of(2);
+    auto request = request_of(1, 1);
+    request.adapter = "tins";
+    link::probe_reply loaded = idle_reply();
+    loaded.adapters = {"tins"};
+    loaded.queue_wait_us = 100'000;
+    auto const outcomes =
+        std::vector{outcome_of(0, idle_reply()), outcome_of(1, loaded)};
+    EXPECT_EQ(choose_of(state, request, outcomes)->upstream, upstream_of(1));
+}
+
+TEST(placement, empty_newcomer_starts_slowly)
+{
+    placement_state const state = state_of(2);
+    auto const request = request_of(1, 1);
+    link::probe_reply newcomer = idle_reply();
+    newcomer.engine_age_us = 0;
+    link::probe_reply busy = idle_reply();
+    busy.queue_wait_us = 200'000;
+    auto outcomes = std::vector{outcome_of(0, newcomer), outcome_of(1, busy)};
+    EXPECT_EQ(choose_of(state, request, outcomes)->upstream, upstream_of(1));
+    outcomes[0].reply.engine_age_us = 60'000'000;
+    EXPECT_EQ(choose_of(state, request, outcomes)->upstream, upstream_of(0));
+}
+
+TEST(placement, near_data_centre_wins_a_tie)
+{
+    auto members = members_of(2);
+    members[0].distance = 1ms;
+    placement_state state;
+    set_members(state, members);
+    auto const outcomes =
+        std::vector{outcome_of(0, idle_reply()), outcome_of(1, idle_reply())};
+    EXPECT_EQ(choose_of(state, request_of(1, 1), outcomes)->upstream,
+              upstream_of(1));
+}
+
+TEST(placement, refusal_of_a_leaving_upstream_is_heeded)
+{
+    placement_state state = state_of(2);
+    take_refusal(state, upstream_of(0), true, start);
+    for (std::uint64_t annex = 1; annex < 30; ++annex)
+    {
+        auto const plan =
+            plan_probes(state, request_of(annex, 1), start, annex);
+        EXPECT_EQ(plan.probes, std::vector{upstream_of(1)});
+    }
+}
+
+TEST(placement, probes_lost_still_leave_a_choice)
+{
+    placement_state const state = state_of(3);
+    auto const found = choose_of(state, request_of(1, 1), {});
+    ASSERT_TRUE(found);
+    EXPECT_FALSE(found->is_probed);
+}
+
+/// Scores every upstream by the formula as it is written in the design note.
+RC_GTEST_PROP(placement, agrees_with_a_chooser_that_scores_all, ())
+{
+    std::size_t const count = *rc::gen::inRange<std::size_t>(1, 12);
+    placement_state const state = state_of(count);
+    auto request = request_of(1, 1);
+    request.tail_weight = *rc::gen::inRange(0, 11) / 10.0;
+    std::vector<probe_outcome> outcomes;
+    double least = 1e18;
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        link::probe_reply reply = idle_reply();
+        reply.leaving = *rc::gen::inRange(0, 5) == 0;
+        reply.cached_tokens = *rc::gen::element(0U, 500U, 4000U);
+        reply.queue_wait_us = *rc::gen::inRange<std::uint64_t>(0, 900'000);
+        outcomes.push_back(outcome_of(number, reply));
+        double const compute = 100.0 * (4100 - reply.cached_tokens);
+        double const weighed =
+            static_cast<double>(reply.queue_wait_us) + 200.0 + compute +
+            (1.0 - request.tail_weight) * state.options.reuse_weight * compute;
+        if (!reply.leaving)
+            least = std::min(least, weighed);
+    }
+    auto const found = choose_of(state, request, outcomes);
+    if (least < 1e18)
+    {
+        RC_ASSERT(found.has_value());
+        RC_ASSERT(std::abs(found->expected.weighed_us - least) < 2.0);
+    }
+}
+
+TEST(rendezvous, weight_is_the_share_of_keys)
+{
+    std::size_t heavier = 0;
+    for (std::uint64_t key = 0; key < 4000; ++key)
+        heavier += rendezvous_score(key, name_hash_of("a"), 3.0) >
+                           rendezvous_score(key, name_hash_of("b"), 1.0)
+                       ? 1
+                       : 0;
+    EXPECT_NEAR(static_cast<double>(heavier), 3000.0, 120.0);
+}
+
+} // namespace jujubestand::placement
