Add the sidecar's queue

Cause: the sidecar is the one place that sees all work for its upstream.

Change: deficit round robin over teams by tokens within each priority, bounds on requests, tokens and each team's share, early refusal when the first token would be too late, and no more handed to the engine than keeps its batch full. Expired requests are dropped at their time, not at their turn; whatever is dropped has left the queue before it is told. A differential test compares the order with a plain one that scans all.

--- /dev/null
+++ b/jujubestand/admission/queue.cpp
@@ -0,0 +1,396 @@
+#include <jujubestand/admission/queue.hpp>
+
+#include <algorithm>
+
+namespace jujubestand::admission
+{
+
+namespace
+{
+
+constexpr double turnover_step = 0.1;
+
+std::size_t class_of(std::uint8_t priority)
+{
+    return std::min<std::size_t>(priority, priority_classes - 1);
+}
+
+microseconds scaled(double microseconds_count)
+{
+    return microseconds(static_cast<std::int64_t>(microseconds_count));
+}
+
+microseconds bounded_advice(queue_options const& options, microseconds wait)
+{
+    return std::clamp<microseconds>(wait, options.retry_after_min,
+                                    options.retry_after_max);
+}
+
+microseconds compute_time(queue_state const& state, std::uint64_t tokens)
+{
+    return scaled(static_cast<double>(tokens) * state.prefill_us_per_token);
+}
+
+/// A request whose first token would come too late has nothing to wait for,
+/// though its deadline for the whole answer be far.
+expiry expiry_of(queue_state const& state, queue_item const& item)
+{
+    mono_time at = item.deadline;
+    if (item.first_token_deadline != mono_time::max())
+        at = std::min(at, item.first_token_deadline -
+                              compute_time(state, item.tokens));
+    return expiry{at, item.request};
+}
+
+void push_item(queue_state& state, queue_item const& item)
+{
+    class_queue& group = state.classes[class_of(item.priority)];
+    team_queue& team = group.teams[item.team];
+    if (team.items.empty())
+        group.turns.push_back(item.team);
+    team.items.push_back(item);
+    ++group.items;
+    group.tokens += item.tokens;
+    state.waiting_tokens += item.tokens;
+    state.team_tokens[item.team] += item.tokens;
+    expiry const last = expiry_of(state, item);
+    state.expiries.insert(last);
+    state.waiting.emplace(item.request, waiting_item{item, last});
+}
+
+/// Accounts for an item that has left its team's queue.
+void forget_item(queue_state& state, queue_item const& item)
+{
+    class_queue& group = state.classes[class_of(item.priority)];
+    --group.items;
+    group.tokens -= item.tokens;
+    state.waiting_tokens -= item.tokens;
+    auto const spent = state.team_tokens.find(item.team);
+    spent->second -= item.tokens;
+    if (spent->second == 0)
+        state.team_tokens.erase(spent);
+    auto const place = state.waiting.find(item.request);
+    state.expiries.erase(place->second.last);
+    state.waiting.erase(place);
+}
+
+/// A team without items takes no turn and saves no deficit.
+void end_team_if_empty(class_queue& group, team_id const& team)
+{
+    auto const found = group.teams.find(team);
+    if (found == group.teams.end() || !found->second.items.empty())
+        return;
+    group.teams.erase(found);
+    auto const turn = std::find(group.turns.begin(), group.turns.end(), team);
+    if (turn == group.turns.begin())
+        group.is_turn_begun = false;
+    if (turn != group.turns.end())
+        group.turns.erase(turn);
+}
+
+void remove_item(queue_state& state, queue_item const& item)
+{
+    class_queue& group = state.classes[class_of(item.priority)];
+    auto const team = group.teams.find(item.team);
+    auto& items = team->second.items;
+    auto const place = std::find_if(items.begin(), items.end(),
+                                    [&](queue_item const& each)
+                                    {
+                                        return each.request == item.request;
+                                    });
+    items.erase(place);
+    forget_item(state, item);
+    end_team_if_empty(group, item.team);
+}
+
+/// Gives turns until a team's deficit covers its first item; that item is
+/// the class's next. Every round adds a quantum, so this ends.
+queue_item const* front_of(queue_state const& state, class_queue& group)
+{
+    while (!group.turns.empty())
+    {
+        team_id const team = group.turns.front();
+        team_queue& queue = group.teams.find(team)->second;
+        if (!group.is_turn_begun)
+        {
+            queue.deficit_tokens += state.options.quantum_tokens;
+            group.is_turn_begun = true;
+        }
+        if (queue.deficit_tokens >= queue.items.front().tokens)
+            return &queue.items.front();
+        group.turns.pop_front();
+        group.turns.push_back(team);
+        group.is_turn_begun = false;
+    }
+    return nullptr;
+}
+
+void pop_front(queue_state& state, class_queue& group, queue_item const& item)
+{
+    team_queue& queue = group.teams.find(item.team)->second;
+    queue.deficit_tokens -= item.tokens;
+    queue.items.pop_front();
+    forget_item(state, item);
+    end_team_if_empty(group, item.team);
+}
+
+/// The engine always gets one request, however long, and more only while
+/// they fit.
+bool has_room(queue_state const& state, queue_item const& item)
+{
+    if (state.ahead_tokens == 0)
+        return true;
+    return state.ahead_tokens + item.tokens <= state.options.ahead_tokens;
+}
+
+/// Those that are waited for in vain are told at once, not when their turn
+/// comes.
+void drop_expired(queue_state& state, mono_time now, dispatch& into)
+{
+    while (!state.expiries.empty() && state.expiries.begin()->at <= now)
+    {
+        request_id const request = state.expiries.begin()->request;
+        queue_item const item = state.waiting.find(request)->second.item;
+        remove_item(state, item);
+        into.dropped.push_back(dropped_item{
+            request,
+            reason{reason_code::deadline_passed, "waited too long", {}},
+            bounded_advice(state.options,
+                           expected_wait(state, item.priority))});
+    }
+}
+
+class_queue* first_class(queue_state& state)
+{
+    for (auto& group : state.classes)
+    {
+        if (group.items > 0)
+            return &group;
+    }
+    return nullptr;
+}
+
+offer_result refusal(reason_code code, std::string text, microseconds advice)
+{
+    offer_result result;
+    result.why = reason{code, std::move(text), {}};
+    result.retry_after = advice;
+    return result;
+}
+
+bool is_full(queue_state const& state, queue_item const& item)
+{
+    if (state.waiting.empty())
+        return false;
+    return state.waiting.size() >= state.options.waiting_limit ||
+           state.waiting_tokens + item.tokens >
+               state.options.waiting_tokens_limit;
+}
+
+/// The newest item of the least urgent class below `priority`.
+std::optional<queue_item> displaceable(queue_state const& state,
+                                       std::uint8_t priority)
+{
+    for (std::size_t place = priority_classes; place > class_of(priority) + 1;
+         --place)
+    {
+        class_queue const& group = state.classes[place - 1];
+        if (!group.turns.empty())
+            return group.teams.find(group.turns.back())->second.items.back();
+    }
+    return std::nullopt;
+}
+
+/// Tokens that less urgent requests could make room with.
+bool can_make_room(queue_state const& state, queue_item const& item)
+{
+    std::uint64_t tokens = 0;
+    std::size_t items = 0;
+    for (std::size_t place = class_of(item.priority) + 1;
+         place < priority_classes; ++place)
+    {
+        tokens += state.classes[place].tokens;
+        items += state.classes[place].items;
+    }
+    bool const fits_tokens = state.waiting_tokens - tokens + item.tokens <=
+                             state.options.waiting_tokens_limit;
+    bool const fits_items =
+        state.waiting.size() - items < state.options.waiting_limit;
+    return items > 0 && (fits_tokens || items == state.waiting.size()) &&
+           fits_items;
+}
+
+bool is_over_team_limit(queue_state const& state, queue_item const& item)
+{
+    auto const known = state.team_tokens.find(item.team);
+    if (known == state.team_tokens.end())
+        return false;
+    std::uint64_t const limit = item.team_tokens_limit > 0
+                                    ? item.team_tokens_limit
+                                    : state.options.team_tokens_limit;
+    return known->second + item.tokens > limit;
+}
+
+/// Time by which a request offered now would miss its first token.
+microseconds lateness(queue_state const& state, queue_item const& item,
+                      mono_time now)
+{
+    mono_time const limit = std::min(item.deadline, item.first_token_deadline);
+    if (limit == mono_time::max())
+        return microseconds{0};
+    mono_time const first = now + expected_wait(state, item.priority) +
+                            compute_time(state, item.tokens);
+    return std::max(first - limit, microseconds{0});
+}
+
+} // namespace
+
+queue_state::queue_state(queue_options const& limits)
+    : options(limits)
+    , slots(limits.slots)
+    , prefill_us_per_token(limits.prefill_us_per_token)
+{
+}
+
+void take_report(queue_state& state, engine_report const& report)
+{
+    if (report.slots > 0)
+        state.slots = report.slots;
+    if (report.prefill_us_per_token > 0)
+        state.prefill_us_per_token = report.prefill_us_per_token;
+}
+
+microseconds expected_wait(queue_state const& state, std::uint8_t priority)
+{
+    std::uint64_t tokens = state.ahead_tokens;
+    std::size_t items = 0;
+    for (std::size_t place = 0; place <= class_of(priority); ++place)
+    {
+        tokens += state.classes[place].tokens;
+        items += state.classes[place].items;
+    }
+    microseconds const compute = compute_time(state, tokens);
+    std::size_t const occupied = state.running.size() + items;
+    if (occupied < state.slots)
+        return compute;
+    auto const behind = static_cast<double>(occupied - state.slots + 1);
+    return std::max(compute, scaled(behind * state.slot_turnover_us));
+}
+
+offer_result offer(queue_state& state, queue_item const& offered, mono_time now)
+{
+    queue_item item = offered;
+    item.tokens = std::max(item.tokens, 1U);
+    microseconds const advice =
+        bounded_advice(state.options, expected_wait(state, item.priority) / 2);
+    if (state.waiting.contains(item.request) ||
+        state.running.contains(item.request))
+        return refusal(reason_code::malformed_request,
+                       "this request is here already", advice);
+    if (now >= item.deadline)
+        return refusal(reason_code::deadline_passed, "came too late",
+                       microseconds{0});
+    if (is_over_team_limit(state, item))
+        return refusal(reason_code::team_limit,
+                       "the team has too much waiting here", advice);
+    microseconds const late = lateness(state, item, now);
+    if (late > microseconds{0})
+        return refusal(reason_code::deadline_unreachable,
+                       "the first token would come too late",
+                       bounded_advice(state.options, late));
+    if (is_full(state, item) && !can_make_room(state, item))
+        return refusal(reason_code::queue_full, "the queue is full", advice);
+    offer_result result;
+    result.is_accepted = true;
+    while (is_full(state, item))
+    {
+        auto const victim = displaceable(state, item.priority);
+        if (!victim)
+            break;
+        remove_item(state, *victim);
+        result.displaced.push_back(victim->request);
+    }
+    push_item(state, item);
+    return result;
+}
+
+dispatch next(queue_state& state, mono_time now)
+{
+    dispatch result;
+    drop_expired(state, now, result);
+    while (state.running.size() < state.slots)
+    {
+        class_queue* const group = first_class(state);
+        if (group == nullptr)
+            break;
+        queue_item const* const front = front_of(state, *group);
+        if (front == nullptr || !has_room(state, *front))
+            break;
+        queue_item const item = *front;
+        pop_front(state, *group, item);
+        state.ahead_tokens += item.tokens;
+        state.running.emplace(item.request, running_item{item.tokens, false});
+        result.started.push_back(item.request);
+    }
+    return result;
+}
+
+std::optional<mono_time> next_expiry(queue_state const& state)
+{
+    if (state.expiries.empty())
+        return std::nullopt;
+    return state.expiries.begin()->at;
+}
+
+bool cancel(queue_state& state, request_id const& request)
+{
+    auto const found = state.waiting.find(request);
+    if (found == state.waiting.end())
+        return false;
+    queue_item const item = found->second.item;
+    remove_item(state, item);
+    return true;
+}
+
+std::vector<request_id> cancel_all(queue_state& state)
+{
+    std::vector<request_id> gone;
+    gone.reserve(state.waiting.size());
+    for (auto const& [request, each] : state.waiting)
+        gone.push_back(request);
+    state.waiting.clear();
+    state.expiries.clear();
+    state.team_tokens.clear();
+    state.waiting_tokens = 0;
+    state.classes = {};
+    std::sort(gone.begin(), gone.end());
+    return gone;
+}
+
+void take_first_token(queue_state& state, request_id const& request)
+{
+    auto const found = state.running.find(request);
+    if (found == state.running.end() || found->second.has_first_token)
+        return;
+    found->second.has_first_token = true;
+    state.ahead_tokens -= found->second.tokens;
+}
+
+void take_finish(queue_state& state, request_id const& request, mono_time now)
+{
+    if (!state.running.contains(request))
+        return;
+    take_first_token(state, request);
+    bool const was_full = state.running.size() >= state.slots;
+    if (was_full && state.last_finish != mono_time{})
+    {
+        auto const since =
+            static_cast<double>((now - state.last_finish).count());
+        state.slot_turnover_us +=
+            turnover_step * (since - state.slot_turnover_us);
+    }
+    state.last_finish = now;
+    state.running.erase(request);
+}
+
+} // namespace jujubestand::admission
--- /dev/null
+++ b/jujubestand/admission/test/queue_test.cpp
@@ -0,0 +1,354 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+#include <jujubestand/admission/queue.hpp>
+
+namespace jujubestand::admission
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+mono_time const start{1s};
+
+request_id request_of(std::uint64_t number)
+{
+    return request_id{7, number};
+}
+
+queue_item item_of(std::uint64_t number, std::string const& team,
+                   std::uint32_t tokens)
+{
+    queue_item item;
+    item.request = request_of(number);
+    item.team = team_id(team);
+    item.tokens = tokens;
+    return item;
+}
+
+queue_options one_at_a_time()
+{
+    queue_options options;
+    options.slots = 1;
+    options.quantum_tokens = 100;
+    return options;
+}
+
+/// Runs everything waiting, one after the other. \returns the order
+std::vector<request_id> drain(queue_state& state)
+{
+    std::vector<request_id> order;
+    for (;;)
+    {
+        dispatch const step = next(state, start);
+        if (step.started.empty())
+            return order;
+        for (auto const& request : step.started)
+        {
+            order.push_back(request);
+            take_finish(state, request, start);
+        }
+    }
+}
+
+/// The same rule over plain vectors: scans everything on each step.
+struct naive_queue
+{
+    std::vector<queue_item> items;
+    std::map<std::pair<std::uint8_t, team_id>, std::uint64_t> deficit;
+    std::map<std::uint8_t, std::vector<team_id>> turns;
+    std::map<std::uint8_t, bool> begun;
+
+    void add(queue_item const& item)
+    {
+        auto& order = this->turns[item.priority];
+        if (std::find(order.begin(), order.end(), item.team) == order.end())
+            order.push_back(item.team);
+        this->items.push_back(item);
+    }
+
+    void remove(request_id const& request)
+    {
+        auto const place = this->place_of(request);
+        queue_item const item = *place;
+        this->items.erase(place);
+        bool const has_more = std::any_of(
+            this->items.begin(), this->items.end(),
+            [&](queue_item const& each)
+            {
+                return each.team == item.team && each.priority == item.priority;
+            });
+        if (has_more)
+            return;
+        auto& order = this->turns[item.priority];
+        if (order.front() == item.team)
+            this->begun[item.priority] = false;
+        order.erase(std::find(order.begin(), order.end(), item.team));
+        this->deficit.erase({item.priority, item.team});
+    }
+
+    std::vector<queue_item>::iterator place_of(request_id const& request)
+    {
+        return std::find_if(this->items.begin(), this->items.end(),
+                            [&](queue_item const& each)
+                            {
+                                return each.request == request;
+                            });
+    }
+
+    std::optional<request_id> take(std::uint32_t quantum)
+    {
+        if (this->items.empty())
+            return std::nullopt;
+        std::uint8_t const urgent =
+            std::min_element(this->items.begin(), this->items.end(),
+                             [](queue_item const& left, queue_item const& right)
+                             {
+                                 return left.priority < right.priority;
+                             })
+                ->priority;
+        auto& order = this->turns[urgent];
+        for (;;)
+        {
+            team_id const team = order.front();
+            auto& saved = this->deficit[{urgent, team}];
+            if (!this->begun[urgent])
+                saved += quantum;
+            this->begun[urgent] = true;
+            auto const first = std::find_if(
+                this->items.begin(), this->items.end(),
+                [&](queue_item const& each)
+                {
+                    return each.team == team && each.priority == urgent;
+                });
+            if (saved >= first->tokens)
+            {
+                request_id const request = first->request;
+                saved -= first->tokens;
+                this->remove(request);
+                return request;
+            }
+            std::rotate(order.begin(), order.begin() + 1, order.end());
+            this->begun[urgent] = false;
+        }
+    }
+};
+
+} // namespace
+
+TEST(queue, large_team_does_not_starve_a_small_one)
+{
+    queue_state state(one_at_a_time());
+    for (std::uint64_t number = 0; number < 100; ++number)
+        ASSERT_TRUE(
+            offer(state, item_of(number, "large", 100), start).is_accepted);
+    ASSERT_TRUE(offer(state, item_of(500, "small", 100), start).is_accepted);
+    auto const order = drain(state);
+    auto const place =
+        std::find(order.begin(), order.end(), request_of(500)) - order.begin();
+    EXPECT_LE(place, 2);
+}
+
+TEST(queue, shares_are_by_tokens_not_requests)
+{
+    queue_state state(one_at_a_time());
+    for (std::uint64_t number = 0; number < 20; ++number)
+    {
+        ASSERT_TRUE(
+            offer(state, item_of(number, "long", 400), start).is_accepted);
+        ASSERT_TRUE(offer(state, item_of(100 + number, "short", 100), start)
+                        .is_accepted);
+    }
+    auto order = drain(state);
+    order.resize(20);
+    auto const longer = std::count_if(order.begin(), order.end(),
+                                      [](request_id const& each)
+                                      {
+                                          return each.low < 100;
+                                      });
+    EXPECT_NEAR(static_cast<double>(longer), 4.0, 1.0);
+}
+
+TEST(queue, urgent_goes_first)
+{
+    queue_state state(one_at_a_time());
+    queue_item urgent = item_of(2, "b", 10);
+    urgent.priority = 0;
+    ASSERT_TRUE(offer(state, item_of(1, "a", 10), start).is_accepted);
+    ASSERT_TRUE(offer(state, urgent, start).is_accepted);
+    EXPECT_EQ(drain(state).front(), request_of(2));
+}
+
+TEST(queue, hands_over_no_more_than_keeps_the_batch_full)
+{
+    queue_options options;
+    options.slots = 100;
+    options.ahead_tokens = 1000;
+    queue_state state(options);
+    for (std::uint64_t number = 0; number < 10; ++number)
+        ASSERT_TRUE(offer(state, item_of(number, "a", 400), start).is_accepted);
+    EXPECT_EQ(next(state, start).started.size(), 2U);
+    EXPECT_TRUE(next(state, start).started.empty());
+    take_first_token(state, request_of(0));
+    EXPECT_EQ(next(state, start).started.size(), 1U);
+}
+
+TEST(queue, longest_prompt_still_runs)
+{
+    queue_options options;
+    options.ahead_tokens = 1000;
+    queue_state state(options);
+    ASSERT_TRUE(offer(state, item_of(1, "a", 50'000), start).is_accepted);
+    EXPECT_EQ(next(state, start).started.size(), 1U);
+}
+
+TEST(queue, late_request_is_dropped_when_it_is_late_not_when_its_turn_comes)
+{
+    queue_state state(one_at_a_time());
+    queue_item late = item_of(2, "a", 1);
+    late.deadline = start + 10ms;
+    ASSERT_TRUE(offer(state, item_of(1, "a", 1), start).is_accepted);
+    ASSERT_EQ(next(state, start).started.size(), 1U);
+    ASSERT_TRUE(offer(state, late, start).is_accepted);
+    EXPECT_EQ(next_expiry(state), start + 10ms);
+    dispatch const step = next(state, start + 10ms);
+    EXPECT_TRUE(step.started.empty());
+    ASSERT_EQ(step.dropped.size(), 1U);
+    EXPECT_EQ(step.dropped[0].why.code, reason_code::deadline_passed);
+    EXPECT_FALSE(cancel(state, request_of(2)));
+    take_finish(state, request_of(1), start + 20ms);
+    EXPECT_TRUE(next(state, start + 20ms).started.empty());
+}
+
+TEST(queue, refuses_early_what_cannot_be_in_time)
+{
+    queue_options options;
+    options.prefill_us_per_token = 1000;
+    options.ahead_tokens = 1;
+    queue_state state(options);
+    ASSERT_TRUE(offer(state, item_of(1, "a", 500), start).is_accepted);
+    queue_item hurried = item_of(2, "b", 100);
+    hurried.first_token_deadline = start + 550ms;
+    offer_result const result = offer(state, hurried, start);
+    EXPECT_FALSE(result.is_accepted);
+    EXPECT_EQ(result.why.code, reason_code::deadline_unreachable);
+    EXPECT_GE(result.retry_after, options.retry_after_min);
+    hurried.first_token_deadline = start + 650ms;
+    EXPECT_TRUE(offer(state, hurried, start).is_accepted);
+}
+
+TEST(queue, is_bounded_and_urgent_requests_displace_others)
+{
+    queue_options options = one_at_a_time();
+    options.waiting_limit = 3;
+    queue_state state(options);
+    for (std::uint64_t number = 0; number < 3; ++number)
+        ASSERT_TRUE(offer(state, item_of(number, "a", 1), start).is_accepted);
+    offer_result const refused = offer(state, item_of(9, "a", 1), start);
+    EXPECT_EQ(refused.why.code, reason_code::queue_full);
+    queue_item urgent = item_of(10, "b", 1);
+    urgent.priority = 0;
+    offer_result const taken = offer(state, urgent, start);
+    EXPECT_TRUE(taken.is_accepted);
+    ASSERT_EQ(taken.displaced.size(), 1U);
+    EXPECT_EQ(taken.displaced[0], request_of(2));
+    EXPECT_EQ(state.waiting.size(), 3U);
+    auto const order = drain(state);
+    EXPECT_EQ(std::count(order.begin(), order.end(), request_of(2)), 0);
+}
+
+TEST(queue, team_limit_holds_one_team_back)
+{
+    queue_options options = one_at_a_time();
+    options.team_tokens_limit = 100;
+    queue_state state(options);
+    ASSERT_TRUE(offer(state, item_of(1, "a", 80), start).is_accepted);
+    EXPECT_EQ(offer(state, item_of(2, "a", 80), start).why.code,
+              reason_code::team_limit);
+    EXPECT_TRUE(offer(state, item_of(3, "b", 80), start).is_accepted);
+}
+
+TEST(queue, cancelled_request_never_starts)
+{
+    queue_state state(one_at_a_time());
+    ASSERT_TRUE(offer(state, item_of(1, "a", 1), start).is_accepted);
+    ASSERT_TRUE(offer(state, item_of(2, "a", 1), start).is_accepted);
+    EXPECT_TRUE(cancel(state, request_of(1)));
+    EXPECT_FALSE(cancel(state, request_of(1)));
+    EXPECT_EQ(drain(state), std::vector{request_of(2)});
+}
+
+TEST(queue, losing_the_upstream_takes_all_waiting_out)
+{
+    queue_state state(one_at_a_time());
+    ASSERT_TRUE(offer(state, item_of(1, "a", 1), start).is_accepted);
+    ASSERT_TRUE(offer(state, item_of(2, "b", 1), start).is_accepted);
+    EXPECT_EQ(cancel_all(state).size(), 2U);
+    EXPECT_TRUE(next(state, start).started.empty());
+    EXPECT_FALSE(next_expiry(state).has_value());
+}
+
+TEST(queue, wait_counts_what_goes_before)
+{
+    queue_options options;
+    options.prefill_us_per_token = 10;
+    queue_state state(options);
+    EXPECT_EQ(expected_wait(state, 1), 0us);
+    ASSERT_TRUE(offer(state, item_of(1, "a", 100), start).is_accepted);
+    EXPECT_EQ(expected_wait(state, 1), 1000us);
+    EXPECT_EQ(expected_wait(state, 0), 0us);
+    ASSERT_EQ(next(state, start).started.size(), 1U);
+    EXPECT_EQ(expected_wait(state, 0), 1000us);
+    take_first_token(state, request_of(1));
+    EXPECT_EQ(expected_wait(state, 0), 0us);
+}
+
+RC_GTEST_PROP(queue, agrees_with_the_naive_one, ())
+{
+    queue_options options = one_at_a_time();
+    queue_state state(options);
+    naive_queue naive;
+    auto const steps = *rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::inRange<std::uint32_t>(0, 1000));
+    std::uint64_t number = 0;
+    std::vector<request_id> waiting;
+    for (auto const step : steps)
+    {
+        if (step % 3 != 0)
+        {
+            queue_item item = item_of(
+                ++number, std::string(1, "abcd"[step % 4]), 1 + step % 300);
+            item.priority = static_cast<std::uint8_t>(step % 2);
+            RC_ASSERT(offer(state, item, start).is_accepted);
+            naive.add(item);
+            waiting.push_back(item.request);
+        }
+        else if (step % 2 == 0)
+        {
+            auto const expected = naive.take(options.quantum_tokens);
+            dispatch const got = next(state, start);
+            RC_ASSERT(got.started.size() == (expected ? 1U : 0U));
+            if (!expected)
+                continue;
+            RC_ASSERT(got.started[0] == *expected);
+            take_finish(state, *expected, start);
+            std::erase(waiting, *expected);
+        }
+        else if (!waiting.empty())
+        {
+            request_id const gone = waiting[step % waiting.size()];
+            RC_ASSERT(cancel(state, gone));
+            naive.remove(gone);
+            std::erase(waiting, gone);
+        }
+    }
+    for (auto const& request : drain(state))
+        RC_ASSERT(naive.take(options.quantum_tokens) == request);
+    RC_ASSERT(naive.items.empty());
+}
+
+} // namespace jujubestand::admission
