--- /dev/null
+++ b/jujubestand/retries/circuit.cpp
@@ -0,0 +1,65 @@
+#include <jujubestand/retries/circuit.hpp>
+
+#include <algorithm>
+
+namespace jujubestand::retries
+{
+
+namespace
+{
+
+constexpr std::uint32_t doublings_limit = 16;
+
+/// Half of the pause is drawn, so that entries do not try together.
+microseconds pause(circuit_options const& options, std::uint32_t openings,
+                   std::uint64_t draw) noexcept
+{
+    std::uint32_t const doublings = std::min(openings, doublings_limit);
+    microseconds const bound = std::min<microseconds>(
+        options.open_base * (std::int64_t{1} << doublings), options.open_limit);
+    auto const half = static_cast<std::uint64_t>(bound.count()) / 2;
+    return microseconds(static_cast<std::int64_t>(half + draw % (half + 1)));
+}
+
+} // namespace
+
+bool is_open(circuit const& state, mono_time now) noexcept
+{
+    return state.mode != circuit_mode::closed && now < state.until;
+}
+
+bool try_pass(circuit& state, circuit_options const& options,
+              mono_time now) noexcept
+{
+    if (state.mode == circuit_mode::closed)
+        return true;
+    if (now < state.until)
+        return false;
+    state.mode = circuit_mode::half_open;
+    state.until = now + options.trial_limit;
+    return true;
+}
+
+bool take_success(circuit& state) noexcept
+{
+    bool const was_closed = state.mode == circuit_mode::closed;
+    state = circuit{};
+    return !was_closed;
+}
+
+bool take_failure(circuit& state, circuit_options const& options, mono_time now,
+                  std::uint64_t draw) noexcept
+{
+    ++state.failures;
+    bool const is_trial = state.mode == circuit_mode::half_open;
+    if (!is_trial && state.failures < options.failures_to_open)
+        return false;
+    if (state.mode == circuit_mode::open && now < state.until)
+        return false;
+    state.mode = circuit_mode::open;
+    state.until = now + pause(options, state.openings, draw);
+    ++state.openings;
+    return true;
+}
+
+} // namespace jujubestand::retries
--- /dev/null
+++ b/jujubestand/retries/test/circuit_test.cpp
@@ -0,0 +1,72 @@
+#include <gtest/gtest.h>
+#include <jujubestand/retries/circuit.hpp>
+
+namespace jujubestand::retries
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+mono_time const start{1s};
+circuit_options const options;
+
+circuit opened()
+{
+    circuit state;
+    for (std::uint32_t count = 0; count < options.failures_to_open; ++count)
+        take_failure(state, options, start, 0);
+    return state;
+}
+
+} // namespace
+
+TEST(circuit, opens_after_failures_in_a_row)
+{
+    circuit state;
+    EXPECT_FALSE(take_failure(state, options, start, 0));
+    EXPECT_FALSE(take_failure(state, options, start, 0));
+    take_success(state);
+    EXPECT_FALSE(take_failure(state, options, start, 0));
+    EXPECT_FALSE(take_failure(state, options, start, 0));
+    EXPECT_TRUE(take_failure(state, options, start, 0));
+    EXPECT_TRUE(is_open(state, start));
+    EXPECT_FALSE(try_pass(state, options, start));
+}
+
+TEST(circuit, lets_one_trial_pass_after_the_pause)
+{
+    circuit state = opened();
+    mono_time const later = start + options.open_base;
+    EXPECT_TRUE(try_pass(state, options, later));
+    EXPECT_FALSE(try_pass(state, options, later));
+    EXPECT_TRUE(take_success(state));
+    EXPECT_TRUE(try_pass(state, options, later));
+}
+
+TEST(circuit, failed_trial_doubles_the_pause)
+{
+    circuit state = opened();
+    mono_time const later = start + options.open_base;
+    ASSERT_TRUE(try_pass(state, options, later));
+    EXPECT_TRUE(take_failure(state, options, later, 0));
+    EXPECT_EQ(state.until, later + options.open_base);
+    EXPECT_EQ(state.mode, circuit_mode::open);
+}
+
+TEST(circuit, lost_trial_does_not_block_for_ever)
+{
+    circuit state = opened();
+    mono_time const later = start + options.open_base;
+    ASSERT_TRUE(try_pass(state, options, later));
+    EXPECT_TRUE(try_pass(state, options, later + options.trial_limit));
+}
+
+TEST(circuit, mode_names_lead_both_ways)
+{
+    for (auto const& row : circuit_mode_names)
+        EXPECT_EQ(from_name(circuit_mode_names, row.name), row.value);
+}
+
+} // namespace jujubestand::retries
