--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -17,6 +17,10 @@
     add_executable(test_${slice} ${test_sources})
     target_link_libraries(test_${slice} PRIVATE jujubestand rapidcheck
         GTest::gmock GTest::gtest GTest::gtest_main)
+    if(TARGET ${slice}_support)
+        target_link_libraries(test_${slice} PRIVATE ${slice}_support)
+        add_dependencies(test_${slice} ${${slice}_programs})
+    endif()
     target_compile_definitions(test_${slice} PRIVATE
         JUJUBESTAND_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
         JUJUBESTAND_BINARY_DIR="${PROJECT_BINARY_DIR}")
