Answer a streamed completion over the whole path

Cause: every other matter grows on the path from caller to upstream and back, so it has to stand first, thin. An answer that is aborted before its first bytes left is cut as well: evhttp calls nobody back for a head alone. Conclusion: the slices can be wired in, each at its seam.

--- /dev/null
+++ b/jujubestand/entry/call.hpp
@@ -0,0 +1,77 @@
+#ifndef JUJUBESTAND_ENTRY_CALL_HPP
+#define JUJUBESTAND_ENTRY_CALL_HPP
+
+#include <cstdint>
+#include <jujubestand/config/tables.hpp>
+#include <jujubestand/core/address.hpp>
+#include <jujubestand/core/ids.hpp>
+#include <jujubestand/core/slot_map.hpp>
+#include <jujubestand/core/time.hpp>
+#include <jujubestand/core/verdict.hpp>
+#include <jujubestand/entry/intake.hpp>
+#include <jujubestand/http/server.hpp>
+#include <jujubestand/link/messages.hpp>
+#include <jujubestand/link/node.hpp>
+#include <jujubestand/loop/timer.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jujubestand::entry
+{
+
+/// \brief Address of one caller's request under way.
+using call_id = slot_id<struct call_tag>;
+
+/// \brief An upstream as the entry can reach it.
+struct upstream_place
+{
+    upstream_id upstream;
+    data_centre_id data_centre;
+    address link;
+    bool is_leaving = false;
+};
+
+/// \brief One try of a request at one upstream.
+struct attempt
+{
+    upstream_id upstream;
+    link::stream_id stream;
+    mono_time started{};
+};
+
+/// \brief What the caller has been sent so far.
+struct relay_state
+{
+    std::optional<link::head> head;
+    std::uint64_t next_sequence = 0;
+    /// An answer that is still held back, so that it can be refused whole.
+    std::string held;
+    /// Status and first bytes have gone to the caller.
+    bool is_started = false;
+    /// Received bytes that the stream's window was not given back for.
+    std::size_t unconsumed_bytes = 0;
+};
+
+/// \brief A caller's request from intake to its last byte.
+struct call
+{
+    http::caller_id caller;
+    accepted request;
+    std::string body;
+    mono_time arrived{};
+    mono_time deadline{};
+    std::optional<attempt> current;
+    std::vector<upstream_id> tried;
+    relay_state relay;
+    /// Worst over all attempts so far.
+    verdict outcome = verdict::not_run;
+    reason why;
+    std::uint64_t retry_after_us = 0;
+    std::optional<loop::timer> deadline_timer;
+    std::optional<loop::timer> retry_timer;
+};
+
+} // namespace jujubestand::entry
+
+#endif
--- /dev/null
+++ b/jujubestand/entry/entry.cpp
@@ -0,0 +1,218 @@
+#include <jujubestand/entry/entry.hpp>
+
+#include <algorithm>
+#include <jujubestand/entry/entry_state.hpp>
+
+namespace jujubestand::entry
+{
+
+namespace
+{
+
+http::server_options server_options_of(settings::settings const& read)
+{
+    http::server_options options;
+    options.header_limit_bytes =
+        static_cast<std::size_t>(read.header_limit_bytes);
+    options.body_limit_bytes = static_cast<std::size_t>(read.body_limit_bytes);
+    options.read_timeout = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::milliseconds(read.read_timeout_ms));
+    return options;
+}
+
+} // namespace
+
+entry::state::state(process::context& context)
+    : shared(&context)
+    , links(context.base, process::node_options_of(context), context.clock)
+    , front(context.base, server_options_of(context.settings))
+    , platform_http(context.base)
+    , list(context.base, this->platform_http, process::list_options_of(context))
+    , log(context.base, this->platform_http, process::log_options_of(context))
+    , tables(context, this->log)
+    , reader(static_cast<std::size_t>(context.settings.json_depth_limit))
+{
+    this->intake.teams = make_team_table(context.settings.teams);
+    this->intake.body_limit_bytes =
+        static_cast<std::size_t>(context.settings.body_limit_bytes);
+    this->connect_signals();
+}
+
+void entry::state::connect_signals()
+{
+    this->front.requested.connect(sigc::mem_fun(*this, &state::on_request));
+    this->front.closed.connect(sigc::mem_fun(*this, &state::on_caller_closed));
+    this->front.drained.connect(
+        sigc::mem_fun(*this, &state::on_caller_drained));
+    this->links.received.connect(sigc::mem_fun(*this, &state::on_frame));
+    this->links.closed.connect(sigc::mem_fun(*this, &state::on_stream_closed));
+    this->links.noted.connect(
+        [this](event_note const& what)
+        {
+            this->shared->noted.emit(what);
+        });
+    this->log.noted.connect(
+        [this](event_note const& what)
+        {
+            this->shared->noted.emit(what);
+        });
+    this->list.received.connect(sigc::mem_fun(*this, &state::on_list));
+}
+
+admin::readiness entry::state::readiness() const
+{
+    if (this->is_draining)
+        return {false, "draining"};
+    if (this->tables.in_force().version == log_offset{})
+        return {false, "no tables: neither the log nor a peer has answered"};
+    if (this->upstreams.empty())
+        return {false, "no upstream is known"};
+    return {true, {}};
+}
+
+void entry::state::on_request(http::caller_id caller,
+                              http::request const& asked)
+{
+    auto const own =
+        admin::answer_common(asked, this->readiness(), this->shared->metrics);
+    if (own)
+    {
+        this->front.reply(caller, own->status,
+                          {{"Content-Type", own->content_type}}, own->body);
+        return;
+    }
+    this->accept(caller, asked);
+}
+
+void entry::state::accept(http::caller_id caller, http::request const& asked)
+{
+    request_id const id = process::next_request_id(*this->shared);
+    problem refused;
+    refused.request = id;
+    std::optional<accepted> taken;
+    auto const limit =
+        static_cast<std::size_t>(this->shared->settings.calls_limit);
+    if (this->refuses_new)
+        refused.why = {reason_code::draining, "this entry is stopping", {}};
+    else if (this->calls.size() >= limit)
+        refused.why = {reason_code::entry_full, "too many open requests", {}};
+    else
+        taken = take_in(this->intake, this->tables.store(), this->reader, asked,
+                        id, refused.why);
+    if (!taken)
+    {
+        process::note(*this->shared, event_number::request_refused, id, {},
+                      {{"reason", to_text(refused.why)}});
+        auto const told = to_answer(refused);
+        this->front.reply(caller, told.status, told.headers, told.body);
+        return;
+    }
+    call next;
+    next.caller = caller;
+    next.request = std::move(*taken);
+    next.body = asked.body;
+    next.arrived = mono_now();
+    next.deadline = next.arrived +
+                    std::chrono::milliseconds(next.request.route.deadline_ms);
+    process::note(
+        *this->shared, event_number::request_accepted, id,
+        next.request.message.team,
+        {{"route", next.request.route.id.text},
+         {"tokens", std::to_string(next.request.message.prompt_tokens)}});
+    call_id const added = this->calls.insert(std::move(next));
+    this->by_caller[key_of(caller)] = added;
+    call& placed = *this->calls.find(added);
+    placed.deadline_timer.emplace(this->shared->base,
+                                  [this, added]
+                                  {
+                                      this->on_deadline(added);
+                                  });
+    placed.deadline_timer->start(placed.deadline - placed.arrived);
+    this->try_next(added);
+}
+
+void entry::state::on_caller_closed(http::caller_id caller)
+{
+    auto const found = this->by_caller.find(key_of(caller));
+    if (found == this->by_caller.end())
+        return;
+    call_id const id = found->second;
+    call& gone = *this->calls.find(id);
+    process::note(*this->shared, event_number::caller_closed,
+                  gone.request.message.request, gone.request.message.team, {});
+    this->end_attempt(gone);
+    this->drop(id);
+}
+
+void entry::state::drop(call_id id)
+{
+    call* found = this->calls.find(id);
+    if (found == nullptr)
+        return;
+    this->by_caller.erase(key_of(found->caller));
+    if (found->current)
+        this->by_stream.erase(key_of(found->current->stream));
+    this->calls.erase(id);
+}
+
+void entry::state::on_list(platform::instance_list const& read)
+{
+    this->upstreams.clear();
+    for (auto const& row : read.instances)
+    {
+        if (row.role != platform::listed_role::sidecar)
+            continue;
+        bool const is_leaving = row.state == platform::listed_state::leaving;
+        this->upstreams[row.upstream] =
+            upstream_place{row.upstream, row.data_centre, row.link, is_leaving};
+    }
+}
+
+entry::entry(process::context& shared)
+    : self(std::make_unique<state>(shared))
+{
+}
+
+entry::~entry() = default;
+
+std::optional<listening> entry::start(reason& why)
+{
+    auto const& read = this->self->shared->settings;
+    auto const http = this->self->front.listen(read.http, why);
+    if (!http)
+        return std::nullopt;
+    auto const link = this->self->links.listen(read.link, why);
+    if (!link)
+        return std::nullopt;
+    this->self->list.start();
+    this->self->tables.start();
+    return listening{*http, *link};
+}
+
+void entry::drain()
+{
+    if (this->self->is_draining)
+        return;
+    this->self->is_draining = true;
+    auto* own = this->self.get();
+    own->notice_timer.emplace(own->shared->base,
+                              [own]
+                              {
+                                  own->refuses_new = true;
+                              });
+    own->notice_timer->start(
+        std::chrono::milliseconds(own->shared->settings.drain_notice_ms));
+}
+
+bool entry::is_drained() const
+{
+    return this->self->refuses_new && this->self->calls.size() == 0 &&
+           this->self->front.open_callers() == 0;
+}
+
+std::size_t entry::open_calls() const
+{
+    return this->self->calls.size();
+}
+
+} // namespace jujubestand::entry
--- /dev/null
+++ b/jujubestand/entry/entry_state.hpp
@@ -0,0 +1,83 @@
+#ifndef JUJUBESTAND_ENTRY_ENTRY_STATE_HPP
+#define JUJUBESTAND_ENTRY_ENTRY_STATE_HPP
+
+#include <jujubestand/admin/endpoints.hpp>
+#include <jujubestand/entry/call.hpp>
+#include <jujubestand/entry/entry.hpp>
+#include <jujubestand/entry/problem.hpp>
+#include <jujubestand/platform/http_client.hpp>
+#include <jujubestand/platform/list_client.hpp>
+#include <jujubestand/platform/log_client.hpp>
+#include <jujubestand/process/table_reader.hpp>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace jujubestand::entry
+{
+
+/// \brief All that an entry holds; its duties are spread over the sources
+/// entry.cpp, attempts.cpp and relay.cpp.
+struct entry::state
+{
+    explicit state(process::context& shared);
+
+    process::context* shared;
+    link::node links;
+    http::server front;
+    platform::http_client platform_http;
+    platform::list_client list;
+    platform::log_client log;
+    process::table_reader tables;
+    intake_options intake;
+    completion_reader reader;
+    std::map<upstream_id, upstream_place> upstreams;
+    slot_map<call, struct call_tag> calls;
+    std::unordered_map<std::uint64_t, call_id> by_stream;
+    std::unordered_map<std::uint64_t, call_id> by_caller;
+    bool is_draining = false;
+    bool refuses_new = false;
+    std::optional<loop::timer> notice_timer;
+
+    // entry.cpp
+    void connect_signals();
+    void on_request(http::caller_id caller, http::request const& asked);
+    void accept(http::caller_id caller, http::request const& asked);
+    void on_caller_closed(http::caller_id caller);
+    void on_list(platform::instance_list const& list);
+    [[nodiscard]] admin::readiness readiness() const;
+    void drop(call_id id);
+
+    // attempts.cpp
+    void try_next(call_id id);
+    [[nodiscard]] std::optional<upstream_place> choose(call const& from);
+    void send(call_id id, upstream_place const& place);
+    void on_attempt_failed(call_id id, link::failure const& failed);
+    void on_deadline(call_id id);
+    void end_attempt(call& of);
+    void on_stream_closed(link::stream_id stream, link::stream_end const& end);
+
+    // relay.cpp
+    void on_frame(link::stream_id stream, link::frame const& frame);
+    void on_head(call_id id, link::frame const& frame);
+    void on_piece(call_id id, link::frame const& frame);
+    void on_last(call_id id, link::frame const& frame);
+    void on_failure(call_id id, link::frame const& frame);
+    void on_caller_drained(http::caller_id caller);
+    void start_answer(call& of);
+    void answer_whole(call_id id, link::last const& last);
+    void answer_problem(call_id id);
+    void fail_malformed(call_id id, reason why);
+    void give_back(call& of);
+};
+
+/// \brief An id as a key of a hash map.
+template <class Tag>
+[[nodiscard]] std::uint64_t key_of(slot_id<Tag> const& id) noexcept
+{
+    return (static_cast<std::uint64_t>(id.generation) << 32U) | id.slot;
+}
+
+} // namespace jujubestand::entry
+
+#endif
--- /dev/null
+++ b/jujubestand/entry/intake.hpp
@@ -0,0 +1,48 @@
+#ifndef JUJUBESTAND_ENTRY_INTAKE_HPP
+#define JUJUBESTAND_ENTRY_INTAKE_HPP
+
+#include <jujubestand/config/store.hpp>
+#include <jujubestand/config/tables.hpp>
+#include <jujubestand/core/ids.hpp>
+#include <jujubestand/core/reason.hpp>
+#include <jujubestand/entry/completion.hpp>
+#include <jujubestand/entry/teams.hpp>
+#include <jujubestand/http/message.hpp>
+#include <jujubestand/link/messages.hpp>
+#include <jujubestand/prefix/chain.hpp>
+#include <optional>
+
+namespace jujubestand::entry
+{
+
+/// \brief A caller's request that may go to an upstream.
+struct accepted
+{
+    config::route route;
+    config::pool pool;
+    prefix::chain prompt;
+    /// Complete but for the attempt.
+    link::call message;
+};
+
+/// \brief What intake decides by.
+struct intake_options
+{
+    team_table teams;
+    std::size_t body_limit_bytes = 0;
+};
+
+/// \brief Checks a caller's request and finds its team, route and pool.
+///
+/// \param reader reads completion bodies
+/// \param id the request's id
+/// \returns nothing, with `why` set, for a request that is refused; nothing
+/// of it has gone anywhere then
+[[nodiscard]] std::optional<accepted>
+take_in(intake_options const& options, config::store const& tables,
+        completion_reader& reader, http::request const& asked,
+        request_id const& id, reason& why);
+
+} // namespace jujubestand::entry
+
+#endif
--- a/jujubestand/http/server.cpp
+++ b/jujubestand/http/server.cpp
@@ -167,12 +167,19 @@
         if (found == self->by_connection.end())
             return;
         caller_id const caller = found->second;
-        if (self->callers.find(caller)->is_aborting)
-            self->cut_later(caller);
-        else
+        if (!self->callers.find(caller)->is_aborting)
             self->owner->drained.emit(caller);
     }
 
+    // A connection is never freed from within evhttp's callback on it.
+    static void on_output(evbuffer* output, evbuffer_cb_info const*,
+                          void* argument)
+    {
+        auto* self = static_cast<state*>(argument);
+        if (evbuffer_get_length(output) == 0)
+            event_active(self->cut_event, EV_TIMEOUT, 0);
+    }
+
     static void on_cut(evutil_socket_t, short, void* argument)
     {
         auto* self = static_cast<state*>(argument);
@@ -181,18 +188,14 @@
             pending const* found = self->callers.find(caller);
             if (found == nullptr)
                 continue;
-            auto* connection = evhttp_request_get_connection(found->handle);
-            evhttp_connection_free(connection);
+            if (self->owner->buffered_bytes(caller) == 0)
+                evhttp_connection_free(
+                    evhttp_request_get_connection(found->handle));
+            else
+                self->to_cut.push_back(caller);
         }
     }
 
-    // A connection is never freed from within evhttp's callback on it.
-    void cut_later(caller_id caller)
-    {
-        this->to_cut.push_back(caller);
-        event_active(this->cut_event, EV_TIMEOUT, 0);
-    }
-
     void forget(caller_id caller, evhttp_connection* connection)
     {
         this->by_connection.erase(connection);
@@ -321,8 +324,10 @@
         return;
     found->is_aborting = true;
     // What was written still goes out; the cut follows it.
-    if (this->buffered_bytes(caller) == 0)
-        this->self->cut_later(caller);
+    evbuffer_add_cb(bufferevent_get_output(buffer_of(found->handle)),
+                    state::on_output, this->self.get());
+    this->self->to_cut.push_back(caller);
+    event_active(this->self->cut_event, EV_TIMEOUT, 0);
 }
 
 std::size_t server::buffered_bytes(caller_id caller)
--- a/jujubestand/http/test/exchange_test.cpp
+++ b/jujubestand/http/test/exchange_test.cpp
@@ -135,6 +135,24 @@
     EXPECT_EQ(this->received, "half");
 }
 
+TEST_F(exchange_test, an_answer_aborted_before_its_first_bytes_is_cut)
+{
+    this->front->requested.connect(
+        [this](caller_id caller, request const&)
+        {
+            this->front->start(caller, 200, {});
+            this->front->abort(caller);
+        });
+    (void)this->back->start(this->where, post("x"));
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->end.has_value();
+        }));
+    EXPECT_FALSE(this->end->is_complete);
+    EXPECT_EQ(this->status, 200);
+}
+
 TEST_F(exchange_test, a_refused_connection_has_sent_nothing)
 {
     this->front.reset();
--- /dev/null
+++ b/jujubestand/sidecar/call.hpp
@@ -0,0 +1,55 @@
+#ifndef JUJUBESTAND_SIDECAR_CALL_HPP
+#define JUJUBESTAND_SIDECAR_CALL_HPP
+
+#include <cstdint>
+#include <jujubestand/core/slot_map.hpp>
+#include <jujubestand/core/time.hpp>
+#include <jujubestand/http/client.hpp>
+#include <jujubestand/link/messages.hpp>
+#include <jujubestand/link/node.hpp>
+#include <jujubestand/loop/timer.hpp>
+#include <optional>
+#include <string>
+
+namespace jujubestand::sidecar
+{
+
+/// \brief Address of one call at this sidecar.
+using call_id = slot_id<struct call_tag>;
+
+/// \brief How far a call has come.
+enum class call_stage : std::uint8_t
+{
+    receiving, ///< its body is still coming
+    waiting,   ///< in the queue
+    running,   ///< at the upstream
+};
+
+/// \brief Names of the stages.
+inline constexpr std::array<enum_name<call_stage>, 3> call_stage_names{{
+    {call_stage::receiving, "receiving"},
+    {call_stage::waiting, "waiting"},
+    {call_stage::running, "running"},
+}};
+
+/// \brief One attempt of a request, from its frames to its answer's last.
+struct call
+{
+    link::stream_id stream;
+    link::call message;
+    std::string body;
+    call_stage stage = call_stage::receiving;
+    mono_time arrived{};
+    mono_time deadline{};
+    http::exchange_id exchange;
+    bool has_head = false;
+    std::uint64_t next_sequence = 0;
+    /// The end of the answer, in which its usage stands.
+    std::string tail;
+    bool is_paused = false;
+    std::optional<loop::timer> deadline_timer;
+};
+
+} // namespace jujubestand::sidecar
+
+#endif
--- /dev/null
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -0,0 +1,118 @@
+#include <jujubestand/sidecar/sidecar.hpp>
+
+#include <jujubestand/sidecar/sidecar_state.hpp>
+
+namespace jujubestand::sidecar
+{
+
+namespace
+{
+
+constexpr int status_not_found = 404;
+
+http::client_options client_options_of(settings::settings const& read)
+{
+    http::client_options options;
+    options.body_limit_bytes =
+        static_cast<std::size_t>(read.answer_limit_bytes);
+    options.connect_timeout =
+        std::chrono::milliseconds(read.connect_timeout_ms);
+    options.read_timeout = std::chrono::milliseconds(read.upstream_timeout_ms);
+    return options;
+}
+
+} // namespace
+
+sidecar::state::state(process::context& context)
+    : shared(&context)
+    , links(context.base, process::node_options_of(context), context.clock)
+    , front(context.base, http::server_options{})
+    , upstream(context.base, client_options_of(context.settings))
+    , platform_http(context.base)
+    , log(context.base, this->platform_http, process::log_options_of(context))
+    , tables(context, this->log)
+{
+    this->connect_signals();
+}
+
+void sidecar::state::connect_signals()
+{
+    this->front.requested.connect(sigc::mem_fun(*this, &state::on_http));
+    this->links.received.connect(sigc::mem_fun(*this, &state::on_frame));
+    this->links.drained.connect(sigc::mem_fun(*this, &state::on_link_drained));
+    this->links.closed.connect(
+        [this](link::stream_id stream, link::stream_end const&)
+        {
+            this->on_stream_closed(stream);
+        });
+    this->links.noted.connect(
+        [this](event_note const& what)
+        {
+            this->shared->noted.emit(what);
+        });
+    this->log.noted.connect(
+        [this](event_note const& what)
+        {
+            this->shared->noted.emit(what);
+        });
+    this->upstream.head.connect(sigc::mem_fun(*this, &state::on_head));
+    this->upstream.data.connect(sigc::mem_fun(*this, &state::on_data));
+    this->upstream.ended.connect(sigc::mem_fun(*this, &state::on_ended));
+}
+
+admin::readiness sidecar::state::readiness() const
+{
+    if (this->is_draining)
+        return {false, "draining"};
+    if (this->tables.in_force().version == log_offset{})
+        return {false, "no tables: neither the log nor a peer has answered"};
+    return {true, {}};
+}
+
+void sidecar::state::on_http(http::caller_id caller, http::request const& asked)
+{
+    auto const own =
+        admin::answer_common(asked, this->readiness(), this->shared->metrics);
+    if (own)
+        this->front.reply(caller, own->status,
+                          {{"Content-Type", own->content_type}}, own->body);
+    else
+        this->front.reply(caller, status_not_found, {}, "not found\n");
+}
+
+sidecar::sidecar(process::context& shared)
+    : self(std::make_unique<state>(shared))
+{
+}
+
+sidecar::~sidecar() = default;
+
+std::optional<listening> sidecar::start(reason& why)
+{
+    auto const& read = this->self->shared->settings;
+    auto const http = this->self->front.listen(read.http, why);
+    if (!http)
+        return std::nullopt;
+    auto const link = this->self->links.listen(read.link, why);
+    if (!link)
+        return std::nullopt;
+    this->self->tables.start();
+    return listening{*http, *link};
+}
+
+void sidecar::drain()
+{
+    this->self->is_draining = true;
+}
+
+bool sidecar::is_drained() const
+{
+    return this->self->is_draining && this->self->calls.size() == 0;
+}
+
+std::size_t sidecar::open_calls() const
+{
+    return this->self->calls.size();
+}
+
+} // namespace jujubestand::sidecar
--- /dev/null
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -0,0 +1,77 @@
+#ifndef JUJUBESTAND_SIDECAR_SIDECAR_STATE_HPP
+#define JUJUBESTAND_SIDECAR_SIDECAR_STATE_HPP
+
+#include <deque>
+#include <jujubestand/admin/endpoints.hpp>
+#include <jujubestand/core/failure_point.hpp>
+#include <jujubestand/http/client.hpp>
+#include <jujubestand/http/server.hpp>
+#include <jujubestand/platform/http_client.hpp>
+#include <jujubestand/platform/log_client.hpp>
+#include <jujubestand/process/table_reader.hpp>
+#include <jujubestand/sidecar/call.hpp>
+#include <jujubestand/sidecar/sidecar.hpp>
+#include <unordered_map>
+
+namespace jujubestand::sidecar
+{
+
+/// \brief All that a sidecar holds; its duties are spread over the sources
+/// sidecar.cpp, intake.cpp and answers.cpp.
+struct sidecar::state
+{
+    explicit state(process::context& shared);
+
+    process::context* shared;
+    link::node links;
+    http::server front;
+    http::client upstream;
+    platform::http_client platform_http;
+    platform::log_client log;
+    process::table_reader tables;
+    slot_map<call, struct call_tag> calls;
+    std::unordered_map<std::uint64_t, call_id> by_stream;
+    std::unordered_map<std::uint64_t, call_id> by_exchange;
+    std::deque<call_id> waiting;
+    std::size_t running = 0;
+    bool is_draining = false;
+
+    // sidecar.cpp
+    void connect_signals();
+    void on_http(http::caller_id caller, http::request const& asked);
+    [[nodiscard]] admin::readiness readiness() const;
+
+    // intake.cpp
+    void on_frame(link::stream_id stream, link::frame const& frame);
+    void on_probe(link::stream_id stream, link::frame const& frame);
+    void on_call(link::stream_id stream, link::frame const& frame);
+    void on_body(link::stream_id stream, link::frame const& frame);
+    void on_stream_closed(link::stream_id stream);
+    void admit(call_id id);
+    void refuse(call_id id, failure_point point, reason why,
+                std::uint64_t retry_after_us);
+    void pump();
+    void run(call_id id);
+    void cancel(call_id id);
+    void drop(call_id id);
+
+    // answers.cpp
+    void on_head(http::exchange_id exchange, http::response_head const& head);
+    void on_data(http::exchange_id exchange, std::string const& bytes);
+    void on_ended(http::exchange_id exchange, http::exchange_end const& end);
+    void on_link_drained(link::stream_id stream);
+    void on_deadline(call_id id);
+    void finish_whole(call_id id);
+    void fail(call_id id, failure_point point, std::string text);
+};
+
+/// \brief An id as a key of a hash map.
+template <class Tag>
+[[nodiscard]] std::uint64_t key_of(slot_id<Tag> const& id) noexcept
+{
+    return (static_cast<std::uint64_t>(id.generation) << 32U) | id.slot;
+}
+
+} // namespace jujubestand::sidecar
+
+#endif
