--- a/jujubestand/config/tables.hpp
+++ b/jujubestand/config/tables.hpp
@@ -34,11 +34,25 @@
     std::uint32_t team_queue_tokens = 0;
     std::uint64_t body_limit_bytes = 8U << 20U;
 
+    bool operator==(route const&) const = default;
+
     MSGPACK_DEFINE_ARRAY(id, pool, teams, models, path_prefix, is_idempotent,
                          deadline_ms, first_token_deadline_ms, priority,
                          team_queue_tokens, body_limit_bytes)
 };
 
+/// \brief Role that one engine of a pool shall take.
+struct upstream_role
+{
+    upstream_id upstream;
+    /// "mixed", "prefill" or "decode".
+    std::string role;
+
+    bool operator==(upstream_role const&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(upstream, role)
+};
+
 /// \brief Which upstreams serve a pool, and how: one row of the pool table.
 struct pool
 {
@@ -53,10 +67,14 @@
     std::vector<std::string> adapters;
     /// Claim streams that the pool's keys are spread over.
     std::uint32_t claim_streams = 1;
+    /// Engines that are not listed keep the role they have.
+    std::vector<upstream_role> roles;
+
+    bool operator==(pool const&) const = default;
 
     MSGPACK_DEFINE_ARRAY(id, upstreams, tail_weight, has_fencing,
                          concurrent_weight_loads, weights_version, adapters,
-                         claim_streams)
+                         claim_streams, roles)
 };
 
 /// \brief Both tables at one version.
@@ -67,6 +85,8 @@
     std::map<route_id, route> routes;
     std::map<pool_id, pool> pools;
 
+    bool operator==(tables const&) const = default;
+
     MSGPACK_DEFINE_ARRAY(version, routes, pools)
 };
 
--- a/jujubestand/platform/log_client.hpp
+++ b/jujubestand/platform/log_client.hpp
@@ -9,6 +9,7 @@
 #include <jujubestand/platform/backoff.hpp>
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/log_budget.hpp>
+#include <jujubestand/platform/log_record.hpp>
 #include <memory>
 #include <optional>
 #include <sigc++/sigc++.h>
@@ -18,25 +19,6 @@
 namespace jujubestand::platform
 {
 
-/// \brief One record of a stream.
-struct log_record
-{
-    log_offset offset;
-    /// When the service took it in, by the service's clock.
-    wall_time appended{};
-    std::string bytes;
-};
-
-/// \brief What one read of a stream's end returned; perhaps no records.
-struct log_batch
-{
-    std::vector<log_record> records;
-    /// The oldest record that the service still keeps.
-    log_offset first_kept;
-    /// The offset that the next append will get.
-    log_offset next;
-};
-
 /// \brief Reads an answer's body. \returns nothing with `why` set if it is
 /// not an array of records with rising offsets
 [[nodiscard]] std::optional<std::vector<log_record>>
