Trust no size that a packed message announces

A property test over random bytes ended the sanitized build: msgpack reserves an announced array before it reads the elements, so five bytes asked for 64 GiB.

--- a/jujubestand/link/frame.hpp
+++ b/jujubestand/link/frame.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <exception>
+#include <jujubestand/core/bounded_unpack.hpp>
 #include <jujubestand/core/enum_table.hpp>
 #include <jujubestand/core/hybrid_time.hpp>
 #include <jujubestand/core/reason.hpp>
@@ -87,8 +88,7 @@
     }
     try
     {
-        auto const handle =
-            msgpack::unpack(packed.payload.data(), packed.payload.size());
+        auto const handle = bounded_unpack(packed.payload);
         return handle.get().as<Message>();
     }
     catch (std::exception const& error)
--- a/jujubestand/link/framing.cpp
+++ b/jujubestand/link/framing.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/link/framing.hpp>
 
 #include <exception>
+#include <jujubestand/core/bounded_unpack.hpp>
 #include <msgpack.hpp>
 #include <utility>
 
@@ -65,8 +66,7 @@
 {
     try
     {
-        auto const handle =
-            msgpack::unpack(bytes.data(), bytes.size(), keep_in_place);
+        auto const handle = bounded_unpack(bytes, keep_in_place);
         msgpack::object const& object = handle.get();
         bool const has_fields = object.type == msgpack::type::ARRAY &&
                                 object.via.array.size == envelope_fields;
--- a/jujubestand/link/test/messages_test.cpp
+++ b/jujubestand/link/test/messages_test.cpp
@@ -31,6 +31,16 @@
     EXPECT_EQ(why.code, reason_code::link_malformed);
 }
 
+// The header announces 64 GiB of objects in five bytes.
+TEST(messages, announced_sizes_are_not_trusted)
+{
+    frame packed = to_frame(cancel{request_id{1, 2}});
+    packed.payload = "\xdd\xff\xff\xff\xff";
+    reason why;
+    EXPECT_FALSE(from_frame<cancel>(packed, why));
+    EXPECT_EQ(why.code, reason_code::link_malformed);
+}
+
 TEST(messages, another_kind_is_refused)
 {
     reason why;
--- a/jujubestand/platform/log_client.cpp
+++ b/jujubestand/platform/log_client.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <charconv>
 #include <event2/event.h>
+#include <jujubestand/core/bounded_unpack.hpp>
 #include <jujubestand/platform/libevent.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <msgpack.hpp>
@@ -78,7 +79,7 @@
     std::vector<log_record> records;
     try
     {
-        auto const handle = msgpack::unpack(body.data(), body.size());
+        auto const handle = bounded_unpack(body);
         for (auto& [offset, appended, bytes] :
              handle.get().as<std::vector<wire_record>>())
         {
