--- a/jujubestand/claims/key.cpp
+++ b/jujubestand/claims/key.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <charconv>
-#include <openssl/sha.h>
 
 namespace jujubestand::claims
 {
@@ -39,32 +38,8 @@
     return true;
 }
 
-std::uint64_t word_at(unsigned char const* bytes) noexcept
-{
-    std::uint64_t word = 0;
-    for (int at = 0; at < 8; ++at)
-        word = (word << 8U) | bytes[at];
-    return word;
-}
-
-// The length goes first, so that no two triples of texts are the same bytes.
-void append_part(std::string& bytes, std::string_view part)
-{
-    bytes += std::to_string(part.size());
-    bytes += ':';
-    bytes += part;
-}
-
 } // namespace
 
-digest digest_of(std::string_view bytes)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> sum{};
-    SHA256(reinterpret_cast<unsigned char const*>(bytes.data()), bytes.size(),
-           sum.data());
-    return digest{word_at(sum.data()), word_at(sum.data() + 8)};
-}
-
 digest scoped_key(team_id const& team, route_id const& route,
                   std::string_view key)
 {
--- a/jujubestand/claims/key.hpp
+++ b/jujubestand/claims/key.hpp
@@ -1,13 +1,10 @@
 #ifndef JUJUBESTAND_CLAIMS_KEY_HPP
 #define JUJUBESTAND_CLAIMS_KEY_HPP
 
-#include <compare>
-#include <cstddef>
 #include <cstdint>
-#include <functional>
+#include <jujubestand/core/digest.hpp>
 #include <jujubestand/core/ids.hpp>
 #include <jujubestand/core/time.hpp>
-#include <msgpack.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,20 +12,6 @@
 namespace jujubestand::claims
 {
 
-/// \brief The first 128 bits of a SHA-256.
-struct digest
-{
-    std::uint64_t high = 0;
-    std::uint64_t low = 0;
-
-    auto operator<=>(digest const&) const = default;
-
-    MSGPACK_DEFINE_ARRAY(high, low)
-};
-
-/// \brief Digest of any bytes.
-[[nodiscard]] digest digest_of(std::string_view bytes);
-
 /// \brief Digest of an idempotency key within its team and route.
 [[nodiscard]] digest scoped_key(team_id const& team, route_id const& route,
                                 std::string_view key);
@@ -51,14 +34,4 @@
 
 } // namespace jujubestand::claims
 
-template <>
-struct std::hash<jujubestand::claims::digest>
-{
-    std::size_t
-    operator()(jujubestand::claims::digest const& value) const noexcept
-    {
-        return static_cast<std::size_t>(value.low);
-    }
-};
-
 #endif
--- /dev/null
+++ b/jujubestand/core/digest.cpp
@@ -0,0 +1,43 @@
+#include <jujubestand/core/digest.hpp>
+
+#include <array>
+#include <jujubestand/core/ids.hpp>
+#include <openssl/sha.h>
+
+namespace jujubestand
+{
+
+namespace
+{
+
+std::uint64_t word_at(unsigned char const* bytes) noexcept
+{
+    std::uint64_t word = 0;
+    for (int at = 0; at < 8; ++at)
+        word = (word << 8U) | bytes[at];
+    return word;
+}
+
+} // namespace
+
+digest digest_of(std::string_view bytes)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> sum{};
+    SHA256(reinterpret_cast<unsigned char const*>(bytes.data()), bytes.size(),
+           sum.data());
+    return digest{word_at(sum.data()), word_at(sum.data() + 8)};
+}
+
+void append_part(std::string& bytes, std::string_view part)
+{
+    bytes += std::to_string(part.size());
+    bytes += ':';
+    bytes += part;
+}
+
+std::string to_text(digest const& value)
+{
+    return to_text(request_id{value.high, value.low});
+}
+
+} // namespace jujubestand
--- /dev/null
+++ b/jujubestand/core/digest.hpp
@@ -0,0 +1,47 @@
+#ifndef JUJUBESTAND_CORE_DIGEST_HPP
+#define JUJUBESTAND_CORE_DIGEST_HPP
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+
+namespace jujubestand
+{
+
+/// \brief The first 128 bits of a SHA-256.
+struct digest
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(digest const&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(high, low)
+};
+
+/// \brief Digest of any bytes.
+[[nodiscard]] digest digest_of(std::string_view bytes);
+
+/// \brief Appends a text with its length, so that no two lists of parts are
+/// the same bytes.
+void append_part(std::string& bytes, std::string_view part);
+
+/// \brief 32 lower-case hexadecimal digits.
+[[nodiscard]] std::string to_text(digest const& value);
+
+} // namespace jujubestand
+
+template <>
+struct std::hash<jujubestand::digest>
+{
+    std::size_t operator()(jujubestand::digest const& value) const noexcept
+    {
+        return static_cast<std::size_t>(value.low);
+    }
+};
+
+#endif
