--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -28,3 +28,24 @@
     set_tests_properties(${slice} PROPERTIES TIMEOUT 300 ENVIRONMENT
         "RC_PARAMS=seed=20261203;GLOG_logtostderr=1;GLOG_minloglevel=2")
 endforeach()
+
+# Each public header compiles on its own; once is enough.
+if(NOT JUJUBESTAND_SANITIZE)
+    file(GLOB public_headers RELATIVE ${PROJECT_SOURCE_DIR} CONFIGURE_DEPENDS
+        ${PROJECT_SOURCE_DIR}/jujubestand/*/*.hpp
+        ${PROJECT_SOURCE_DIR}/jujubestand/*.hpp)
+    set(header_sources "")
+    foreach(header ${public_headers})
+        string(REPLACE "/" "_" name ${header})
+        set(source ${PROJECT_BINARY_DIR}/headers/${name}.cpp)
+        file(CONFIGURE OUTPUT ${source} CONTENT "#include <${header}>\n")
+        list(APPEND header_sources ${source})
+    endforeach()
+    add_library(headers_alone OBJECT ${header_sources})
+    target_link_libraries(headers_alone PRIVATE jujubestand)
+
+    # An embedder finds the installed library and builds the examples.
+    add_test(NAME install COMMAND ${PROJECT_SOURCE_DIR}/cmake/test_install
+        ${PROJECT_SOURCE_DIR} ${PROJECT_BINARY_DIR})
+    set_tests_properties(install PROPERTIES TIMEOUT 300)
+endif()
