--- a/jujubestand/platform/test/fake_log.hpp
+++ b/jujubestand/platform/test/fake_log.hpp
@@ -57,6 +57,8 @@
     bool out = false;
     bool lose_answers = false;
     std::uint64_t reads = 0;
+    /// Runs when an append arrives, before it takes effect.
+    std::function<void()> before_append;
 
 private:
     void handle(evhttp_request* request)
@@ -75,6 +77,8 @@
 
     void take(evhttp_request* request, std::string const& name)
     {
+        if (this->before_append)
+            this->before_append();
         auto const offset = this->append(name, fake_server::body_of(request));
         if (this->lose_answers)
             return fake_server::reply(request, 500, "");
