--- /dev/null
+++ b/jujubestand/core/digest.cpp
@@ -0,0 +1,62 @@
+#include <jujubestand/core/digest.hpp>
+
+#include <array>
+#include <jujubestand/core/ids.hpp>
+#include <openssl/sha.h>
+
+namespace jujubestand
+{
+
+namespace
+{
+
+std::uint64_t word_at(unsigned char const* bytes) noexcept
+{
+    std::uint64_t word = 0;
+    for (int at = 0; at < 8; ++at)
+        word = (word << 8U) | bytes[at];
+    return word;
+}
+
+using sha256_sum = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+sha256_sum sha256(std::string_view bytes)
+{
+    sha256_sum sum{};
+    SHA256(reinterpret_cast<unsigned char const*>(bytes.data()), bytes.size(),
+           sum.data());
+    return sum;
+}
+
+} // namespace
+
+digest digest_of(std::string_view bytes)
+{
+    sha256_sum const sum = sha256(bytes);
+    return digest{word_at(sum.data()), word_at(sum.data() + 8)};
+}
+
+void append_part(std::string& bytes, std::string_view part)
+{
+    bytes += std::to_string(part.size());
+    bytes += ':';
+    bytes += part;
+}
+
+std::string to_text(digest const& value)
+{
+    return to_text(request_id{value.high, value.low});
+}
+
+std::string sha256_hex(std::string_view bytes)
+{
+    std::string text;
+    for (unsigned char const byte : sha256(bytes))
+    {
+        text += "0123456789abcdef"[byte >> 4U];
+        text += "0123456789abcdef"[byte & 0xFU];
+    }
+    return text;
+}
+
+} // namespace jujubestand
