Wire streams into the path: checked, resumed, repeated

The sidecar judges each event of a streamed completion and the id of a whole one, hands pieces to a bounded replay window and keeps a running or finished answer while its link is broken; the entry asks for the rest with `resume`. A link's end and a peer's reset are told apart, so that only the latter cancels.

An engine lost midway: greedy or seeded requests on idempotent routes are repeated at another upstream, compared with what the caller has, and go on; all others end with an error event and a cut connection.

--- a/jujubestand/entry/attempts.cpp
+++ b/jujubestand/entry/attempts.cpp
@@ -24,7 +24,9 @@
 {
     bool const is_safe =
         of.outcome == verdict::not_run || of.request.route.is_idempotent;
-    return is_safe && !of.relay.is_started && of.tried.size() < attempts_limit;
+    bool const is_open =
+        !of.relay.is_started || streams::can_repeat(of.relay.received);
+    return is_safe && is_open && of.tried.size() < attempts_limit;
 }
 
 } // namespace
@@ -69,6 +71,7 @@
     mono_time const now = mono_now();
     attempt next;
     next.upstream = place.upstream;
+    next.link = place.link;
     next.started = now;
     next.stream = this->links.open(place.link);
     link::call message = from.request.message;
@@ -113,13 +116,12 @@
          {"verdict", std::string(to_name(verdict_names, failed.outcome))},
          {"reason", to_text(failed.why)}});
     this->end_attempt(of);
-    of.relay.head.reset();
     if (!may_try_again(of))
     {
         this->answer_problem(id);
         return;
     }
-    of.relay = relay_state{};
+    this->rewind_relay(of);
     this->try_next(id);
 }
 
@@ -144,9 +146,14 @@
     auto const found = this->by_stream.find(key_of(stream));
     if (found == this->by_stream.end())
         return;
-    auto const& row =
-        row_of(end.may_have_sent ? failure_point::link_cut_after_send
-                                 : failure_point::link_cut_before_send);
+    if (this->resume_later(found->second, end))
+        return;
+    // A resume that was not sent does not undo the call that was.
+    call const& of = *this->calls.find(found->second);
+    bool const was_sent =
+        end.may_have_sent || (of.current && of.current->resumes > 0);
+    auto const& row = row_of(was_sent ? failure_point::link_cut_after_send
+                                      : failure_point::link_cut_before_send);
     link::failure failed;
     failed.outcome = row.outcome;
     failed.why = {row.code, to_text(end.why), {}};
--- a/jujubestand/entry/call.hpp
+++ b/jujubestand/entry/call.hpp
@@ -13,6 +13,7 @@
 #include <jujubestand/link/messages.hpp>
 #include <jujubestand/link/node.hpp>
 #include <jujubestand/loop/timer.hpp>
+#include <jujubestand/streams/receiver.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,15 +37,18 @@
 struct attempt
 {
     upstream_id upstream;
+    address link;
     link::stream_id stream;
     mono_time started{};
+    /// Times that the answer was asked for again after a broken link.
+    std::uint32_t resumes = 0;
 };
 
 /// \brief What the caller has been sent so far.
 struct relay_state
 {
     std::optional<link::head> head;
-    std::uint64_t next_sequence = 0;
+    streams::receiver received;
     /// An answer that is still held back, so that it can be refused whole.
     std::string held;
     /// Status and first bytes have gone to the caller.
@@ -70,6 +74,7 @@
     std::uint64_t retry_after_us = 0;
     std::optional<loop::timer> deadline_timer;
     std::optional<loop::timer> retry_timer;
+    std::optional<loop::timer> resume_timer;
 };
 
 } // namespace jujubestand::entry
--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -122,6 +122,7 @@
     call_id const added = this->calls.insert(std::move(next));
     this->by_caller[key_of(caller)] = added;
     call& placed = *this->calls.find(added);
+    this->begin_relay(placed);
     placed.deadline_timer.emplace(this->shared->base,
                                   [this, added]
                                   {
--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -57,10 +57,17 @@
     void end_attempt(call& of);
     void on_stream_closed(link::stream_id stream, link::stream_end const& end);
 
+    // resume.cpp
+    [[nodiscard]] bool resume_later(call_id id, link::stream_end const& end);
+    void resume(call_id id);
+    void begin_relay(call& of);
+    void rewind_relay(call& of);
+
     // relay.cpp
     void on_frame(link::stream_id stream, link::frame const& frame);
     void on_head(call_id id, link::frame const& frame);
     void on_piece(call_id id, link::frame const& frame);
+    void relay_piece(call& of, link::piece const& piece);
     void on_last(call_id id, link::frame const& frame);
     void on_failure(call_id id, link::frame const& frame);
     void on_caller_drained(http::caller_id caller);
--- a/jujubestand/entry/relay.cpp
+++ b/jujubestand/entry/relay.cpp
@@ -80,10 +80,17 @@
             {reason_code::answer_crossed, "the head is another request's", {}});
         return;
     }
+    if (of.relay.is_started && head->status != of.relay.head->status)
+    {
+        this->fail_malformed(id, {reason_code::answer_incomplete,
+                                  "the second upstream's status differs",
+                                  {}});
+        return;
+    }
     of.relay.head = std::move(*head);
     bool const is_event_stream =
         of.request.message.is_stream && of.relay.head->status == status_ok;
-    if (is_event_stream)
+    if (is_event_stream && !of.relay.is_started)
         this->start_answer(of);
     this->give_back(of);
 }
@@ -99,20 +106,29 @@
     call& of = *this->calls.find(id);
     reason why;
     auto const piece = link::from_frame<link::piece>(frame, why);
-    bool const is_ours = piece && of.relay.head &&
-                         piece->request == of.request.message.request &&
-                         piece->sequence == of.relay.next_sequence;
-    if (!is_ours)
+    if (!piece || !of.relay.head)
     {
-        this->fail_malformed(id, {reason_code::answer_out_of_order,
-                                  "a piece is not the next one",
-                                  {}});
+        this->fail_malformed(
+            id,
+            {reason_code::answer_out_of_order, "a piece without a head", {}});
         return;
     }
-    ++of.relay.next_sequence;
+    auto const result = streams::take(of.relay.received, *piece);
+    if (result.fate == streams::piece_fate::broken)
+    {
+        this->fail_malformed(id, result.why);
+        return;
+    }
+    if (result.fate == streams::piece_fate::relay)
+        this->relay_piece(of, *piece);
+    this->give_back(of);
+}
+
+void entry::state::relay_piece(call& of, link::piece const& piece)
+{
     if (!of.relay.is_started)
     {
-        of.relay.held += piece->bytes;
+        of.relay.held += piece.bytes;
         auto const limit = static_cast<std::size_t>(
             this->shared->settings.caller_buffer_bytes);
         if (of.relay.held.size() > limit)
@@ -122,8 +138,7 @@
         }
     }
     else
-        this->front.write(of.caller, piece->bytes);
-    this->give_back(of);
+        this->front.write(of.caller, piece.bytes);
 }
 
 // A caller that reads slowly holds back its own stream: the window is given
@@ -154,16 +169,19 @@
     call& of = *this->calls.find(id);
     reason why;
     auto const last = link::from_frame<link::last>(frame, why);
-    bool const is_whole = last && of.relay.head &&
-                          last->request == of.request.message.request &&
-                          last->pieces == of.relay.next_sequence;
-    if (!is_whole)
+    if (!last || !of.relay.head)
     {
         this->fail_malformed(id, {reason_code::answer_incomplete,
-                                  "the answer's end does not fit",
+                                  "the end of an answer without a head",
                                   {}});
         return;
     }
+    auto const result = streams::take(of.relay.received, *last);
+    if (result.fate != streams::piece_fate::end)
+    {
+        this->fail_malformed(id, result.why);
+        return;
+    }
     this->answer_whole(id, *last);
 }
 
--- a/jujubestand/link/node.hpp
+++ b/jujubestand/link/node.hpp
@@ -49,6 +49,8 @@
 {
     /// The peer finished it after its last frame.
     bool clean = false;
+    /// The peer gave up this stream alone; the link stands.
+    bool is_reset = false;
     /// Some of our frames may have reached the peer's process.
     bool may_have_sent = false;
     reason why;
--- a/jujubestand/link/node_streams.cpp
+++ b/jujubestand/link/node_streams.cpp
@@ -29,6 +29,7 @@
         one.first_byte.has_value() && error_code != NGHTTP2_REFUSED_STREAM;
     if (how.clean)
         return how;
+    how.is_reset = true;
     how.why.code = how.may_have_sent ? reason_code::link_cut_after_send
                                      : reason_code::link_cut_before_send;
     how.why.text = error_code == NGHTTP2_REFUSED_STREAM
--- a/jujubestand/link/test/faults_test.cpp
+++ b/jujubestand/link/test/faults_test.cpp
@@ -185,6 +185,7 @@
             return !entry->closed.empty();
         }));
     EXPECT_FALSE(entry->closed[stream].clean);
+    EXPECT_FALSE(entry->closed[stream].is_reset);
     EXPECT_TRUE(entry->closed[stream].may_have_sent);
     EXPECT_EQ(entry->closed[stream].why.code, reason_code::link_cut_after_send);
     EXPECT_EQ(entry->count(event_number::link_down), 1U);
--- a/jujubestand/link/test/node_test.cpp
+++ b/jujubestand/link/test/node_test.cpp
@@ -92,6 +92,7 @@
             return !sidecar->closed.empty();
         }));
     EXPECT_FALSE(sidecar->closed[sidecar->opened.at(0)].clean);
+    EXPECT_TRUE(sidecar->closed[sidecar->opened.at(0)].is_reset);
     EXPECT_TRUE(entry->closed.empty());
     EXPECT_EQ(entry->count(event_number::link_down), 0U);
 }
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -1,7 +1,6 @@
 // The answer's way from the upstream to the link's frames.
 
 #include <jujubestand/sidecar/sidecar_state.hpp>
-#include <jujubestand/sidecar/usage.hpp>
 
 namespace jujubestand::sidecar
 {
@@ -9,14 +8,14 @@
 namespace
 {
 
-// A piece is small enough for every frame and window limit.
-constexpr std::size_t piece_limit_bytes = 64U << 10U;
+constexpr int status_ok = 200;
 
-void keep_tail(std::string& tail, std::string const& bytes)
+streams::answer_form form_of(link::call const& message, int status)
 {
-    tail += bytes;
-    if (tail.size() > 2 * usage_tail_bytes)
-        tail.erase(0, tail.size() - usage_tail_bytes);
+    if (!message.is_completion || status != status_ok)
+        return streams::answer_form::opaque;
+    return message.is_stream ? streams::answer_form::events
+                             : streams::answer_form::whole;
 }
 
 } // namespace
@@ -29,6 +28,8 @@
         return;
     call& of = *this->calls.find(found->second);
     of.has_head = true;
+    of.answer = streams::begin_answer(form_of(of.message, head.status),
+                                      of.message.request);
     link::head told;
     told.request = of.message.request;
     told.upstream = this->shared->settings.upstream;
@@ -38,7 +39,7 @@
         if (!http::is_hop_by_hop(header.name))
             told.headers.push_back(link::header{header.name, header.value});
     }
-    this->links.send(of.stream, link::to_frame(told));
+    this->answers.set_head(told.request, link::to_frame(told));
 }
 
 void sidecar::state::on_data(http::exchange_id exchange,
@@ -47,33 +48,89 @@
     auto const found = this->by_exchange.find(key_of(exchange));
     if (found == this->by_exchange.end())
         return;
-    call& of = *this->calls.find(found->second);
-    keep_tail(of.tail, bytes);
-    for (std::size_t at = 0; at < bytes.size(); at += piece_limit_bytes)
-    {
-        link::piece const next{of.message.request, of.next_sequence++,
-                               bytes.substr(at, piece_limit_bytes)};
-        this->links.send(of.stream, link::to_frame(next));
-    }
-    auto const window =
-        static_cast<std::size_t>(this->shared->settings.stream_window_bytes);
-    if (!of.is_paused && this->links.unsent_bytes(of.stream) > window)
+    call_id const id = found->second;
+    this->take_step(id,
+                    streams::take_bytes(this->calls.find(id)->answer, bytes));
+    call* const of = this->calls.find(id);
+    if (of == nullptr || of->is_paused ||
+        !this->answers.must_hold_back(of->message.request))
+        return;
+    of->is_paused = true;
+    this->upstream.pause(exchange);
+}
+
+void sidecar::state::take_step(call_id id, streams::answer_step step)
+{
+    call const& of = *this->calls.find(id);
+    for (auto const& why : step.rejected)
+        process::note(*this->shared, event_number::answer_rejected,
+                      of.message.request, of.message.team,
+                      {{"reason", to_text(why)}});
+    for (auto& piece : step.pieces)
+        this->answers.append(of.message.request, std::move(piece));
+    if (step.broken)
+        this->fail_answer(id, std::move(*step.broken));
+}
+
+std::optional<call_id> sidecar::state::running_call(request_id const& of)
+{
+    for (auto const& [exchange, id] : this->by_exchange)
     {
-        of.is_paused = true;
-        this->upstream.pause(exchange);
+        if (this->calls.find(id)->message.request == of)
+            return id;
     }
+    return std::nullopt;
 }
 
-void sidecar::state::on_link_drained(link::stream_id stream)
+void sidecar::state::on_room(request_id const& request)
 {
-    auto const found = this->by_stream.find(key_of(stream));
-    if (found == this->by_stream.end())
+    auto const id = this->running_call(request);
+    call* const of = id ? this->calls.find(*id) : nullptr;
+    if (of == nullptr || !of->is_paused)
         return;
-    call& of = *this->calls.find(found->second);
-    if (!of.is_paused)
+    of->is_paused = false;
+    this->upstream.unpause(of->exchange);
+}
+
+void sidecar::state::on_link_closed(link::stream_id stream,
+                                    link::stream_end const& how)
+{
+    bool const is_answering = this->answers.carries(stream);
+    bool const is_over =
+        this->answers.take_closed(stream, how).has_value() || !is_answering;
+    if (is_over)
+        this->on_stream_closed(stream);
+    else
+        this->by_stream.erase(key_of(stream));
+}
+
+void sidecar::state::on_resume(link::stream_id stream, link::frame const& frame)
+{
+    reason why;
+    auto const wanted = link::from_frame<link::resume>(frame, why);
+    if (!wanted)
+    {
+        this->links.reset(stream);
+        return;
+    }
+    this->answers.resume(stream, *wanted);
+    if (!this->answers.carries(stream))
+        return;
+    process::note(*this->shared, event_number::stream_resumed, wanted->request,
+                  {}, {{"from", std::to_string(wanted->next_sequence)}});
+    auto const id = this->running_call(wanted->request);
+    if (!id)
         return;
-    of.is_paused = false;
-    this->upstream.unpause(of.exchange);
+    call& of = *this->calls.find(*id);
+    this->by_stream.erase(key_of(of.stream));
+    of.stream = stream;
+    this->by_stream[key_of(stream)] = *id;
+}
+
+void sidecar::state::on_abandoned(request_id const& request)
+{
+    if (auto const id = this->running_call(request))
+        this->cancel(*id);
 }
 
 void sidecar::state::on_ended(http::exchange_id exchange,
@@ -85,7 +142,9 @@
     call_id const id = found->second;
     if (end.is_complete)
     {
-        this->finish_whole(id);
+        this->take_step(id, streams::take_end(this->calls.find(id)->answer));
+        if (this->calls.find(id) != nullptr)
+            this->finish_whole(id);
         return;
     }
     auto point = failure_point::upstream_connect_refused;
@@ -101,9 +160,9 @@
     call const& of = *this->calls.find(id);
     link::last told;
     told.request = of.message.request;
-    told.pieces = of.next_sequence;
+    told.pieces = of.answer.pieces;
     told.tables = this->tables.in_force().version;
-    if (auto const counted = read_usage(of.tail))
+    if (auto const& counted = of.answer.usage)
     {
         told.prompt_tokens = counted->prompt_tokens;
         told.cached_tokens = counted->cached_tokens;
@@ -113,31 +172,54 @@
                   of.message.team,
                   {{"cached_tokens", std::to_string(told.cached_tokens)},
                    {"prompt_tokens", std::to_string(told.prompt_tokens)}});
-    link::stream_id const stream = of.stream;
-    this->drop(id);
-    this->links.send(stream, link::to_frame(told));
-    this->links.finish(stream);
-    this->pump();
+    this->tell_end(id, link::to_frame(told));
 }
 
 void sidecar::state::fail(call_id id, failure_point point, std::string text)
 {
-    call const& of = *this->calls.find(id);
     auto const& row = row_of(point);
+    this->fail_as(id, row.outcome, {row.code, std::move(text), {}});
+}
+
+// The upstream has run it, or still does, and the answer is of no use.
+void sidecar::state::fail_answer(call_id id, reason why)
+{
+    this->fail_as(id, row_of(failure_point::answer_invalid).outcome,
+                  std::move(why));
+}
+
+void sidecar::state::fail_as(call_id id, verdict outcome, reason why)
+{
+    call const& of = *this->calls.find(id);
     link::failure told;
     told.request = of.message.request;
-    told.outcome = row.outcome;
-    told.why = {row.code, std::move(text), {}};
+    told.outcome = outcome;
+    told.why = std::move(why);
     told.leaving = this->is_draining;
     told.tables = this->tables.in_force().version;
     process::note(
         *this->shared, event_number::call_failed, told.request, of.message.team,
         {{"verdict", std::string(to_name(verdict_names, told.outcome))},
          {"reason", to_text(told.why)}});
+    this->tell_end(id, link::to_frame(told));
+}
+
+void sidecar::state::tell_end(call_id id, link::frame ending)
+{
+    call const& of = *this->calls.find(id);
     link::stream_id const stream = of.stream;
+    request_id const request = of.message.request;
+    bool const is_answering = of.stage == call_stage::running;
     this->drop(id);
-    this->links.send(stream, link::to_frame(told));
-    this->links.finish(stream);
+    if (is_answering)
+    {
+        this->answers.conclude(request, std::move(ending));
+    }
+    else
+    {
+        this->links.send(stream, std::move(ending));
+        this->links.finish(stream);
+    }
     this->pump();
 }
 
--- a/jujubestand/sidecar/call.hpp
+++ b/jujubestand/sidecar/call.hpp
@@ -8,6 +8,7 @@
 #include <jujubestand/link/messages.hpp>
 #include <jujubestand/link/node.hpp>
 #include <jujubestand/loop/timer.hpp>
+#include <jujubestand/streams/upstream_answer.hpp>
 #include <optional>
 #include <string>
 
@@ -43,9 +44,7 @@
     mono_time deadline{};
     http::exchange_id exchange;
     bool has_head = false;
-    std::uint64_t next_sequence = 0;
-    /// The end of the answer, in which its usage stands.
-    std::string tail;
+    streams::upstream_answer answer;
     bool is_paused = false;
     std::optional<loop::timer> deadline_timer;
 };
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -21,6 +21,9 @@
     case link::frame_kind::body:
         this->on_body(stream, frame);
         break;
+    case link::frame_kind::resume:
+        this->on_resume(stream, frame);
+        break;
     case link::frame_kind::cancel:
         this->on_stream_closed(stream);
         this->links.reset(stream);
@@ -166,6 +169,7 @@
                              upstream_request(next.message, next.body, {}));
     this->by_exchange[key_of(next.exchange)] = id;
     next.body.clear();
+    this->answers.begin(next.message.request, next.message.entry, next.stream);
     process::note(*this->shared, event_number::call_started,
                   next.message.request, next.message.team, {});
 }
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -21,11 +21,21 @@
     return options;
 }
 
+streams::replay_limits replay_limits_of(settings::settings const& read)
+{
+    streams::replay_limits limits;
+    limits.handed_bytes = static_cast<std::size_t>(read.replay_window_bytes);
+    limits.kept_for = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::milliseconds(read.replay_keep_ms));
+    return limits;
+}
+
 } // namespace
 
 sidecar::state::state(process::context& context)
     : shared(&context)
     , links(context.base, process::node_options_of(context), context.clock)
+    , answers(context.base, this->links, replay_limits_of(context.settings))
     , front(context.base, http::server_options{})
     , upstream(context.base, client_options_of(context.settings))
     , platform_http(context.base)
@@ -39,12 +49,14 @@
 {
     this->front.requested.connect(sigc::mem_fun(*this, &state::on_http));
     this->links.received.connect(sigc::mem_fun(*this, &state::on_frame));
-    this->links.drained.connect(sigc::mem_fun(*this, &state::on_link_drained));
-    this->links.closed.connect(
-        [this](link::stream_id stream, link::stream_end const&)
+    this->links.drained.connect(
+        [this](link::stream_id stream)
         {
-            this->on_stream_closed(stream);
+            this->answers.go_on(stream);
         });
+    this->links.closed.connect(sigc::mem_fun(*this, &state::on_link_closed));
+    this->answers.has_room.connect(sigc::mem_fun(*this, &state::on_room));
+    this->answers.abandoned.connect(sigc::mem_fun(*this, &state::on_abandoned));
     this->links.noted.connect(
         [this](event_note const& what)
         {
@@ -107,7 +119,8 @@
 
 bool sidecar::is_drained() const
 {
-    return this->self->is_draining && this->self->calls.size() == 0;
+    return this->self->is_draining && this->self->calls.size() == 0 &&
+           this->self->answers.open_answers() == 0;
 }
 
 std::size_t sidecar::open_calls() const
--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -9,6 +9,7 @@
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/process/table_reader.hpp>
+#include <jujubestand/sidecar/answer_sender.hpp>
 #include <jujubestand/sidecar/call.hpp>
 #include <jujubestand/sidecar/sidecar.hpp>
 #include <unordered_map>
@@ -24,6 +25,7 @@
 
     process::context* shared;
     link::node links;
+    answer_sender answers;
     http::server front;
     http::client upstream;
     platform::http_client platform_http;
@@ -59,10 +61,18 @@
     void on_head(http::exchange_id exchange, http::response_head const& head);
     void on_data(http::exchange_id exchange, std::string const& bytes);
     void on_ended(http::exchange_id exchange, http::exchange_end const& end);
-    void on_link_drained(link::stream_id stream);
+    void take_step(call_id id, streams::answer_step step);
+    void on_link_closed(link::stream_id stream, link::stream_end const& how);
+    void on_resume(link::stream_id stream, link::frame const& frame);
+    void on_room(request_id const& request);
+    void on_abandoned(request_id const& request);
+    [[nodiscard]] std::optional<call_id> running_call(request_id const& of);
     void on_deadline(call_id id);
     void finish_whole(call_id id);
     void fail(call_id id, failure_point point, std::string text);
+    void fail_answer(call_id id, reason why);
+    void fail_as(call_id id, verdict outcome, reason why);
+    void tell_end(call_id id, link::frame ending);
 };
 
 /// \brief An id as a key of a hash map.
--- a/jujubestand/streams/replay.cpp
+++ b/jujubestand/streams/replay.cpp
@@ -36,6 +36,7 @@
 void rewind(replay_window& window, std::uint64_t to)
 {
     window.next = to;
+    window.is_head_handed = false;
     window.handed_bytes = 0;
     window.waiting_bytes = 0;
     for (std::size_t at = 0; at < window.pieces.size(); ++at)
@@ -55,6 +56,13 @@
     return store.windows.emplace(request, std::move(window)).second;
 }
 
+void set_head(replay_store& store, request_id const& request, link::frame head)
+{
+    auto* const window = find(store, request);
+    if (window != nullptr)
+        window->head = std::move(head);
+}
+
 void append(replay_store& store, request_id const& request, std::string bytes)
 {
     auto* const window = find(store, request);
@@ -79,6 +87,8 @@
     auto* const window = find(store, request);
     if (window == nullptr)
         return std::nullopt;
+    if (window->head && !std::exchange(window->is_head_handed, true))
+        return window->head;
     std::uint64_t const at = window->next - window->first;
     if (at > window->pieces.size())
         return std::nullopt;
@@ -97,6 +107,16 @@
     return packed;
 }
 
+bool is_handed_over(replay_store const& store,
+                    request_id const& request) noexcept
+{
+    auto const known = store.windows.find(request);
+    if (known == store.windows.end())
+        return false;
+    replay_window const& window = known->second;
+    return window.ending && window.next > window.first + window.pieces.size();
+}
+
 bool is_full(replay_store const& store, request_id const& request) noexcept
 {
     auto const known = store.windows.find(request);
--- a/jujubestand/streams/replay.hpp
+++ b/jujubestand/streams/replay.hpp
@@ -36,6 +36,9 @@
 {
     /// The only process that may have this answer.
     incarnation_id entry;
+    /// Goes before the pieces, again after each resume.
+    std::optional<link::frame> head;
+    bool is_head_handed = false;
     std::deque<std::string> pieces;
     /// Sequence number of the first piece kept.
     std::uint64_t first = 0;
@@ -61,6 +64,9 @@
 bool begin(replay_store& store, request_id const& request,
            incarnation_id entry);
 
+/// \brief Sets the answer's status and headers.
+void set_head(replay_store& store, request_id const& request, link::frame head);
+
 /// \brief Adds the answer's next piece; nothing for an unknown request.
 void append(replay_store& store, request_id const& request, std::string bytes);
 
@@ -68,10 +74,14 @@
 void conclude(replay_store& store, request_id const& request,
               link::frame ending);
 
-/// \brief Takes the next frame to be sent: a piece, then the ending.
+/// \brief Takes the next frame to be sent: head, pieces, ending.
 [[nodiscard]] std::optional<link::frame> next_frame(replay_store& store,
                                                     request_id const& request);
 
+/// \brief Whether all frames up to the ending were taken.
+[[nodiscard]] bool is_handed_over(replay_store const& store,
+                                  request_id const& request) noexcept;
+
 /// \brief Whether the engine should be held back.
 [[nodiscard]] bool is_full(replay_store const& store,
                            request_id const& request) noexcept;
