--- a/bench/support/child_process.cpp
+++ b/bench/support/child_process.cpp
@@ -41,6 +41,11 @@
                          std::string const& output_base, pid_t parent)
 {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // A group of its own keeps the terminal's Ctrl-C for the owner alone.
+    ::setpgid(0, 0);
+    sigset_t none;
+    sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
     if (::getppid() != parent)
         ::_exit(cannot_run);
     redirect(output_base + ".out", STDOUT_FILENO);
