Give entries and sidecars the tables by log and by peers

A process read the tables from the log alone: with the log out it never became ready, and a sidecar ran requests that were routed under older tables.

A sidecar refuses a call under older tables as not_run (tables_stale) after sending its own on that stream; the entry routes the call again and tries anew. A sidecar that is older asks the caller's entry back.

--- a/jujubestand/entry/attempts.cpp
+++ b/jujubestand/entry/attempts.cpp
@@ -100,6 +100,18 @@
     of.current.reset();
 }
 
+// A refusal of older tables is no try of that upstream. The newer ones came
+// before it; if they did not, the next try meets them.
+bool entry::state::take_newer_tables(call& of)
+{
+    if (of.request.message.tables == this->tables.in_force().version)
+        return true;
+    if (!reroute(this->tables.store(), of.request, of.why))
+        return false;
+    of.tried.clear();
+    return true;
+}
+
 void entry::state::on_attempt_failed(call_id id, link::failure const& failed)
 {
     call& of = *this->calls.find(id);
@@ -114,6 +126,12 @@
          {"reason", to_text(failed.why)}});
     this->end_attempt(of);
     of.relay.head.reset();
+    if (failed.why.code == reason_code::tables_stale &&
+        !this->take_newer_tables(of))
+    {
+        this->answer_problem(id);
+        return;
+    }
     if (!may_try_again(of))
     {
         this->answer_problem(id);
--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -29,7 +29,7 @@
     , platform_http(context.base)
     , list(context.base, this->platform_http, process::list_options_of(context))
     , log(context.base, this->platform_http, process::log_options_of(context))
-    , tables(context, this->log)
+    , tables(context, this->log, this->links)
     , reader(static_cast<std::size_t>(context.settings.json_depth_limit))
 {
     this->intake.teams = make_team_table(context.settings.teams);
@@ -57,6 +57,8 @@
             this->shared->noted.emit(what);
         });
     this->list.received.connect(sigc::mem_fun(*this, &state::on_list));
+    this->list.received.connect(
+        sigc::mem_fun(this->tables, &process::table_reader::on_list));
 }
 
 admin::readiness entry::state::readiness() const
--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -52,6 +52,7 @@
     void try_next(call_id id);
     [[nodiscard]] std::optional<upstream_place> choose(call const& from);
     void send(call_id id, upstream_place const& place);
+    [[nodiscard]] bool take_newer_tables(call& of);
     void on_attempt_failed(call_id id, link::failure const& failed);
     void on_deadline(call_id id);
     void end_attempt(call& of);
@@ -68,6 +69,7 @@
     void answer_whole(call_id id, link::last const& last);
     void answer_problem(call_id id);
     void fail_malformed(call_id id, reason why);
+    void saw_tables(call const& of, log_offset version);
     void give_back(call& of);
 };
 
--- a/jujubestand/entry/intake.cpp
+++ b/jujubestand/entry/intake.cpp
@@ -66,8 +66,10 @@
 config::route const* find_route(config::store const& tables,
                                 link::call const& message)
 {
-    config::route_query const query{message.team.text, message.model.text,
-                                    message.path, message.is_completion};
+    std::string_view const path =
+        std::string_view(message.path).substr(0, message.path.find('?'));
+    config::route_query const query{message.team.text, message.model.text, path,
+                                    message.is_completion};
     return config::match(tables.index, config::in_force(tables), query);
 }
 
@@ -134,8 +136,26 @@
     return true;
 }
 
+bool fits_route(accepted const& request, std::size_t body_bytes, reason& why)
+{
+    if (body_bytes <= request.route.body_limit_bytes)
+        return true;
+    return refuse(why, reason_code::body_too_large,
+                  "the body is over the route's limit");
+}
+
 } // namespace
 
+bool reroute(config::store const& tables, accepted& request, reason& why)
+{
+    if (!apply_route(tables, request, why))
+        return false;
+    if (!request.route.is_idempotent && request.message.idempotency_key.empty())
+        return refuse(why, reason_code::missing_key,
+                      "this route now needs an Idempotency-Key");
+    return fits_route(request, request.message.body_bytes, why);
+}
+
 std::optional<accepted> take_in(intake_options const& options,
                                 config::store const& tables,
                                 completion_reader& reader,
@@ -157,12 +177,8 @@
         return std::nullopt;
     if (!apply_route(tables, result, why) || !read_key(asked, result, why))
         return std::nullopt;
-    if (asked.body.size() > result.route.body_limit_bytes)
-    {
-        refuse(why, reason_code::body_too_large,
-               "the body is over the route's limit");
+    if (!fits_route(result, asked.body.size(), why))
         return std::nullopt;
-    }
     if (!asked.query.empty())
         result.message.path += '?' + asked.query;
     result.message.headers = passed_on(asked.headers);
--- a/jujubestand/entry/intake.hpp
+++ b/jujubestand/entry/intake.hpp
@@ -43,6 +43,12 @@
         completion_reader& reader, http::request const& asked,
         request_id const& id, reason& why);
 
+/// \brief Finds route and pool of a request again, under tables that have
+/// come into force since it was taken in.
+/// \returns false, with `why` set, if they refuse it
+[[nodiscard]] bool reroute(config::store const& tables, accepted& request,
+                           reason& why);
+
 } // namespace jujubestand::entry
 
 #endif
--- a/jujubestand/entry/relay.cpp
+++ b/jujubestand/entry/relay.cpp
@@ -30,6 +30,8 @@
 
 void entry::state::on_frame(link::stream_id stream, link::frame const& frame)
 {
+    if (this->tables.on_frame(stream, frame))
+        return;
     auto const found = this->by_stream.find(key_of(stream));
     if (found == this->by_stream.end())
     {
@@ -68,6 +70,15 @@
     this->on_attempt_failed(id, failed);
 }
 
+void entry::state::saw_tables(call const& of, log_offset version)
+{
+    if (!of.current)
+        return;
+    auto const found = this->upstreams.find(of.current->upstream);
+    if (found != this->upstreams.end())
+        this->tables.on_peer_version(found->second.link, version);
+}
+
 void entry::state::on_head(call_id id, link::frame const& frame)
 {
     call& of = *this->calls.find(id);
@@ -164,6 +175,7 @@
                                   {}});
         return;
     }
+    this->saw_tables(of, last->tables);
     this->answer_whole(id, *last);
 }
 
@@ -200,6 +212,7 @@
         this->fail_malformed(id, why);
         return;
     }
+    this->saw_tables(*this->calls.find(id), failed->tables);
     this->on_attempt_failed(id, *failed);
 }
 
--- a/jujubestand/entry/test/path_fixture.hpp
+++ b/jujubestand/entry/test/path_fixture.hpp
@@ -228,7 +228,7 @@
         this->log.append(config::stream_name, config::pack(made));
     }
 
-private:
+    // The parts of `start_path`, for tests that start them otherwise.
     bool is_ready()
     {
         http::request asked;
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -9,6 +9,8 @@
 
 void sidecar::state::on_frame(link::stream_id stream, link::frame const& frame)
 {
+    if (this->tables.on_frame(stream, frame))
+        return;
     this->links.consume(stream, frame.payload.size());
     switch (frame.kind)
     {
@@ -105,6 +107,15 @@
                      0);
         return;
     }
+    // The newer tables go out on the stream before the refusal does.
+    if (this->tables.on_version(next.stream, next.message.tables) ==
+        config::tables_age::older)
+    {
+        this->refuse(
+            id, failure_point::sidecar_refused,
+            {reason_code::tables_stale, "routed under older tables", {}}, 0);
+        return;
+    }
     auto const limit =
         static_cast<std::size_t>(this->shared->settings.queue_requests);
     if (this->waiting.size() >= limit)
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -30,7 +30,8 @@
     , upstream(context.base, client_options_of(context.settings))
     , platform_http(context.base)
     , log(context.base, this->platform_http, process::log_options_of(context))
-    , tables(context, this->log)
+    , tables(context, this->log, this->links)
+    , list(context.base, this->platform_http, process::list_options_of(context))
 {
     this->connect_signals();
 }
@@ -55,6 +56,8 @@
         {
             this->shared->noted.emit(what);
         });
+    this->list.received.connect(
+        sigc::mem_fun(this->tables, &process::table_reader::on_list));
     this->upstream.head.connect(sigc::mem_fun(*this, &state::on_head));
     this->upstream.data.connect(sigc::mem_fun(*this, &state::on_data));
     this->upstream.ended.connect(sigc::mem_fun(*this, &state::on_ended));
@@ -96,6 +99,7 @@
     auto const link = this->self->links.listen(read.link, why);
     if (!link)
         return std::nullopt;
+    this->self->list.start();
     this->self->tables.start();
     return listening{*http, *link};
 }
--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -7,6 +7,7 @@
 #include <jujubestand/http/client.hpp>
 #include <jujubestand/http/server.hpp>
 #include <jujubestand/platform/http_client.hpp>
+#include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/process/table_reader.hpp>
 #include <jujubestand/sidecar/call.hpp>
@@ -29,6 +30,7 @@
     platform::http_client platform_http;
     platform::log_client log;
     process::table_reader tables;
+    platform::list_client list;
     slot_map<call, struct call_tag> calls;
     std::unordered_map<std::uint64_t, call_id> by_stream;
     std::unordered_map<std::uint64_t, call_id> by_exchange;
