Let the cut-off sidecar have no peer but its caller

With asking back switched off the test still passed, since the sidecar asked the other one within two seconds. The other sidecar now goes away first, and the mutant is caught (tables_test, run by hand).

--- a/jujubestand/entry/test/tables_test.cpp
+++ b/jujubestand/entry/test/tables_test.cpp
@@ -146,6 +146,8 @@
     this->start_entry();
     this->start_caller();
     ASSERT_TRUE(this->run_until_ready());
+    // No peer of the list is left to be asked.
+    this->pairs[0].sidecar.reset();
     this->publish_move();
     this->post("/v1/chat/completions", chat_body("hello", false));
     EXPECT_TRUE(this->run_until_applied(1));
