--- a/jujubestand/core/enum_table.hpp
+++ b/jujubestand/core/enum_table.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <string_view>
 
 namespace jujubestand
@@ -44,6 +45,20 @@
     return std::nullopt;
 }
 
+/// \copydoc from_name
+template <class Enum>
+[[nodiscard]] constexpr std::optional<Enum>
+from_name(std::span<enum_name<Enum> const> table,
+          std::string_view name) noexcept
+{
+    for (auto const& row : table)
+    {
+        if (row.name == name)
+            return row.value;
+    }
+    return std::nullopt;
+}
+
 } // namespace jujubestand
 
 #endif
