Serve the time line and the measures to operators only

Cause: events were written to the log only, and nothing was counted. Change: each process keeps its ring and serves it as /timeline; the entry counts requests, attempts, tokens and first tokens per pool. Both pages go to operators: by key digest, or from the machine itself where no key is set, since callers reach the same port. Conclusion: the tool can read what each process did.

--- a/jujubestand/admin/endpoints.hpp
+++ b/jujubestand/admin/endpoints.hpp
@@ -2,8 +2,8 @@
 #define JUJUBESTAND_ADMIN_ENDPOINTS_HPP
 
 #include <jujubestand/http/message.hpp>
+#include <jujubestand/process/context.hpp>
 #include <optional>
-#include <prometheus/registry.h>
 #include <string>
 
 namespace jujubestand::admin
@@ -24,11 +24,17 @@
     std::string body;
 };
 
-/// \brief Answers `/healthz`, `/readyz` and `/metrics`.
+/// \brief Whether a request comes from an operator: it bears the operators'
+/// key or, where the settings name none, comes from this machine itself.
+[[nodiscard]] bool is_operator(http::request const& asked,
+                               std::string const& key_digest);
+
+/// \brief Answers `/healthz` and `/readyz`, and to operators `/metrics` and
+/// `/timeline`.
 /// \returns nothing for any other path
-[[nodiscard]] std::optional<answer>
-answer_common(http::request const& asked, readiness const& state,
-              prometheus::Registry const& metrics);
+[[nodiscard]] std::optional<answer> answer_common(process::context& shared,
+                                                  http::request const& asked,
+                                                  readiness const& state);
 
 } // namespace jujubestand::admin
 
--- a/jujubestand/entry/attempts.cpp
+++ b/jujubestand/entry/attempts.cpp
@@ -121,6 +121,7 @@
     of.outcome = worst(of.outcome, failed.outcome);
     of.why = failed.why;
     of.retry_after_us = failed.retry_after_us;
+    this->counts.attempt_failed(of.request.message.pool, failed.why.code);
     process::note(
         *this->shared, event_number::attempt_failed, of.request.message.request,
         of.request.message.team,
--- a/jujubestand/entry/call.hpp
+++ b/jujubestand/entry/call.hpp
@@ -53,6 +53,8 @@
     std::string held;
     /// Status and first bytes have gone to the caller.
     bool is_started = false;
+    /// The first bytes of the answer have come, by any attempt.
+    bool has_first_token = false;
     /// Received bytes that the stream's window was not given back for.
     std::size_t unconsumed_bytes = 0;
 };
--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -24,6 +24,7 @@
 
 entry::state::state(process::context& context)
     : shared(&context)
+    , counts(context.metrics)
     , links(context.base, process::node_options_of(context), context.clock)
     , front(context.base, server_options_of(context.settings))
     , platform_http(context.base)
@@ -75,8 +76,9 @@
 void entry::state::on_request(http::caller_id caller,
                               http::request const& asked)
 {
+    this->counts.open(this->calls.size());
     auto const own =
-        admin::answer_common(asked, this->readiness(), this->shared->metrics);
+        admin::answer_common(*this->shared, asked, this->readiness());
     if (own)
     {
         this->front.reply(caller, own->status,
@@ -105,6 +107,7 @@
     {
         process::note(*this->shared, event_number::request_refused, id, {},
                       {{"reason", to_text(refused.why)}});
+        this->counts.refused(refused.why.code);
         auto const told = to_answer(refused);
         this->front.reply(caller, told.status, told.headers, told.body);
         return;
--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -4,6 +4,7 @@
 #include <jujubestand/admin/endpoints.hpp>
 #include <jujubestand/entry/call.hpp>
 #include <jujubestand/entry/entry.hpp>
+#include <jujubestand/entry/metrics.hpp>
 #include <jujubestand/entry/problem.hpp>
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/list_client.hpp>
@@ -23,6 +24,7 @@
     explicit state(process::context& shared);
 
     process::context* shared;
+    metrics counts;
     link::node links;
     http::server front;
     platform::http_client platform_http;
--- a/jujubestand/entry/relay.cpp
+++ b/jujubestand/entry/relay.cpp
@@ -131,7 +131,12 @@
         return;
     }
     if (result.fate == streams::piece_fate::relay)
+    {
+        if (!std::exchange(of.relay.has_first_token, true))
+            this->counts.first_token(of.request.message.pool,
+                                     mono_now() - of.arrived);
         this->relay_piece(of, *piece);
+    }
     this->give_back(of);
 }
 
@@ -211,6 +216,8 @@
                           of.relay.held);
     }
     auto const took = mono_now() - of.arrived;
+    this->counts.used(of.request.message.pool, last);
+    this->counts.ended(of.request.message.pool, verdict::ran, true, took);
     process::note(*this->shared, event_number::request_finished,
                   of.request.message.request, of.request.message.team,
                   {{"upstream", of.current->upstream.text},
@@ -247,6 +254,8 @@
         of.request.message.team,
         {{"verdict", std::string(to_name(verdict_names, told.outcome))},
          {"reason", to_text(told.why)}});
+    this->counts.ended(of.request.message.pool, told.outcome, false,
+                       mono_now() - of.arrived);
     if (of.relay.is_started)
     {
         // The caller sees the error and never the end of a whole answer.
--- a/jujubestand/process/context.cpp
+++ b/jujubestand/process/context.cpp
@@ -22,6 +22,15 @@
         static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
     shared.incarnation =
         incarnation_id((wall_ms << 16U) | (shared.random() & 0xFFFFU));
+    shared.events.instance = shared.settings.instance;
+    shared.events.capacity =
+        static_cast<std::size_t>(shared.settings.timeline_events);
+    shared.noted.connect(
+        [&shared](event_note const& what)
+        {
+            auto const stamp = tick(shared.clock, wall_now());
+            timeline::add(shared.events, stamp, what);
+        });
 }
 
 request_id next_request_id(context& shared)
--- a/jujubestand/process/context.hpp
+++ b/jujubestand/process/context.hpp
@@ -8,6 +8,7 @@
 #include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/settings/settings.hpp>
+#include <jujubestand/timeline/ring.hpp>
 #include <prometheus/registry.h>
 #include <random>
 #include <string>
@@ -30,6 +31,8 @@
     std::mt19937_64 random;
     event_signal noted;
     prometheus::Registry metrics;
+    /// The time line: every noted event is added to it.
+    timeline::ring events;
 };
 
 /// \brief Fills a context for a process that starts now, with a fresh
--- a/jujubestand/settings/reader.cpp
+++ b/jujubestand/settings/reader.cpp
@@ -130,6 +130,12 @@
     return text->get();
 }
 
+std::string reader::optional_text(std::string_view key)
+{
+    return this->find(key) == nullptr ? std::string()
+                                      : this->required_text(key);
+}
+
 std::vector<std::string> reader::required_texts(std::string_view key)
 {
     std::vector<std::string> result;
--- a/jujubestand/settings/reader.hpp
+++ b/jujubestand/settings/reader.hpp
@@ -36,6 +36,8 @@
     [[nodiscard]] std::vector<reader> rows(std::string_view key);
 
     [[nodiscard]] std::string required_text(std::string_view key);
+    /// \brief A text that may be missing; then it reads as empty.
+    [[nodiscard]] std::string optional_text(std::string_view key);
     [[nodiscard]] std::vector<std::string> required_texts(std::string_view key);
     [[nodiscard]] address required_address(std::string_view key);
     [[nodiscard]] std::optional<address> optional_address(std::string_view key);
--- a/jujubestand/settings/settings.cpp
+++ b/jujubestand/settings/settings.cpp
@@ -29,6 +29,10 @@
     into.link_key = section.required_text("link_key");
     if (!into.link_key.empty() && into.link_key.size() < shortest_link_key)
         section.fail("link_key", "a text of at least 16 characters");
+    into.operator_key_digest = section.optional_text("operator_key_sha256");
+    if (!into.operator_key_digest.empty() &&
+        !is_digest(into.operator_key_digest))
+        section.fail("operator_key_sha256", "64 lower-case hexadecimal digits");
     section.done();
 }
 
--- a/jujubestand/settings/settings.hpp
+++ b/jujubestand/settings/settings.hpp
@@ -59,6 +59,9 @@
     instance_id instance;
     data_centre_id data_centre;
     std::string link_key;
+    /// SHA-256 of the operators' key; empty: only this machine itself may
+    /// read metrics and the time line.
+    std::string operator_key_digest;
 
     // [listen]
     address http;
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -87,7 +87,7 @@
 void sidecar::state::on_http(http::caller_id caller, http::request const& asked)
 {
     auto const own =
-        admin::answer_common(asked, this->readiness(), this->shared->metrics);
+        admin::answer_common(*this->shared, asked, this->readiness());
     if (own)
         this->front.reply(caller, own->status,
                           {{"Content-Type", own->content_type}}, own->body);
