--- a/jujubestand/timeline/test/timeline_test.cpp
+++ b/jujubestand/timeline/test/timeline_test.cpp
@@ -168,6 +168,7 @@
         add(to.events, got, note_of(id, event_number::call_started));
     }
     std::vector<std::vector<stamped_event>> parts;
+    parts.reserve(processes);
     for (auto const& process : all)
         parts.push_back(read(process.events, 0, {}, 1'000).events);
     std::set<request_id> causes;
