--- a/jujubestand/ctl/command.hpp
+++ b/jujubestand/ctl/command.hpp
@@ -42,6 +42,9 @@
 struct command_context
 {
     std::optional<address> log;
+    std::optional<address> instances;
+    /// Borne to the processes' pages for operators; may be empty.
+    std::string operator_key;
     std::string author;
     std::chrono::milliseconds timeout{5'000};
     bool is_json = false;
@@ -79,6 +82,9 @@
 /// \brief Commands on the two tables.
 [[nodiscard]] std::span<command const> table_commands() noexcept;
 
+/// \brief Commands that ask the running processes.
+[[nodiscard]] std::span<command const> fleet_commands() noexcept;
+
 /// \brief All commands, in the order of `--help`.
 [[nodiscard]] std::vector<command> all_commands();
 
--- a/jujubestand/ctl/run.cpp
+++ b/jujubestand/ctl/run.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <fstream>
 #include <jujubestand/ctl/command.hpp>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -11,14 +12,16 @@
 namespace
 {
 
-constexpr char const* version_text = "0.1.0";
+constexpr char const* version_text = JUJUBESTAND_VERSION;
 
 std::string help_text()
 {
     std::ostringstream text;
-    text << "jujubestandctl edits and shows the tables of jujubestand.\n\n"
-            "jujubestandctl [--log IP:PORT] [--json] [--author NAME] "
-            "[--timeout-ms N] COMMAND\n\ncommands:\n";
+    text << "jujubestandctl edits the tables of jujubestand and shows what it "
+            "does.\n\n"
+            "jujubestandctl [--log IP:PORT] [--instances IP:PORT] [--json]\n"
+            "    [--author NAME] [--operator-key-file FILE] [--timeout-ms N] "
+            "COMMAND\n\ncommands:\n";
     for (auto const& one : all_commands())
         text << "  " << one.group << (one.verb.empty() ? "" : " ") << one.verb
              << ' ' << one.usage << '\n';
@@ -43,6 +46,24 @@
     return user == nullptr ? "operator" : user;
 }
 
+address address_of(std::string const& text, std::string const& option)
+{
+    reason why;
+    auto const parsed = parse_address(text, why);
+    if (!parsed)
+        throw TCLAP::ArgException(why.text, option);
+    return *parsed;
+}
+
+std::string first_line(std::string const& file)
+{
+    std::ifstream input(file);
+    std::string line;
+    if (!std::getline(input, line))
+        throw TCLAP::ArgException("cannot read " + file, "operator-key-file");
+    return line;
+}
+
 parsed_line parse(std::vector<std::string> arguments)
 {
     // Help and version are ours: TCLAP's would leave the program.
@@ -50,6 +71,11 @@
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> log("", "log", "log service", false, "",
                                      "IP:PORT", line);
+    TCLAP::ValueArg<std::string> instances("", "instances", "instance list",
+                                           false, "", "IP:PORT", line);
+    TCLAP::ValueArg<std::string> key_file("", "operator-key-file",
+                                          "file that holds the operators' key",
+                                          false, "", "FILE", line);
     TCLAP::ValueArg<std::string> author("", "author", "who edits", false,
                                         default_author(), "NAME", line);
     TCLAP::ValueArg<unsigned> timeout("", "timeout-ms", "time for it all",
@@ -68,13 +94,13 @@
     parsed.context.is_json = json.getValue();
     parsed.context.author = author.getValue();
     parsed.context.timeout = std::chrono::milliseconds(timeout.getValue());
-    reason why;
     if (log.isSet())
-    {
-        parsed.context.log = parse_address(log.getValue(), why);
-        if (!parsed.context.log)
-            throw TCLAP::ArgException(why.text, "log");
-    }
+        parsed.context.log = address_of(log.getValue(), "log");
+    if (instances.isSet())
+        parsed.context.instances =
+            address_of(instances.getValue(), "instances");
+    if (key_file.isSet())
+        parsed.context.operator_key = first_line(key_file.getValue());
     return parsed;
 }
 
@@ -127,6 +153,7 @@
 {
     std::vector<command> commands;
     std::ranges::copy(table_commands(), std::back_inserter(commands));
+    std::ranges::copy(fleet_commands(), std::back_inserter(commands));
     return commands;
 }
 
