Fuzz every parser that is fed from outside, and mend what it found

Cause: callers, engines, the log and other processes feed parsers that no test had shown hostile bytes.

--- a/cmake/flags.cmake
+++ b/cmake/flags.cmake
@@ -5,3 +5,8 @@
         -fno-omit-frame-pointer)
     add_link_options(-fsanitize=address,undefined)
 endif()
+if(JUJUBESTAND_FUZZ)
+    add_compile_options(-fsanitize=fuzzer-no-link,address,undefined
+        -fno-sanitize-recover=all)
+    add_link_options(-fsanitize=address,undefined)
+endif()
--- /dev/null
+++ b/fuzz/config_record.cpp
@@ -0,0 +1,15 @@
+// Records of the tables stream.
+
+#include <cstddef>
+#include <cstdint>
+#include <jujubestand/config/records.hpp>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* bytes,
+                                      std::size_t size)
+{
+    std::string const input(reinterpret_cast<char const*>(bytes), size);
+    jujubestand::reason why;
+    (void)jujubestand::config::unpack_record(input, why);
+    return 0;
+}
--- a/jujubestand/config/fold.cpp
+++ b/jujubestand/config/fold.cpp
@@ -2,6 +2,7 @@
 #include <exception>
 #include <jujubestand/config/fold.hpp>
 #include <jujubestand/config/validation.hpp>
+#include <jujubestand/core/bounded_unpack.hpp>
 #include <utility>
 
 namespace jujubestand::config
@@ -225,7 +226,7 @@
 {
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = bounded_unpack(bytes);
         return handle.get().as<cut>();
     }
     catch (std::exception const& error)
--- a/jujubestand/config/records.cpp
+++ b/jujubestand/config/records.cpp
@@ -1,5 +1,6 @@
 #include <exception>
 #include <jujubestand/config/records.hpp>
+#include <jujubestand/core/bounded_unpack.hpp>
 #include <msgpack.hpp>
 #include <tuple>
 
@@ -45,7 +46,7 @@
 {
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = bounded_unpack(bytes);
         auto const [tag, body] =
             handle.get().as<std::tuple<std::string, msgpack::object>>();
         if (tag == edit_tag)
--- a/jujubestand/settings/test/settings_test.cpp
+++ b/jujubestand/settings/test/settings_test.cpp
@@ -88,6 +88,21 @@
     EXPECT_EQ(problems[0].place.rfind("f.toml:1:", 0), 0U);
 }
 
+// Found by fuzzing: toml++ has undefined behaviour on this key.
+TEST(settings, a_letter_beyond_ascii_in_a_key_is_refused)
+{
+    auto const problems = problems_of("a = 1\nkey\xcb\x96 = 2\n");
+    ASSERT_EQ(problems.size(), 1U);
+    EXPECT_EQ(problems[0].place, "f.toml:2:4");
+}
+
+TEST(settings, comments_may_have_any_letters)
+{
+    std::vector<reason> problems;
+    EXPECT_TRUE(
+        parse("# \xd0\xbe\n" + with_team, "f.toml", role::entry, problems));
+}
+
 TEST(settings, a_weak_link_key_is_refused)
 {
     std::string text = with_team;
