Stop a deployment's processes of one kind together

They are all asked first now, then waited for; a second SIGTERM, which would cut the drain, is never sent. The drain notice is 0 in deployments unless asked for otherwise. A child's usage tells bytes read and written, and takes processor time from the scheduler's count: ticks of 10 ms showed 0 for a process that does little.

--- a/bench/deploy.cpp
+++ b/bench/deploy.cpp
@@ -99,8 +99,6 @@
     plan.entries = entries.getValue();
     plan.engines = engines.getValue();
     plan.services = services.getValue();
-    plan.entry_settings["limits"] = "drain_notice_ms = 0";
-    plan.sidecar_settings["limits"] = "drain_notice_ms = 0";
 
     held_signals const signals;
     bench::deployment running(plan);
--- a/bench/support/child_process.cpp
+++ b/bench/support/child_process.cpp
@@ -5,7 +5,6 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -26,8 +25,6 @@
 constexpr mode_t output_mode = 0644;
 constexpr int cannot_run = 127;
 constexpr std::uint64_t bytes_per_kilobyte = 1024;
-/// Fields of /proc/PID/stat after the command: utime is the 12th.
-constexpr int fields_before_utime = 11;
 
 void redirect(std::string const& path, int descriptor)
 {
@@ -72,27 +69,28 @@
     return std::nullopt;
 }
 
+// The scheduler's own count: the ticks of /proc/PID/stat are too coarse for a
+// process that does little.
 std::chrono::microseconds processor_time_of(std::string const& folder)
 {
-    std::ifstream file(folder + "/stat");
-    std::string text;
-    std::getline(file, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 1));
-    std::string skipped;
-    for (int field = 0; field < fields_before_utime; ++field)
-        fields >> skipped;
-    std::int64_t user = 0;
-    std::int64_t system = 0;
-    fields >> user >> system;
-    auto const ticks_per_second = ::sysconf(_SC_CLK_TCK);
-    return std::chrono::microseconds((user + system) * 1'000'000 /
-                                     ticks_per_second);
+    std::ifstream file(folder + "/schedstat");
+    std::int64_t nanoseconds = 0;
+    file >> nanoseconds;
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::nanoseconds(nanoseconds));
 }
 
-std::uint64_t kilobytes_in(std::string const& line)
+/// The number in the line that begins so; 0 if there is none.
+std::uint64_t number_in(std::string const& path, std::string_view beginning)
 {
-    return std::stoull(line.substr(line.find_first_of("0123456789"))) *
-           bytes_per_kilobyte;
+    std::ifstream file(path);
+    std::string line;
+    while (std::getline(file, line))
+    {
+        if (line.starts_with(beginning))
+            return std::stoull(line.substr(line.find_first_of("0123456789")));
+    }
+    return 0;
 }
 
 } // namespace
@@ -115,6 +113,7 @@
     , output_base(std::move(other.output_base))
     , child(std::exchange(other.child, -1))
     , status(other.status)
+    , is_stopping(other.is_stopping)
 {
 }
 
@@ -124,6 +123,7 @@
     std::swap(this->output_base, other.output_base);
     std::swap(this->child, other.child);
     std::swap(this->status, other.status);
+    std::swap(this->is_stopping, other.is_stopping);
     return *this;
 }
 
@@ -170,10 +170,16 @@
     return !this->reap(false);
 }
 
-int child_process::stop(milliseconds limit)
+// A second SIGTERM would cut the drain that the first one began.
+void child_process::begin_stop()
 {
-    if (this->child > 0)
+    if (!std::exchange(this->is_stopping, true))
         this->signal(SIGTERM);
+}
+
+int child_process::stop(milliseconds limit)
+{
+    this->begin_stop();
     auto const end = steady_clock::now() + limit;
     while (this->is_running() && steady_clock::now() < end)
         std::this_thread::sleep_for(poll_interval);
@@ -208,21 +214,19 @@
         return result;
     std::string const folder = "/proc/" + std::to_string(this->child);
     result.processor_time = processor_time_of(folder);
-    std::ifstream file(folder + "/status");
-    std::string line;
-    while (std::getline(file, line))
-    {
-        if (line.starts_with("VmRSS:"))
-            result.resident_bytes = kilobytes_in(line);
-        if (line.starts_with("VmHWM:"))
-            result.peak_resident_bytes = kilobytes_in(line);
-    }
-    std::error_code ignored;
-    for (auto const& entry :
-         std::filesystem::directory_iterator(folder + "/fd", ignored))
+    auto const status_file = folder + "/status";
+    result.resident_bytes =
+        number_in(status_file, "VmRSS:") * bytes_per_kilobyte;
+    result.peak_resident_bytes =
+        number_in(status_file, "VmHWM:") * bytes_per_kilobyte;
+    result.read_bytes = number_in(folder + "/io", "rchar:");
+    result.written_bytes = number_in(folder + "/io", "wchar:");
+    for (char const* ending : {".out", ".err"})
     {
-        static_cast<void>(entry);
-        ++result.open_files;
+        std::error_code error;
+        auto const size =
+            std::filesystem::file_size(this->output_base + ending, error);
+        result.output_bytes += error ? 0 : size;
     }
     return result;
 }
--- a/bench/support/child_process.hpp
+++ b/bench/support/child_process.hpp
@@ -18,7 +18,11 @@
     std::chrono::microseconds processor_time{0};
     std::uint64_t resident_bytes = 0;
     std::uint64_t peak_resident_bytes = 0;
-    std::uint32_t open_files = 0;
+    /// By its read and write calls, sockets and files alike.
+    std::uint64_t read_bytes = 0;
+    std::uint64_t written_bytes = 0;
+    /// Of those written, what went to its two output files.
+    std::uint64_t output_bytes = 0;
 };
 
 /// \brief A program that a bench started; it is stopped with its owner, and
@@ -42,8 +46,12 @@
     [[nodiscard]] std::optional<std::string>
     wait_line(std::string_view beginning, std::chrono::milliseconds limit);
 
-    /// \brief Asks it to stop, and kills it if it does not within `limit`.
-    /// \returns its exit code, or minus the signal that ended it
+    /// \brief Asks it to stop without waiting.
+    void begin_stop();
+
+    /// \brief Asks it to stop unless `begin_stop` has, and kills it if it does
+    /// not within `limit`. \returns its exit code, or minus the signal that
+    /// ended it
     int stop(std::chrono::milliseconds limit);
 
     /// \brief Kills it at once, as a crash would.
@@ -66,6 +74,7 @@
     std::string output_base;
     pid_t child = -1;
     int status = 0;
+    bool is_stopping = false;
 };
 
 } // namespace jujubestand::bench
--- a/bench/support/deployment.cpp
+++ b/bench/support/deployment.cpp
@@ -159,28 +159,37 @@
         std::filesystem::remove_all(this->planned.folder, ignored);
 }
 
+// Those of a kind leave together; callers' side first, so that a sidecar's
+// drain finds no entry that still sends to it.
 std::vector<std::string> deployment::stop()
 {
-    std::vector<deployed_process*> order;
+    std::vector<std::string> unclean;
     for (auto* group :
          {&this->entries, &this->sidecars, &this->services, &this->engines})
     {
         for (deployed_process& process : *group)
-            order.push_back(&process);
-    }
-    order.insert(order.end(), {&this->store, &this->list, &this->log});
-    std::vector<std::string> unclean;
-    for (deployed_process* process : order)
-    {
-        if (!process->child)
-            continue;
-        if (process->child->stop(this->planned.stop_limit) != 0)
-            unclean.push_back(process->name);
-        process->child.reset();
+        {
+            if (process.child)
+                process.child->begin_stop();
+        }
+        for (deployed_process& process : *group)
+            this->stop_one(process, unclean);
     }
+    for (auto* process : {&this->store, &this->list, &this->log})
+        this->stop_one(*process, unclean);
     return unclean;
 }
 
+void deployment::stop_one(deployed_process& process,
+                          std::vector<std::string>& unclean) const
+{
+    if (!process.child)
+        return;
+    if (process.child->stop(this->planned.stop_limit) != 0)
+        unclean.push_back(process.name);
+    process.child.reset();
+}
+
 void deployment::start_platform()
 {
     this->log = make_standin("log", "standin_log", this->planned.log_arguments);
--- a/bench/support/deployment.hpp
+++ b/bench/support/deployment.hpp
@@ -28,8 +28,10 @@
     std::vector<std::string> log_arguments;
     std::int64_t list_lag_ms = 200;
     /// Extra settings by section, for instance `{"queue", "slots = 8"}`.
-    std::map<std::string, std::string> entry_settings;
-    std::map<std::string, std::string> sidecar_settings;
+    std::map<std::string, std::string> entry_settings{
+        {"limits", "drain_notice_ms = 0"}};
+    std::map<std::string, std::string> sidecar_settings{
+        {"limits", "drain_notice_ms = 0"}};
     /// Published before the processes start; empty: `default_tables`.
     std::optional<config::tables> tables;
     /// Where settings and outputs go; empty: a new temporary folder, removed
@@ -101,6 +103,8 @@
     std::vector<deployed_process> entries;
 
 private:
+    void stop_one(deployed_process& process,
+                  std::vector<std::string>& unclean) const;
     void start_platform();
     void start_upstreams();
     void start_sidecars();
--- a/bench/test/smoke_test.cpp
+++ b/bench/test/smoke_test.cpp
@@ -15,8 +15,6 @@
     deployment_plan plan;
     plan.engines = 2;
     plan.engine_arguments = {"--step-us", "1000", "--prefill-us", "1"};
-    plan.entry_settings["limits"] = "drain_notice_ms = 0";
-    plan.sidecar_settings["limits"] = "drain_notice_ms = 0";
     return plan;
 }
 
