--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -4,6 +4,7 @@
 #include <jujubestand/admin/endpoints.hpp>
 #include <jujubestand/entry/call.hpp>
 #include <jujubestand/entry/entry.hpp>
+#include <jujubestand/entry/metrics.hpp>
 #include <jujubestand/entry/problem.hpp>
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/list_client.hpp>
@@ -23,6 +24,7 @@
     explicit state(process::context& shared);
 
     process::context* shared;
+    metrics counts;
     link::node links;
     http::server front;
     platform::http_client platform_http;
@@ -58,10 +60,17 @@
     void end_attempt(call& of);
     void on_stream_closed(link::stream_id stream, link::stream_end const& end);
 
+    // resume.cpp
+    [[nodiscard]] bool resume_later(call_id id, link::stream_end const& end);
+    void resume(call_id id);
+    void begin_relay(call& of);
+    void rewind_relay(call& of);
+
     // relay.cpp
     void on_frame(link::stream_id stream, link::frame const& frame);
     void on_head(call_id id, link::frame const& frame);
     void on_piece(call_id id, link::frame const& frame);
+    void relay_piece(call& of, link::piece const& piece);
     void on_last(call_id id, link::frame const& frame);
     void on_failure(call_id id, link::frame const& frame);
     void on_caller_drained(http::caller_id caller);
