--- a/bench/state.cpp
+++ b/bench/state.cpp
@@ -414,7 +414,7 @@
     line.parse(argc, argv);
     if (slope.getValue())
     {
-        for (std::size_t const engines : {5, 20, 100})
+        for (std::size_t const engines : {5U, 20U, 100U})
             measure_idle(engines, milliseconds(10'000));
         return 0;
     }
