--- a/standins/relay/tcp_relay.cpp
+++ b/standins/relay/tcp_relay.cpp
@@ -181,7 +181,11 @@
     mono_time const now = mono_now();
     while (!from.parcels.empty() && from.parcels.front().due <= now)
     {
-        if (evbuffer_get_length(output) > output_limit_bytes)
+        // The end closes the connection, and what is not written by then is
+        // lost.
+        std::size_t const limit =
+            from.parcels.front().is_end ? 0 : output_limit_bytes;
+        if (evbuffer_get_length(output) > limit)
             return this->arm(from, busy_wait);
         parcel const next = std::move(from.parcels.front());
         from.parcels.pop_front();
