--- a/standins/engine/engine_service.cpp
+++ b/standins/engine/engine_service.cpp
@@ -125,7 +125,8 @@
                     {
                         this->feed.subscribe(
                             call.request,
-                            call.number("from", this->feed.newest() + 1));
+                            call.number("from", this->feed.newest() + 1),
+                            call.number("exact", 0) != 0);
                     });
     this->server.on(EVHTTP_REQ_POST, "/orders",
                     [this](http_call const& call)
--- a/standins/engine/event_feed.cpp
+++ b/standins/engine/event_feed.cpp
@@ -65,14 +65,15 @@
 void event_feed::add(std::string const& members, feed_faults const& faults)
 {
     std::uint64_t const seq = this->next_seq++;
-    if (faults.gap_per_1000 > 0 && this->random() % draws < faults.gap_per_1000)
-        return;
+    bool const is_lost =
+        faults.gap_per_1000 > 0 && this->random() % draws < faults.gap_per_1000;
     this->events.push_back(kept_event{
-        seq, mono_now() + std::chrono::milliseconds(faults.delay_ms),
+        seq, mono_now() + std::chrono::milliseconds(faults.delay_ms), is_lost,
         R"({"seq":)" + std::to_string(seq) + R"(,"incarnation":)" +
             std::to_string(this->incarnation) + ',' + members + "}\n"});
     if (this->events.size() > kept_events_limit)
         this->events.pop_front();
+    this->tell_exact();
 }
 
 void event_feed::stored(stored_blocks const& blocks, feed_faults const& faults)
@@ -100,7 +101,8 @@
     return this->next_seq - 1;
 }
 
-void event_feed::subscribe(evhttp_request* request, std::uint64_t from)
+void event_feed::subscribe(evhttp_request* request, std::uint64_t from,
+                           bool is_exact)
 {
     evhttp_add_header(evhttp_request_get_output_headers(request),
                       "Content-Type", "application/x-ndjson");
@@ -109,6 +111,7 @@
     reader& added = this->readers[id];
     added.request = request;
     added.next = from;
+    added.is_exact = is_exact;
     added.gone = [this, id]
     {
         evhttp_request* const left = this->readers.at(id).request;
@@ -119,6 +122,15 @@
     this->send_due(added, mono_now());
 }
 
+void event_feed::tell_exact()
+{
+    for (auto& [id, target] : this->readers)
+    {
+        if (target.is_exact)
+            this->send_due(target, mono_now());
+    }
+}
+
 void event_feed::flush()
 {
     mono_time const now = mono_now();
@@ -135,9 +147,12 @@
                              return item.seq < seq;
                          });
     std::string lines;
-    for (; place != this->events.end() && place->due <= now; ++place)
+    for (; place != this->events.end(); ++place)
     {
-        lines += place->line;
+        if (!target.is_exact && place->due > now)
+            break;
+        if (target.is_exact || !place->is_lost)
+            lines += place->line;
         target.next = place->seq + 1;
     }
     if (lines.empty())
--- a/standins/engine/event_feed.hpp
+++ b/standins/engine/event_feed.hpp
@@ -37,7 +37,8 @@
     void cleared(feed_faults const& faults);
 
     /// \brief Begins an endless answer from event `from` on.
-    void subscribe(evhttp_request* request, std::uint64_t from);
+    /// \param is_exact tells every event at once, whatever the faults
+    void subscribe(evhttp_request* request, std::uint64_t from, bool is_exact);
 
     /// \brief Number of the newest event.
     [[nodiscard]] std::uint64_t newest() const noexcept;
@@ -47,6 +48,8 @@
     {
         std::uint64_t seq = 0;
         mono_time due;
+        /// Left out for all but exact readers.
+        bool is_lost = false;
         std::string line;
     };
 
@@ -54,10 +57,12 @@
     {
         evhttp_request* request = nullptr;
         std::uint64_t next = 0;
+        bool is_exact = false;
         std::function<void()> gone;
     };
 
     void add(std::string const& members, feed_faults const& faults);
+    void tell_exact();
     void flush();
     void send_due(reader& target, mono_time now);
 
