Learn a token's cost and notice an engine that stands still

Cause: an engine's own figure leaves out the steps that a prompt shares with others, and a paused engine shows an empty queue.

Change: the queue learns the cost from first tokens, and adds an engine's silence of over 300 ms to the expected wait.

--- a/jujubestand/admission/queue.cpp
+++ b/jujubestand/admission/queue.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr double turnover_step = 0.1;
+constexpr double cost_step = 0.05;
+/// Shorter prompts tell more of an engine's fixed costs than of its tokens'.
+constexpr std::uint64_t tokens_to_learn_from = 512;
 
 std::size_t class_of(std::uint8_t priority)
 {
@@ -156,7 +159,7 @@
             request,
             reason{reason_code::deadline_passed, "waited too long", {}},
             bounded_advice(state.options,
-                           expected_wait(state, item.priority))});
+                           expected_wait(state, item.priority, now))});
     }
 }
 
@@ -231,6 +234,34 @@
     return known->second + item.tokens > limit;
 }
 
+/// An engine's own figure leaves out the steps that it shares with others;
+/// what first tokens took is the better one.
+void learn_cost(queue_state& state, running_item const& item, mono_time now)
+{
+    if (item.ahead_tokens < tokens_to_learn_from)
+        return;
+    double const seen = static_cast<double>((now - item.started).count()) /
+                        static_cast<double>(item.ahead_tokens);
+    state.prefill_us_per_token +=
+        cost_step * (seen - state.prefill_us_per_token);
+    state.has_learned_cost = true;
+}
+
+void release_ahead(queue_state& state, running_item& item)
+{
+    if (!item.has_first_token)
+        state.ahead_tokens -= item.tokens;
+    item.has_first_token = true;
+}
+
+microseconds silence(queue_state const& state, mono_time now)
+{
+    if (state.running.empty() || now <= state.last_progress)
+        return microseconds{0};
+    auto const silent = now - state.last_progress;
+    return silent > state.options.stall_after ? silent : microseconds{0};
+}
+
 /// Time by which a request offered now would miss its first token.
 microseconds lateness(queue_state const& state, queue_item const& item,
                       mono_time now)
@@ -238,7 +269,7 @@
     mono_time const limit = std::min(item.deadline, item.first_token_deadline);
     if (limit == mono_time::max())
         return microseconds{0};
-    mono_time const first = now + expected_wait(state, item.priority) +
+    mono_time const first = now + expected_wait(state, item.priority, now) +
                             compute_time(state, item.tokens);
     return std::max(first - limit, microseconds{0});
 }
@@ -256,11 +287,12 @@
 {
     if (report.slots > 0)
         state.slots = report.slots;
-    if (report.prefill_us_per_token > 0)
+    if (report.prefill_us_per_token > 0 && !state.has_learned_cost)
         state.prefill_us_per_token = report.prefill_us_per_token;
 }
 
-microseconds expected_wait(queue_state const& state, std::uint8_t priority)
+microseconds expected_wait(queue_state const& state, std::uint8_t priority,
+                           mono_time now)
 {
     std::uint64_t tokens = state.ahead_tokens;
     std::size_t items = 0;
@@ -269,7 +301,8 @@
         tokens += state.classes[place].tokens;
         items += state.classes[place].items;
     }
-    microseconds const compute = compute_time(state, tokens);
+    microseconds const compute =
+        compute_time(state, tokens) + silence(state, now);
     std::size_t const occupied = state.running.size() + items;
     if (occupied < state.slots)
         return compute;
@@ -281,8 +314,8 @@
 {
     queue_item item = offered;
     item.tokens = std::max(item.tokens, 1U);
-    microseconds const advice =
-        bounded_advice(state.options, expected_wait(state, item.priority) / 2);
+    microseconds const advice = bounded_advice(
+        state.options, expected_wait(state, item.priority, now) / 2);
     if (state.waiting.contains(item.request) ||
         state.running.contains(item.request))
         return refusal(reason_code::malformed_request,
@@ -329,7 +362,11 @@
         queue_item const item = *front;
         pop_front(state, *group, item);
         state.ahead_tokens += item.tokens;
-        state.running.emplace(item.request, running_item{item.tokens, false});
+        if (state.running.empty())
+            state.last_progress = now;
+        state.running.emplace(
+            item.request,
+            running_item{item.tokens, false, now, state.ahead_tokens});
         result.started.push_back(item.request);
     }
     return result;
@@ -367,20 +404,28 @@
     return gone;
 }
 
-void take_first_token(queue_state& state, request_id const& request)
+void take_first_token(queue_state& state, request_id const& request,
+                      mono_time now)
 {
     auto const found = state.running.find(request);
     if (found == state.running.end() || found->second.has_first_token)
         return;
-    found->second.has_first_token = true;
-    state.ahead_tokens -= found->second.tokens;
+    learn_cost(state, found->second, now);
+    state.last_progress = now;
+    release_ahead(state, found->second);
+}
+
+void take_progress(queue_state& state, mono_time now)
+{
+    state.last_progress = std::max(state.last_progress, now);
 }
 
 void take_finish(queue_state& state, request_id const& request, mono_time now)
 {
-    if (!state.running.contains(request))
+    auto const found = state.running.find(request);
+    if (found == state.running.end())
         return;
-    take_first_token(state, request);
+    release_ahead(state, found->second);
     bool const was_full = state.running.size() >= state.slots;
     if (was_full && state.last_finish != mono_time{})
     {
@@ -390,7 +435,7 @@
             turnover_step * (since - state.slot_turnover_us);
     }
     state.last_finish = now;
-    state.running.erase(request);
+    state.running.erase(found);
 }
 
 } // namespace jujubestand::admission
--- a/jujubestand/admission/queue.hpp
+++ b/jujubestand/admission/queue.hpp
@@ -37,6 +37,9 @@
     /// Requests at the engine at once, until it tells its slots.
     std::uint32_t slots = 16;
     double prefill_us_per_token = 100.0;
+    /// An engine that shows no sign of work for longer counts as standing
+    /// still, and all of its silence as wait.
+    std::chrono::milliseconds stall_after{300};
     /// Advice to come back is never shorter or longer than these.
     std::chrono::milliseconds retry_after_min{50};
     std::chrono::milliseconds retry_after_max{10'000};
@@ -121,6 +124,9 @@
 {
     std::uint32_t tokens = 0;
     bool has_first_token = false;
+    mono_time started;
+    /// Tokens that the engine had to compute before its first token.
+    std::uint64_t ahead_tokens = 0;
 };
 
 /// \brief All that waits for or runs at one upstream.
@@ -140,9 +146,12 @@
     std::uint64_t ahead_tokens = 0;
     std::uint32_t slots = 0;
     double prefill_us_per_token = 0;
+    bool has_learned_cost = false;
     /// Mean time from one end to the next while all slots were taken.
     double slot_turnover_us = 0;
     mono_time last_finish;
+    /// The engine's last sign of work.
+    mono_time last_progress;
 };
 
 /// \brief What the engine last told of itself.
@@ -157,7 +166,7 @@
 
 /// \brief Time until the engine would begin a request of this priority.
 [[nodiscard]] microseconds expected_wait(queue_state const& state,
-                                         std::uint8_t priority);
+                                         std::uint8_t priority, mono_time now);
 
 /// \brief Puts a request in, or says why not.
 [[nodiscard]] offer_result offer(queue_state& state, queue_item const& item,
@@ -179,7 +188,11 @@
 [[nodiscard]] std::vector<request_id> cancel_all(queue_state& state);
 
 /// \brief A running request's first token came.
-void take_first_token(queue_state& state, request_id const& request);
+void take_first_token(queue_state& state, request_id const& request,
+                      mono_time now);
+
+/// \brief The engine sent a piece of some answer.
+void take_progress(queue_state& state, mono_time now);
 
 /// \brief A running request ended, in whatever way.
 void take_finish(queue_state& state, request_id const& request, mono_time now);
--- a/jujubestand/admission/test/queue_test.cpp
+++ b/jujubestand/admission/test/queue_test.cpp
@@ -193,7 +193,7 @@
         ASSERT_TRUE(offer(state, item_of(number, "a", 400), start).is_accepted);
     EXPECT_EQ(next(state, start).started.size(), 2U);
     EXPECT_TRUE(next(state, start).started.empty());
-    take_first_token(state, request_of(0));
+    take_first_token(state, request_of(0), start);
     EXPECT_EQ(next(state, start).started.size(), 1U);
 }
 
@@ -297,14 +297,45 @@
     queue_options options;
     options.prefill_us_per_token = 10;
     queue_state state(options);
-    EXPECT_EQ(expected_wait(state, 1), 0us);
+    EXPECT_EQ(expected_wait(state, 1, start), 0us);
     ASSERT_TRUE(offer(state, item_of(1, "a", 100), start).is_accepted);
-    EXPECT_EQ(expected_wait(state, 1), 1000us);
-    EXPECT_EQ(expected_wait(state, 0), 0us);
+    EXPECT_EQ(expected_wait(state, 1, start), 1000us);
+    EXPECT_EQ(expected_wait(state, 0, start), 0us);
     ASSERT_EQ(next(state, start).started.size(), 1U);
-    EXPECT_EQ(expected_wait(state, 0), 1000us);
-    take_first_token(state, request_of(1));
-    EXPECT_EQ(expected_wait(state, 0), 0us);
+    EXPECT_EQ(expected_wait(state, 0, start), 1000us);
+    take_first_token(state, request_of(1), start);
+    EXPECT_EQ(expected_wait(state, 0, start), 0us);
+}
+
+TEST(queue, silent_engine_counts_as_waiting)
+{
+    queue_options options;
+    options.prefill_us_per_token = 10;
+    queue_state state(options);
+    ASSERT_TRUE(offer(state, item_of(1, "a", 100), start).is_accepted);
+    ASSERT_EQ(next(state, start).started.size(), 1U);
+    EXPECT_EQ(expected_wait(state, 1, start + 100ms), 1000us);
+    EXPECT_EQ(expected_wait(state, 1, start + 2s), 2s + 1000us);
+    take_progress(state, start + 2s);
+    EXPECT_EQ(expected_wait(state, 1, start + 2s), 1000us);
+}
+
+TEST(queue, learns_what_a_token_costs)
+{
+    queue_options options;
+    options.prefill_us_per_token = 10;
+    queue_state state(options);
+    for (std::uint64_t number = 0; number < 200; ++number)
+    {
+        mono_time const at = start + number * 1s;
+        ASSERT_TRUE(offer(state, item_of(number, "a", 1000), at).is_accepted);
+        ASSERT_EQ(next(state, at).started.size(), 1U);
+        take_first_token(state, request_of(number), at + 70ms);
+        take_finish(state, request_of(number), at + 100ms);
+    }
+    EXPECT_NEAR(state.prefill_us_per_token, 70.0, 1.0);
+    take_report(state, {16, 10});
+    EXPECT_NEAR(state.prefill_us_per_token, 70.0, 1.0);
 }
 
 RC_GTEST_PROP(queue, agrees_with_the_naive_one, ())
