Choose upstreams by probes, queue fairly and retry by the verdict

Cause: the entry chose at random and retried without a budget; the sidecar's queue was first in, first out and knew nothing of its engine.

Change: the entry probes two or three sidecars and takes the least expected time to first token; retries follow the decision of the retries slice, with budget, back-off and circuits. The sidecar follows its engine's load and cache events, keeps the belief, and hands over by deficit round robin. The chain is seeded with the pool's weights version and the cache salt with the engine's. An upstream that may have run a request is not asked again; when all have refused, they may be. A caller may name its upstream in X-Upstream where limits.pin_header says so.

--- a/jujubestand/entry/attempts.cpp
+++ b/jujubestand/entry/attempts.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr std::size_t body_frame_bytes = 64U << 10U;
-constexpr std::size_t attempts_limit = 3;
 
 std::uint64_t time_left_us(call const& of, mono_time now)
 {
@@ -20,51 +19,49 @@
     return left > 0 ? static_cast<std::uint64_t>(left) : 0;
 }
 
-bool may_try_again(call const& of)
+/// Time left of a limit that began with the request's arrival; 0: no limit.
+std::uint64_t first_token_left_us(call const& of, mono_time now)
 {
-    bool const is_safe =
-        of.outcome == verdict::not_run || of.request.route.is_idempotent;
-    bool const is_open =
-        !of.relay.is_started || streams::can_repeat(of.relay.received);
-    return is_safe && is_open && of.tried.size() < attempts_limit;
+    std::chrono::milliseconds const limit{
+        of.request.route.first_token_deadline_ms};
+    if (limit.count() == 0)
+        return 0;
+    auto const left = (of.arrived + limit - now).count();
+    return left > 0 ? static_cast<std::uint64_t>(left) : 1;
 }
 
-} // namespace
-
-std::optional<upstream_place> entry::state::choose(call const& from)
+retries::request_progress progress_of(call const& of)
 {
-    std::vector<upstream_place> fit;
-    for (auto const& name : from.request.pool.upstreams)
-    {
-        bool const is_tried = std::find(from.tried.begin(), from.tried.end(),
-                                        name) != from.tried.end();
-        auto const found = this->upstreams.find(name);
-        if (!is_tried && found != this->upstreams.end() &&
-            !found->second.is_leaving)
-            fit.push_back(found->second);
-    }
-    if (fit.empty())
-        return std::nullopt;
-    std::uniform_int_distribution<std::size_t> pick(0, fit.size() - 1);
-    return fit.at(pick(this->shared->random));
+    retries::request_progress progress;
+    progress.attempts = static_cast<std::uint32_t>(of.tried.size());
+    progress.worst = of.outcome;
+    progress.is_idempotent = of.request.route.is_idempotent;
+    progress.has_output =
+        of.relay.is_started && !streams::can_repeat(of.relay.received);
+    progress.deadline = of.deadline;
+    return progress;
 }
 
-void entry::state::try_next(call_id id)
+/// Faults for which an upstream is left alone; refusals are not among them.
+bool is_fault_of_upstream(reason_code code)
 {
-    call* found = this->calls.find(id);
-    if (found == nullptr)
-        return;
-    auto const place = this->choose(*found);
-    if (place)
+    switch (code)
     {
-        this->send(id, *place);
-        return;
+    case reason_code::link_unreachable:
+    case reason_code::link_cut_before_send:
+    case reason_code::link_cut_after_send:
+    case reason_code::upstream_unreachable:
+    case reason_code::upstream_write_cut:
+    case reason_code::upstream_read_cut:
+    case reason_code::upstream_timeout:
+        return true;
+    default:
+        return false;
     }
-    if (found->why.code == reason_code::none)
-        found->why = {reason_code::no_upstream, "no upstream can take it", {}};
-    this->answer_problem(id);
 }
 
+} // namespace
+
 void entry::state::send(call_id id, upstream_place const& place)
 {
     call& from = *this->calls.find(id);
@@ -78,6 +75,7 @@
     message.entry = this->shared->incarnation;
     message.attempt = static_cast<std::uint32_t>(from.tried.size());
     message.deadline_us = time_left_us(from, now);
+    message.first_token_deadline_us = first_token_left_us(from, now);
     this->links.send(next.stream, link::to_frame(message));
     for (std::size_t at = 0; at < from.body.size(); at += body_frame_bytes)
         this->links.send(
@@ -135,13 +133,48 @@
         this->answer_problem(id);
         return;
     }
-    if (!may_try_again(of))
+    if (!of.tried.empty())
+        this->note_outcome(of, failed);
+    this->retry(id, failed);
+}
+
+void entry::state::note_outcome(call const& of, link::failure const& failed)
+{
+    auto const& upstream = of.tried.back();
+    if (is_fault_of_upstream(failed.why.code))
+        this->note_failure(upstream);
+    else
+        this->note_success(upstream);
+    placement::take_refusal(this->placement_of(of), upstream, failed.leaving,
+                            mono_now());
+}
+
+void entry::state::retry(call_id id, link::failure const& failed)
+{
+    call& of = *this->calls.find(id);
+    mono_time const now = mono_now();
+    bool const has_alternative =
+        of.tried.size() < of.request.pool.upstreams.size();
+    auto const decision =
+        retries::decide(this->budget, this->retry_options, progress_of(of),
+                        {failed.outcome, failed.why,
+                         microseconds(failed.retry_after_us), has_alternative},
+                        now, this->shared->random());
+    if (!decision.is_retry)
     {
         this->answer_problem(id);
         return;
     }
+    process::note(*this->shared, event_number::retry_scheduled,
+                  of.request.message.request, of.request.message.team,
+                  {{"in_us", std::to_string((decision.at - now).count())}});
     this->rewind_relay(of);
-    this->try_next(id);
+    of.retry_timer.emplace(this->shared->base,
+                           [this, id]
+                           {
+                               this->try_next(id);
+                           });
+    of.retry_timer->start(decision.at - now);
 }
 
 void entry::state::on_deadline(call_id id)
@@ -155,6 +188,7 @@
     found->outcome = worst(found->outcome, row.outcome);
     found->why = {row.code, "the route's deadline has passed", {}};
     found->retry_after_us = 0;
+    this->end_probes(*found);
     this->end_attempt(*found);
     this->answer_problem(id);
 }
@@ -162,6 +196,11 @@
 void entry::state::on_stream_closed(link::stream_id stream,
                                     link::stream_end const& end)
 {
+    if (this->by_probe.contains(key_of(stream)))
+    {
+        this->on_probe_closed(stream);
+        return;
+    }
     auto const found = this->by_stream.find(key_of(stream));
     if (found == this->by_stream.end())
         return;
--- a/jujubestand/entry/call.hpp
+++ b/jujubestand/entry/call.hpp
@@ -13,6 +13,7 @@
 #include <jujubestand/link/messages.hpp>
 #include <jujubestand/link/node.hpp>
 #include <jujubestand/loop/timer.hpp>
+#include <jujubestand/placement/placement.hpp>
 #include <jujubestand/streams/receiver.hpp>
 #include <optional>
 #include <string>
@@ -44,6 +45,22 @@
     std::uint32_t resumes = 0;
 };
 
+/// \brief A question to a sidecar that has not been answered.
+struct open_probe
+{
+    upstream_id upstream;
+    link::stream_id stream;
+    mono_time sent_at{};
+};
+
+/// \brief The questions of one choice and the answers so far.
+struct probing
+{
+    std::vector<open_probe> open;
+    std::vector<placement::probe_outcome> replies;
+    std::optional<loop::timer> timer;
+};
+
 /// \brief What the caller has been sent so far.
 struct relay_state
 {
@@ -68,6 +85,7 @@
     mono_time arrived{};
     mono_time deadline{};
     std::optional<attempt> current;
+    std::optional<probing> probes;
     std::vector<upstream_id> tried;
     relay_state relay;
     /// Worst over all attempts so far.
--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/entry/entry_state.hpp>
+#include <prometheus/counter.h>
 
 namespace jujubestand::entry
 {
@@ -20,6 +21,17 @@
     return options;
 }
 
+prometheus::Counter& add_counter(process::context& context,
+                                 std::string const& name,
+                                 std::string const& help)
+{
+    return prometheus::BuildCounter()
+        .Name(name)
+        .Help(help)
+        .Register(context.metrics)
+        .Add({});
+}
+
 } // namespace
 
 entry::state::state(process::context& context)
@@ -32,10 +44,16 @@
     , log(context.base, this->platform_http, process::log_options_of(context))
     , tables(context, this->log, this->links)
     , reader(static_cast<std::size_t>(context.settings.json_depth_limit))
+    , probes_sent(add_counter(context, "jujubestand_entry_probes_total",
+                              "Probes sent to sidecars."))
+    , control_bytes(add_counter(context,
+                                "jujubestand_entry_control_bytes_total",
+                                "Bytes of probes and of replies to them."))
 {
     this->intake.teams = make_team_table(context.settings.teams);
     this->intake.body_limit_bytes =
         static_cast<std::size_t>(context.settings.body_limit_bytes);
+    this->intake.has_pins = context.settings.pin_header != 0;
     this->connect_signals();
 }
 
@@ -134,6 +152,7 @@
                                       this->on_deadline(added);
                                   });
     placed.deadline_timer->start(placed.deadline - placed.arrived);
+    retries::take_request(this->budget, this->retry_options, placed.arrived);
     this->try_next(added);
 }
 
@@ -146,6 +165,7 @@
     call& gone = *this->calls.find(id);
     process::note(*this->shared, event_number::caller_closed,
                   gone.request.message.request, gone.request.message.team, {});
+    this->end_probes(gone);
     this->end_attempt(gone);
     this->drop(id);
 }
@@ -164,6 +184,7 @@
 void entry::state::on_list(platform::instance_list const& read)
 {
     this->upstreams.clear();
+    ++this->list_version;
     for (auto const& row : read.instances)
     {
         if (row.role != platform::listed_role::sidecar)
--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -6,17 +6,29 @@
 #include <jujubestand/entry/entry.hpp>
 #include <jujubestand/entry/metrics.hpp>
 #include <jujubestand/entry/problem.hpp>
+#include <jujubestand/placement/placement.hpp>
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/process/table_reader.hpp>
+#include <jujubestand/retries/circuit.hpp>
+#include <jujubestand/retries/retry.hpp>
 #include <map>
+#include <prometheus/counter.h>
 #include <unordered_map>
 #include <vector>
 
 namespace jujubestand::entry
 {
 
+/// \brief Placement of one pool, and the tables and list it was made from.
+struct pool_placement
+{
+    placement::placement_state state;
+    log_offset tables;
+    std::uint64_t list_version = 0;
+};
+
 /// \brief All that an entry holds; its duties are spread over the sources
 /// entry.cpp, attempts.cpp and relay.cpp.
 struct entry::state
@@ -37,6 +49,15 @@
     slot_map<call, struct call_tag> calls;
     std::unordered_map<std::uint64_t, call_id> by_stream;
     std::unordered_map<std::uint64_t, call_id> by_caller;
+    std::unordered_map<std::uint64_t, call_id> by_probe;
+    std::map<pool_id, pool_placement> placements;
+    std::uint64_t list_version = 1;
+    std::map<upstream_id, retries::circuit> circuits;
+    retries::retry_budget budget;
+    retries::retry_options retry_options;
+    retries::circuit_options circuit_options;
+    prometheus::Counter& probes_sent;
+    prometheus::Counter& control_bytes;
     bool is_draining = false;
     bool refuses_new = false;
     std::optional<loop::timer> notice_timer;
@@ -50,12 +71,26 @@
     [[nodiscard]] admin::readiness readiness() const;
     void drop(call_id id);
 
-    // attempts.cpp
+    // placing.cpp
     void try_next(call_id id);
-    [[nodiscard]] std::optional<upstream_place> choose(call const& from);
+    void send_pinned(call_id id);
+    [[nodiscard]] placement::placement_state& placement_of(call const& from);
+    [[nodiscard]] placement::placement_request request_of(call const& from);
+    void start_probes(call_id id, placement::probe_plan const& plan);
+    void on_probe_reply(link::stream_id stream, link::frame const& frame);
+    void on_probe_closed(link::stream_id stream);
+    void end_probes(call& of);
+    void decide(call_id id);
+    [[nodiscard]] std::vector<upstream_id> excluded_for(call const& from) const;
+    void note_failure(upstream_id const& upstream);
+    void note_success(upstream_id const& upstream);
+
+    // attempts.cpp
     void send(call_id id, upstream_place const& place);
     [[nodiscard]] bool take_newer_tables(call& of);
     void on_attempt_failed(call_id id, link::failure const& failed);
+    void note_outcome(call const& of, link::failure const& failed);
+    void retry(call_id id, link::failure const& failed);
     void on_deadline(call_id id);
     void end_attempt(call& of);
     void on_stream_closed(link::stream_id stream, link::stream_end const& end);
--- a/jujubestand/entry/intake.cpp
+++ b/jujubestand/entry/intake.cpp
@@ -16,9 +16,10 @@
 
 // Fields that are the entry's to set, or that would carry a caller's secret
 // to an upstream.
-constexpr std::array<std::string_view, 8> withheld_fields{
-    "host",       "content-length",  "authorization", "x-request-id",
-    "x-priority", "x-keep-on-close", "expect",        "last-event-id"};
+constexpr std::array<std::string_view, 9> withheld_fields{
+    "x-upstream",      "host",         "content-length",
+    "authorization",   "x-request-id", "x-priority",
+    "x-keep-on-close", "expect",       "last-event-id"};
 
 bool refuse(reason& why, reason_code code, std::string text,
             std::string place = {})
@@ -73,20 +74,32 @@
     return config::match(tables.index, config::in_force(tables), query);
 }
 
-bool read_completion(completion_reader& reader, http::request const& asked,
-                     accepted& into, reason& why)
+std::optional<completion> read_completion(completion_reader& reader,
+                                          http::request const& asked,
+                                          accepted& into, reason& why)
 {
     into.message.is_completion = true;
     if (asked.method != "POST")
-        return refuse(why, reason_code::method_not_allowed, "POST is needed");
-    auto const body = reader.read(asked.body, why);
+    {
+        refuse(why, reason_code::method_not_allowed, "POST is needed");
+        return std::nullopt;
+    }
+    auto body = reader.read(asked.body, why);
     if (!body)
-        return false;
+        return std::nullopt;
     into.message.model = body->model;
     into.message.is_stream = body->is_stream;
-    prefix::chain_seed const seed{
-        into.message.team.text, body->model.text, {}, {}};
-    into.prompt = prefix::make_chain(seed, body->segments, {});
+    return body;
+}
+
+// After the route is found: the pool says which weights a cache entry must
+// be of.
+void hash_prompt(completion const& body, accepted& into)
+{
+    prefix::chain_seed const seed{into.message.team.text, body.model.text,
+                                  into.message.adapter,
+                                  into.pool.weights_version};
+    into.prompt = prefix::make_chain(seed, body.segments, {});
     into.message.prompt_tokens = into.prompt.prompt_tokens;
     for (auto const& level : into.prompt.levels)
     {
@@ -94,7 +107,14 @@
         into.message.chain_low.push_back(level.key.low);
         into.message.chain_tokens.push_back(level.tokens);
     }
-    return true;
+}
+
+void read_pin(intake_options const& options, http::request const& asked,
+              accepted& into)
+{
+    auto const named = http::find_header(asked.headers, "X-Upstream");
+    if (options.has_pins && named)
+        into.pinned = upstream_id(std::string(*named));
 }
 
 bool read_key(http::request const& asked, accepted& into, reason& why)
@@ -172,11 +192,18 @@
     result.message.team = *team;
     result.message.method = asked.method;
     result.message.path = asked.path;
-    if (is_completion_path(asked.path) &&
-        !read_completion(reader, asked, result, why))
-        return std::nullopt;
+    std::optional<completion> body;
+    if (is_completion_path(asked.path))
+    {
+        body = read_completion(reader, asked, result, why);
+        if (!body)
+            return std::nullopt;
+    }
     if (!apply_route(tables, result, why) || !read_key(asked, result, why))
         return std::nullopt;
+    if (body)
+        hash_prompt(*body, result);
+    read_pin(options, asked, result);
     if (!fits_route(result, asked.body.size(), why))
         return std::nullopt;
     if (!asked.query.empty())
--- a/jujubestand/entry/intake.hpp
+++ b/jujubestand/entry/intake.hpp
@@ -21,6 +21,8 @@
     config::route route;
     config::pool pool;
     prefix::chain prompt;
+    /// The caller names its upstream; only where the settings allow it.
+    std::optional<upstream_id> pinned;
     /// Complete but for the attempt.
     link::call message;
 };
@@ -30,6 +32,8 @@
 {
     team_table teams;
     std::size_t body_limit_bytes = 0;
+    /// Callers may name their upstream in `X-Upstream`.
+    bool has_pins = false;
 };
 
 /// \brief Checks a caller's request and finds its team, route and pool.
--- a/jujubestand/entry/relay.cpp
+++ b/jujubestand/entry/relay.cpp
@@ -32,6 +32,11 @@
 {
     if (this->tables.on_frame(stream, frame))
         return;
+    if (this->by_probe.contains(key_of(stream)))
+    {
+        this->on_probe_reply(stream, frame);
+        return;
+    }
     auto const found = this->by_stream.find(key_of(stream));
     if (found == this->by_stream.end())
     {
@@ -215,6 +220,11 @@
         this->front.reply(of.caller, of.relay.head->status, headers,
                           of.relay.held);
     }
+    this->note_success(of.current->upstream);
+    if (last.prompt_tokens > 0)
+        placement::take_usage(this->placement_of(of), this->request_of(of),
+                              of.current->upstream, last.cached_tokens,
+                              mono_now());
     auto const took = mono_now() - of.arrived;
     this->counts.used(of.request.message.pool, last);
     this->counts.ended(of.request.message.pool, verdict::ran, true, took);
--- a/jujubestand/placement/placement.cpp
+++ b/jujubestand/placement/placement.cpp
@@ -84,6 +84,21 @@
     return microseconds(static_cast<std::int64_t>(microseconds_count));
 }
 
+/// Follows a shorter time at once and a longer one slowly: a reply may be
+/// late for other reasons than distance.
+microseconds learned_round_trip(microseconds known, microseconds seen)
+{
+    if (known == microseconds{0} || seen < known)
+        return seen;
+    constexpr std::int64_t share = 16;
+    return known + (seen - known) / share;
+}
+
+microseconds round_trip_of(upstream_view const& view)
+{
+    return std::max(view.round_trip, 2 * view.who.distance);
+}
+
 struct ranked
 {
     std::size_t view = 0;
@@ -208,10 +223,10 @@
     std::size_t const second = open[(draw >> 32U) % open.size()];
     microseconds const first_cost =
         known_wait(state.views[first], state.options, now) +
-        2 * state.views[first].who.distance;
+        round_trip_of(state.views[first]);
     microseconds const second_cost =
         known_wait(state.views[second], state.options, now) +
-        2 * state.views[second].who.distance;
+        round_trip_of(state.views[second]);
     return second_cost < first_cost ? second : first;
 }
 
@@ -367,6 +382,8 @@
     if (view.has_reply && view.probed_at > outcome.sent_at)
         return;
     view.has_reply = true;
+    view.round_trip =
+        learned_round_trip(view.round_trip, now - outcome.sent_at);
     view.reply_at = now;
     view.probed_at = outcome.sent_at;
     view.reply = outcome.reply;
@@ -395,7 +412,7 @@
         result.wait += options.adapter_load;
     result.own_unseen =
         unseen_work(view, view.probed_at, now, options.sent_lifetime);
-    result.distance = 2 * view.who.distance;
+    result.distance = round_trip_of(view);
     result.first_token =
         result.wait + result.own_unseen + result.compute + result.distance;
     double const reuse = options.reuse_weight * (1.0 - request.tail_weight);
--- a/jujubestand/placement/placement.hpp
+++ b/jujubestand/placement/placement.hpp
@@ -86,6 +86,8 @@
     member who;
     std::uint64_t name_hash = 0;
     bool has_reply = false;
+    /// Learned from probes; 0 until the first reply.
+    microseconds round_trip{0};
     mono_time reply_at;
     /// When the probe behind `reply` was sent.
     mono_time probed_at;
--- a/jujubestand/settings/settings.cpp
+++ b/jujubestand/settings/settings.cpp
@@ -134,6 +134,8 @@
          "longest time from SIGTERM to exit"},
         {"limits", "drain_notice_ms", &s::drain_notice_ms, 0, 60'000,
          "time from failing /readyz to refusing new requests"},
+        {"limits", "pin_header", &s::pin_header, 0, 1,
+         "1: a caller may name its upstream in X-Upstream"},
         {"links", "connect_timeout_ms", &s::connect_timeout_ms, 10, 60'000,
          "longest wait for a connection"},
         {"links", "ping_timeout_ms", &s::ping_timeout_ms, 100, 60'000,
--- a/jujubestand/settings/settings.hpp
+++ b/jujubestand/settings/settings.hpp
@@ -92,6 +92,7 @@
     std::int64_t calls_limit = 8'192;
     std::int64_t drain_limit_ms = 120'000;
     std::int64_t drain_notice_ms = 2'000;
+    std::int64_t pin_header = 0;
 
     // [links]
     std::int64_t connect_timeout_ms = 1'000;
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -49,6 +49,7 @@
     if (found == this->by_exchange.end())
         return;
     call_id const id = found->second;
+    this->note_progress(id);
     this->take_step(id,
                     streams::take_bytes(this->calls.find(id)->answer, bytes));
     call* const of = this->calls.find(id);
@@ -59,6 +60,18 @@
     this->upstream.pause(exchange);
 }
 
+/// A first token frees room at the engine for the next request's prompt.
+void sidecar::state::note_progress(call_id id)
+{
+    call const& of = *this->calls.find(id);
+    mono_time const now = mono_now();
+    admission::take_progress(this->queue, now);
+    if (of.answer.pieces > 0)
+        return;
+    admission::take_first_token(this->queue, of.message.request, now);
+    this->pump();
+}
+
 void sidecar::state::take_step(call_id id, streams::answer_step step)
 {
     call const& of = *this->calls.find(id);
@@ -167,6 +180,9 @@
         told.prompt_tokens = counted->prompt_tokens;
         told.cached_tokens = counted->cached_tokens;
         told.completion_tokens = counted->completion_tokens;
+        prefix::take_answer(
+            this->belief,
+            {told.request, told.prompt_tokens, told.cached_tokens}, mono_now());
     }
     process::note(*this->shared, event_number::call_finished, told.request,
                   of.message.team,
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -7,6 +7,16 @@
 namespace jujubestand::sidecar
 {
 
+namespace
+{
+
+std::uint64_t to_us(microseconds time)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(time.count(), 0));
+}
+
+} // namespace
+
 void sidecar::state::on_frame(link::stream_id stream, link::frame const& frame)
 {
     if (this->tables.on_frame(stream, frame))
@@ -36,28 +46,6 @@
     }
 }
 
-void sidecar::state::on_probe(link::stream_id stream, link::frame const& frame)
-{
-    reason why;
-    auto const asked = link::from_frame<link::probe>(frame, why);
-    if (!asked)
-    {
-        this->links.reset(stream);
-        return;
-    }
-    link::probe_reply reply;
-    reply.upstream = this->shared->settings.upstream;
-    reply.incarnation = this->shared->incarnation;
-    reply.leaving = this->is_draining;
-    reply.ready = !this->is_draining;
-    reply.queued_requests = static_cast<std::uint32_t>(this->waiting.size());
-    reply.running_requests = static_cast<std::uint32_t>(this->running);
-    reply.slots = static_cast<std::uint32_t>(this->shared->settings.slots);
-    reply.tables = this->tables.in_force().version;
-    this->links.send(stream, link::to_frame(reply));
-    this->links.finish(stream);
-}
-
 void sidecar::state::on_call(link::stream_id stream, link::frame const& frame)
 {
     reason why;
@@ -102,7 +90,8 @@
 
 void sidecar::state::admit(call_id id)
 {
-    call& next = *this->calls.find(id);
+    call const& next = *this->calls.find(id);
+    request_id const message_id = next.message.request;
     if (this->is_draining)
     {
         this->refuse(id, failure_point::sidecar_refused,
@@ -119,25 +108,50 @@
             {reason_code::tables_stale, "routed under older tables", {}}, 0);
         return;
     }
-    auto const limit =
-        static_cast<std::size_t>(this->shared->settings.queue_requests);
-    if (this->waiting.size() >= limit)
+    admission::offer_result const offered =
+        admission::offer(this->queue, this->item_of(next), mono_now());
+    for (auto const& request : offered.displaced)
+        this->refuse_dropped(
+            {request,
+             {reason_code::queue_full, "a more urgent request came", {}},
+             offered.retry_after});
+    if (!offered.is_accepted)
     {
-        this->refuse(id, failure_point::sidecar_refused,
-                     {reason_code::queue_full, "the queue is full", {}}, 0);
+        this->refuse(id, failure_point::sidecar_refused, offered.why,
+                     to_us(offered.retry_after));
         return;
     }
-    next.stage = call_stage::waiting;
-    next.deadline_timer.emplace(this->shared->base,
-                                [this, id]
-                                {
-                                    this->on_deadline(id);
-                                });
-    next.deadline_timer->start(next.deadline - next.arrived);
-    this->waiting.push_back(id);
+    this->by_request[message_id] = id;
+    call& waiting = *this->calls.find(id);
+    waiting.stage = call_stage::waiting;
+    waiting.deadline_timer.emplace(this->shared->base,
+                                   [this, id]
+                                   {
+                                       this->on_deadline(id);
+                                   });
+    waiting.deadline_timer->start(waiting.deadline - waiting.arrived);
     this->pump();
 }
 
+admission::queue_item sidecar::state::item_of(call const& of) const
+{
+    admission::queue_item item;
+    item.request = of.message.request;
+    item.team = of.message.team;
+    item.priority = of.message.priority;
+    item.deadline = of.deadline;
+    if (of.message.first_token_deadline_us > 0)
+        item.first_token_deadline =
+            of.arrived + microseconds(of.message.first_token_deadline_us);
+    if (of.message.is_completion)
+        item.tokens =
+            of.message.prompt_tokens -
+            std::min(of.message.prompt_tokens,
+                     prefix::cached_tokens(this->belief, chain_of(of.message),
+                                           of.arrived));
+    return item;
+}
+
 // Only for calls that the upstream has never been given: they leave the
 // queue before their refusal does.
 void sidecar::state::refuse(call_id id, failure_point point, reason why,
@@ -161,23 +175,52 @@
 
 void sidecar::state::pump()
 {
-    auto const slots = static_cast<std::size_t>(this->shared->settings.slots);
-    while (this->running < slots && !this->waiting.empty())
+    admission::dispatch const step = admission::next(this->queue, mono_now());
+    for (auto const& dropped : step.dropped)
+        this->refuse_dropped(dropped);
+    for (auto const& request : step.started)
     {
-        call_id const id = this->waiting.front();
-        this->waiting.pop_front();
-        this->run(id);
+        auto const found = this->by_request.find(request);
+        if (found != this->by_request.end())
+            this->run(found->second);
+    }
+    this->wait_for_expiry();
+}
+
+// Has left the queue already, so that nothing can start it any more.
+void sidecar::state::refuse_dropped(admission::dropped_item const& dropped)
+{
+    auto const found = this->by_request.find(dropped.request);
+    if (found == this->by_request.end())
+        return;
+    auto const point = dropped.why.code == reason_code::deadline_passed
+                           ? failure_point::sidecar_deadline_in_queue
+                           : failure_point::sidecar_queue_dropped;
+    this->refuse(found->second, point, dropped.why, to_us(dropped.retry_after));
+}
+
+void sidecar::state::wait_for_expiry()
+{
+    auto const at = admission::next_expiry(this->queue);
+    if (!at || *at == mono_time::max())
+    {
+        this->expiry_timer.stop();
+        return;
     }
+    this->expiry_timer.start(std::max(*at - mono_now(), microseconds{0}));
 }
 
 void sidecar::state::run(call_id id)
 {
     call& next = *this->calls.find(id);
     next.stage = call_stage::running;
-    ++this->running;
+    if (next.message.is_completion)
+        prefix::take_start(this->belief, next.message.request,
+                           chain_of(next.message), mono_now());
     next.exchange =
         this->upstream.start(*this->shared->settings.upstream_address,
-                             upstream_request(next.message, next.body, {}));
+                             upstream_request(next.message, next.body,
+                                              this->belief.weights_version));
     this->by_exchange[key_of(next.exchange)] = id;
     next.body.clear();
     this->answers.begin(next.message.request, next.message.entry, next.stream);
@@ -211,13 +254,18 @@
     this->by_stream.erase(key_of(found->stream));
     if (found->stage == call_stage::running)
     {
-        --this->running;
+        mono_time const now = mono_now();
+        admission::take_finish(this->queue, found->message.request, now);
+        prefix::take_failure(this->belief, found->message.request, now);
         this->by_exchange.erase(key_of(found->exchange));
         // Closing the connection cancels at the upstream.
         this->upstream.cancel(found->exchange);
     }
     if (found->stage == call_stage::waiting)
-        std::erase(this->waiting, id);
+        static_cast<void>(
+            admission::cancel(this->queue, found->message.request));
+    if (found->stage != call_stage::receiving)
+        this->by_request.erase(found->message.request);
     this->calls.erase(id);
 }
 
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -21,6 +21,16 @@
     return options;
 }
 
+admission::queue_options queue_options_of(settings::settings const& read)
+{
+    admission::queue_options options;
+    options.waiting_limit = static_cast<std::size_t>(read.queue_requests);
+    options.waiting_tokens_limit =
+        static_cast<std::uint64_t>(read.queue_tokens);
+    options.slots = static_cast<std::uint32_t>(read.slots);
+    return options;
+}
+
 streams::replay_limits replay_limits_of(settings::settings const& read)
 {
     streams::replay_limits limits;
@@ -42,6 +52,12 @@
     , log(context.base, this->platform_http, process::log_options_of(context))
     , tables(context, this->log, this->links)
     , list(context.base, this->platform_http, process::list_options_of(context))
+    , queue(queue_options_of(context.settings))
+    , expiry_timer(context.base,
+                   [this]
+                   {
+                       this->pump();
+                   })
 {
     this->connect_signals();
 }
@@ -113,6 +129,7 @@
         return std::nullopt;
     this->self->list.start();
     this->self->tables.start();
+    this->self->watch_engine();
     return listening{*http, *link};
 }
 
--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -1,17 +1,21 @@
 #ifndef JUJUBESTAND_SIDECAR_SIDECAR_STATE_HPP
 #define JUJUBESTAND_SIDECAR_SIDECAR_STATE_HPP
 
-#include <deque>
+#include <algorithm>
 #include <jujubestand/admin/endpoints.hpp>
+#include <jujubestand/admission/queue.hpp>
 #include <jujubestand/core/failure_point.hpp>
 #include <jujubestand/http/client.hpp>
 #include <jujubestand/http/server.hpp>
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
+#include <jujubestand/prefix/belief.hpp>
 #include <jujubestand/process/table_reader.hpp>
 #include <jujubestand/sidecar/answer_sender.hpp>
 #include <jujubestand/sidecar/call.hpp>
+#include <jujubestand/sidecar/engine_view.hpp>
+#include <jujubestand/sidecar/engine_watch.hpp>
 #include <jujubestand/sidecar/sidecar.hpp>
 #include <unordered_map>
 
@@ -36,8 +40,12 @@
     slot_map<call, struct call_tag> calls;
     std::unordered_map<std::uint64_t, call_id> by_stream;
     std::unordered_map<std::uint64_t, call_id> by_exchange;
-    std::deque<call_id> waiting;
-    std::size_t running = 0;
+    std::unordered_map<request_id, call_id> by_request;
+    admission::queue_state queue;
+    prefix::belief belief;
+    engine_view engine;
+    std::optional<engine_watch> watch;
+    loop::timer expiry_timer;
     bool is_draining = false;
 
     // sidecar.cpp
@@ -47,7 +55,6 @@
 
     // intake.cpp
     void on_frame(link::stream_id stream, link::frame const& frame);
-    void on_probe(link::stream_id stream, link::frame const& frame);
     void on_call(link::stream_id stream, link::frame const& frame);
     void on_body(link::stream_id stream, link::frame const& frame);
     void on_stream_closed(link::stream_id stream);
@@ -55,10 +62,21 @@
     void refuse(call_id id, failure_point point, reason why,
                 std::uint64_t retry_after_us);
     void pump();
+    void refuse_dropped(admission::dropped_item const& dropped);
+    void wait_for_expiry();
+    [[nodiscard]] admission::queue_item item_of(call const& of) const;
     void run(call_id id);
     void cancel(call_id id);
     void drop(call_id id);
 
+    // engine_side.cpp
+    void watch_engine();
+    void note_progress(call_id id);
+    void on_report(engine_report const& report);
+    void on_cache_event(cache_event const& event);
+    void on_probe(link::stream_id stream, link::frame const& frame);
+    [[nodiscard]] link::probe_reply reply_to(link::probe const& asked) const;
+
     // answers.cpp
     void on_head(http::exchange_id exchange, http::response_head const& head);
     void on_data(http::exchange_id exchange, std::string const& bytes);
@@ -77,6 +95,23 @@
     void tell_end(call_id id, link::frame ending);
 };
 
+/// \brief The prefix chain that a probe or a call carries.
+template <class Message>
+[[nodiscard]] prefix::chain chain_of(Message const& message)
+{
+    prefix::chain chain;
+    std::size_t const count =
+        std::min({message.chain_high.size(), message.chain_low.size(),
+                  message.chain_tokens.size()});
+    for (std::size_t place = 0; place < count; ++place)
+        chain.levels.push_back(
+            prefix::level{{message.chain_high[place], message.chain_low[place]},
+                          message.chain_tokens[place]});
+    if (count > 0)
+        chain.prompt_tokens = chain.levels.back().tokens;
+    return chain;
+}
+
 /// \brief An id as a key of a hash map.
 template <class Tag>
 [[nodiscard]] std::uint64_t key_of(slot_id<Tag> const& id) noexcept
