Run non-idempotent calls under a claim

The sidecar claims each call of a non-idempotent route before it is queued, runs it only if the claim won, and records how it ended; a repeat through any entry gets the recorded answer or its digest. A claimed call that runs outlives its entry and caller. Keys must be UUIDs of version 7.

Keys now expire by the log's clock; appends keep 20 ms distance; a tail's first read returns at once, so that an empty claim stream is known to be read without waiting for the poll's end.

--- a/jujubestand/claims/appends.cpp
+++ b/jujubestand/claims/appends.cpp
@@ -98,6 +98,7 @@
 {
     if (state.flight || now.mono < state.next_append || !has_waiting(state))
         return std::nullopt;
+    state.next_append = now.mono + state.options.append_interval;
     state.flight = append_flight{++state.last_append, take_batch(state)};
     return append_wanted{state.flight->id, pack(state.flight->records)};
 }
--- a/jujubestand/claims/claimant.cpp
+++ b/jujubestand/claims/claimant.cpp
@@ -133,6 +133,7 @@
 void fold_record(claimant& state, log_record const& record, moment now,
                  claim_effects& effects)
 {
+    state.window.log_time = std::max(state.window.log_time, record.appended);
     reason why;
     auto const records = unpack(record.bytes, why);
     if (!records)
@@ -267,7 +268,9 @@
     }
     if (!state.is_read || offset != state.window.next)
         return;
-    decide(state, fold(state.window, state.options, records, now.wall), now,
+    // The record's own time is not known: one that is too late is harmless.
+    auto const appended = std::max(state.window.log_time, now.wall);
+    decide(state, fold(state.window, state.options, records, appended), now,
            effects);
     settle_waiting(state, now, effects);
 }
@@ -355,12 +358,15 @@
         cross_gap(state, message.first, effects);
     for (auto const& record : message.records)
     {
-        if (record.offset == state.window.next)
-            fold_record(state, record, now, effects);
+        if (record.offset < state.window.next)
+            continue;
+        if (record.offset > state.window.next)
+            cross_gap(state, record.offset, effects);
+        fold_record(state, record, now, effects);
     }
     state.is_read = state.is_read || state.window.next >= message.next;
     settle_waiting(state, now, effects);
-    expire(state.window, state.options, now.wall);
+    expire(state.window, state.options, state.window.log_time);
     add_flush(state, now, effects);
     return effects;
 }
@@ -376,7 +382,6 @@
 {
     claim_effects effects;
     expire_calls(state, now, effects);
-    expire(state.window, state.options, now.wall);
     add_flush(state, now, effects);
     return effects;
 }
--- a/jujubestand/claims/options.hpp
+++ b/jujubestand/claims/options.hpp
@@ -43,6 +43,9 @@
     std::chrono::milliseconds claim_wait{std::chrono::seconds{3}};
     /// The longest that a call waits for another claim's outcome.
     std::chrono::milliseconds outcome_wait{std::chrono::minutes{2}};
+    /// The least time from one append to the next: what comes meanwhile
+    /// shares the next one.
+    std::chrono::milliseconds append_interval{20};
     /// Pause after an append that failed.
     std::chrono::milliseconds append_pause{100};
     /// Longer answers are recorded by status and digest.
--- a/jujubestand/claims/test/claimant_test.cpp
+++ b/jujubestand/claims/test/claimant_test.cpp
@@ -78,8 +78,10 @@
         this->perform(offer(this->state, call, this->now));
     }
 
+    /// \brief Answers the last append once the next one may go out.
     void answer_append(std::optional<log_offset> offset)
     {
+        this->now.mono += this->state.options.append_interval;
         auto const id = this->appends.back().id;
         this->perform(answer(this->state, {id, offset}, this->now));
     }
@@ -115,6 +117,37 @@
     EXPECT_EQ(at.appends.size(), 2U);
 }
 
+TEST(claimant, appends_keep_their_distance)
+{
+    bench at;
+    at.offer_call(1, 1);
+    at.land(at.appends.back().bytes);
+    at.perform(answer(at.state, {at.appends.back().id, log_offset{1}}, at.now));
+    at.offer_call(2, 2);
+    at.offer_call(3, 3);
+    EXPECT_EQ(at.appends.size(), 1U);
+    EXPECT_EQ(next_tick(at.state),
+              at.now.mono + at.state.options.append_interval);
+    at.pass(at.state.options.append_interval);
+    ASSERT_EQ(at.appends.size(), 2U);
+    reason why;
+    EXPECT_EQ(unpack(at.appends.back().bytes, why)->claims.size(), 2U);
+}
+
+TEST(claimant, a_hole_between_records_is_a_gap)
+{
+    bench at;
+    at.land_claim(9, 1);
+    at.read_all();
+    at.land_claim(8, 2);
+    at.land_claim(7, 3);
+    at.log.erase(at.log.begin() + 1);
+    at.read_all();
+    EXPECT_EQ(find(at.state.window, {0, 1}), nullptr);
+    EXPECT_NE(find(at.state.window, {0, 3}), nullptr);
+    EXPECT_FALSE(at.state.is_read && at.state.window.next.value < 4);
+}
+
 TEST(claimant, lost_answer_is_found_by_its_nonce)
 {
     bench at;
@@ -275,6 +308,23 @@
     EXPECT_FALSE(at.state.calls.empty());
 }
 
+// Two hours of quiet, then a call whose claim is folded from its answer.
+TEST(claimant, keys_expire_by_the_logs_clock_only)
+{
+    bench at;
+    at.land_claim(9, 1);
+    at.read_all();
+    at.now.wall += std::chrono::hours{2};
+    at.offer_call(1, 2, at.now.wall);
+    at.land(at.appends.back().bytes);
+    at.answer_append(log_offset{2});
+    EXPECT_NE(find(at.state.window, {0, 1}), nullptr);
+    at.land_claim(8, 3);
+    at.read_all();
+    EXPECT_EQ(find(at.state.window, {0, 1}), nullptr);
+    EXPECT_NE(find(at.state.window, {0, 2}), nullptr);
+}
+
 TEST(claimant, cancelled_claim_is_taken_back)
 {
     bench at;
--- a/jujubestand/claims/test/explorer.cpp
+++ b/jujubestand/claims/test/explorer.cpp
@@ -24,6 +24,7 @@
     claim_options options;
     options.claimant = incarnation_id{life};
     options.append_pause = std::chrono::milliseconds{0};
+    options.append_interval = std::chrono::milliseconds{0};
     options.rules = limits.rules;
     return options;
 }
--- a/jujubestand/claims/window.hpp
+++ b/jujubestand/claims/window.hpp
@@ -51,6 +51,9 @@
     /// Offset of the next record to fold; 0: where to begin is not known.
     log_offset next;
     std::unordered_map<digest, key_entry> keys;
+    /// The log's own clock, as the newest record read shows it: keys expire
+    /// by it, so that a wrong clock here cannot make them expire early.
+    wall_time log_time{};
     /// Void and abandoned claims; none of them can be live again.
     std::unordered_set<claim_nonce> spent;
 
--- a/jujubestand/core/digest.cpp
+++ b/jujubestand/core/digest.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <jujubestand/core/ids.hpp>
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 
 namespace jujubestand
@@ -30,6 +31,29 @@
 
 } // namespace
 
+void digest_stream::freed::operator()(evp_md_ctx_st* held) const noexcept
+{
+    EVP_MD_CTX_free(held);
+}
+
+digest_stream::digest_stream()
+    : context(EVP_MD_CTX_new())
+{
+    EVP_DigestInit_ex(this->context.get(), EVP_sha256(), nullptr);
+}
+
+void digest_stream::add(std::string_view bytes)
+{
+    EVP_DigestUpdate(this->context.get(), bytes.data(), bytes.size());
+}
+
+digest digest_stream::finish()
+{
+    sha256_sum sum{};
+    EVP_DigestFinal_ex(this->context.get(), sum.data(), nullptr);
+    return digest{word_at(sum.data()), word_at(sum.data() + 8)};
+}
+
 digest digest_of(std::string_view bytes)
 {
     sha256_sum const sum = sha256(bytes);
--- a/jujubestand/core/digest.hpp
+++ b/jujubestand/core/digest.hpp
@@ -5,10 +5,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <msgpack.hpp>
 #include <string>
 #include <string_view>
 
+struct evp_md_ctx_st;
+
 namespace jujubestand
 {
 
@@ -23,6 +26,26 @@
     MSGPACK_DEFINE_ARRAY(high, low)
 };
 
+/// \brief Digest of bytes that come in pieces.
+class digest_stream
+{
+public:
+    digest_stream();
+
+    /// \brief Takes the next bytes.
+    void add(std::string_view bytes);
+
+    /// \brief Digest of all bytes taken; nothing may be added after.
+    [[nodiscard]] digest finish();
+
+private:
+    struct freed
+    {
+        void operator()(evp_md_ctx_st* context) const noexcept;
+    };
+    std::unique_ptr<evp_md_ctx_st, freed> context;
+};
+
 /// \brief Digest of any bytes.
 [[nodiscard]] digest digest_of(std::string_view bytes);
 
--- a/jujubestand/entry/intake.cpp
+++ b/jujubestand/entry/intake.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <jujubestand/claims/key.hpp>
 #include <jujubestand/core/digest.hpp>
 
 namespace jujubestand::entry
@@ -109,6 +110,9 @@
     if (key->empty() || key->size() > key_limit_bytes)
         return refuse(why, reason_code::malformed_key,
                       "an Idempotency-Key has 1 to 255 characters");
+    if (!into.route.is_idempotent && !claims::key_time(*key))
+        return refuse(why, reason_code::malformed_key,
+                      "this route needs a UUID of version 7 (RFC 9562)");
     into.message.idempotency_key = std::string(*key);
     return true;
 }
--- a/jujubestand/entry/test/path_fixture.hpp
+++ b/jujubestand/entry/test/path_fixture.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_ENTRY_TEST_PATH_FIXTURE_HPP
 
 #include <gtest/gtest.h>
+#include <jujubestand/claims/key.hpp>
 #include <jujubestand/config/records.hpp>
 #include <jujubestand/core/digest.hpp>
 #include <jujubestand/entry/entry.hpp>
@@ -67,6 +68,8 @@
     std::unique_ptr<http::client> caller;
     std::vector<std::pair<http::exchange_id, seen_answer>> answers;
 
+    std::uint64_t keys = 0;
+
     /// \brief May be changed before `start_path`.
     std::vector<config::route> routes;
     std::vector<config::pool> pools;
@@ -167,6 +170,19 @@
             });
     }
 
+    /// \brief A new idempotency key of this moment.
+    std::string new_key()
+    {
+        return claims::make_key(wall_now(), {++this->keys, 0});
+    }
+
+    /// \brief Posts to the route that runs each call once only.
+    http::exchange_id book(std::string const& key, std::string body = "{}")
+    {
+        return this->post("/booking/new", std::move(body),
+                          {{"Idempotency-Key", key}});
+    }
+
     /// \brief Runs until any upstream has been asked `count` times in all.
     bool run_until_asked(std::size_t count)
     {
--- a/jujubestand/entry/test/path_test.cpp
+++ b/jujubestand/entry/test/path_test.cpp
@@ -66,8 +66,8 @@
 TEST_F(path_test, a_plain_service_is_reached_under_its_prefix)
 {
     this->start_path();
-    auto const id =
-        this->post("/booking/new?day=3", "{}", {{"Idempotency-Key", "k1"}});
+    auto const id = this->post("/booking/new?day=3", "{}",
+                               {{"Idempotency-Key", this->new_key()}});
     ASSERT_TRUE(this->run_until_asked(1));
     auto& pair = this->asked_pair();
     EXPECT_EQ(pair.seen.at(0).request.path, "/booking/new");
@@ -109,6 +109,7 @@
          "105"},
         {"/nowhere", "", {}, 404, "106"},
         {"/booking/new", "", {}, 400, "108"},
+        {"/booking/new", "", {{"Idempotency-Key", "k1"}}, 400, "109"},
     };
     for (auto const& sent : rows)
     {
@@ -149,7 +150,7 @@
     this->routes.at(0).is_idempotent = false;
     this->start_path(1);
     auto const id = this->post("/v1/chat/completions", chat_body("hello", true),
-                               {{"Idempotency-Key", "k1"}});
+                               {{"Idempotency-Key", this->new_key()}});
     ASSERT_TRUE(this->run_until_asked(1));
     auto& pair = this->pairs.at(0);
     pair.upstream->start(pair.seen.at(0).caller, 200, {});
@@ -165,8 +166,8 @@
 TEST_F(path_test, a_call_that_may_have_run_is_not_sent_twice)
 {
     this->start_path();
-    auto const id =
-        this->post("/booking/new", "{}", {{"Idempotency-Key", "k1"}});
+    auto const id = this->post("/booking/new", "{}",
+                               {{"Idempotency-Key", this->new_key()}});
     ASSERT_TRUE(this->run_until_asked(1));
     auto& pair = this->asked_pair();
     pair.upstream->start(pair.seen.at(0).caller, 200, {});
--- a/jujubestand/platform/log_client.cpp
+++ b/jujubestand/platform/log_client.cpp
@@ -114,6 +114,8 @@
     {
         std::string stream;
         log_offset next;
+        /// The first answer is wanted at once: it tells the stream's end.
+        bool was_answered = false;
         backoff failures;
         http_call_id call;
         event_ptr timer;
@@ -165,14 +167,15 @@
     reader* found = self.readers.find(id);
     if (found == nullptr)
         return;
+    auto const wait = found->was_answered ? self.options.poll_wait
+                                          : std::chrono::milliseconds{0};
     http_request request;
     request.server = self.options.service;
-    request.target =
-        "/v1/streams/" + found->stream +
-        "/records?from=" + std::to_string(found->next.value) +
-        "&max=" + std::to_string(self.options.batch_records) +
-        "&wait_ms=" + std::to_string(self.options.poll_wait.count());
-    request.timeout = self.options.poll_wait + poll_grace;
+    request.target = "/v1/streams/" + found->stream +
+                     "/records?from=" + std::to_string(found->next.value) +
+                     "&max=" + std::to_string(self.options.batch_records) +
+                     "&wait_ms=" + std::to_string(wait.count());
+    request.timeout = wait + poll_grace;
     request.answer_limit_bytes = 64U << 20U;
     found->call = self.http->start(request,
                                    [&client, id](http_result const& answer)
@@ -199,6 +202,7 @@
 {
     reader* found = client.self->readers.find(id);
     reset(found->failures);
+    found->was_answered = true;
     if (!batch.records.empty())
         found->next = log_offset(batch.records.back().offset.value + 1);
     client.received.emit(id, batch);
@@ -312,7 +316,7 @@
     // Offsets start at 1.
     log_offset const next(std::max<std::uint64_t>(from.value, 1));
     auto const id = this->self->readers.insert(state::reader{
-        stream, next, failures, {}, std::move(timer), std::move(held)});
+        stream, next, false, failures, {}, std::move(timer), std::move(held)});
     argument->id = id;
     return id;
 }
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -33,6 +33,12 @@
     told.request = of.message.request;
     told.upstream = this->shared->settings.upstream;
     told.status = head.status;
+    if (of.record)
+    {
+        of.record->status = head.status;
+        of.record->content_type = std::string(
+            http::find_header(head.headers, "Content-Type").value_or(""));
+    }
     for (auto const& header : head.headers)
     {
         if (!http::is_hop_by_hop(header.name))
@@ -49,6 +55,7 @@
         return;
     call& of = *this->calls.find(found->second);
     keep_tail(of.tail, bytes);
+    this->keep_answer(of, bytes);
     for (std::size_t at = 0; at < bytes.size(); at += piece_limit_bytes)
     {
         link::piece const next{of.message.request, of.next_sequence++,
@@ -114,6 +121,7 @@
                   {{"cached_tokens", std::to_string(told.cached_tokens)},
                    {"prompt_tokens", std::to_string(told.prompt_tokens)}});
     link::stream_id const stream = of.stream;
+    this->settle_claim(id, verdict::ran);
     this->drop(id);
     this->links.send(stream, link::to_frame(told));
     this->links.finish(stream);
@@ -122,22 +130,9 @@
 
 void sidecar::state::fail(call_id id, failure_point point, std::string text)
 {
-    call const& of = *this->calls.find(id);
     auto const& row = row_of(point);
-    link::failure told;
-    told.request = of.message.request;
-    told.outcome = row.outcome;
-    told.why = {row.code, std::move(text), {}};
-    told.leaving = this->is_draining;
-    told.tables = this->tables.in_force().version;
-    process::note(
-        *this->shared, event_number::call_failed, told.request, of.message.team,
-        {{"verdict", std::string(to_name(verdict_names, told.outcome))},
-         {"reason", to_text(told.why)}});
-    link::stream_id const stream = of.stream;
-    this->drop(id);
-    this->links.send(stream, link::to_frame(told));
-    this->links.finish(stream);
+    this->end_call(id, event_number::call_failed, row.outcome,
+                   {row.code, std::move(text), {}}, 0);
     this->pump();
 }
 
@@ -147,6 +142,9 @@
     if (found == nullptr)
         return;
     bool const is_running = found->stage == call_stage::running;
+    // The entry has answered its caller by now.
+    if (this->detach(id))
+        return;
     this->fail(id,
                is_running ? failure_point::upstream_timeout
                           : failure_point::sidecar_deadline_in_queue,
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -113,13 +113,21 @@
                      {reason_code::queue_full, "the queue is full", {}}, 0);
         return;
     }
-    next.stage = call_stage::waiting;
     next.deadline_timer.emplace(this->shared->base,
                                 [this, id]
                                 {
                                     this->on_deadline(id);
                                 });
     next.deadline_timer->start(next.deadline - next.arrived);
+    if (next.message.is_idempotent)
+        this->enqueue(id);
+    else
+        this->claim(id);
+}
+
+void sidecar::state::enqueue(call_id id)
+{
+    this->calls.find(id)->stage = call_stage::waiting;
     this->waiting.push_back(id);
     this->pump();
 }
@@ -129,17 +137,27 @@
 void sidecar::state::refuse(call_id id, failure_point point, reason why,
                             std::uint64_t retry_after_us)
 {
-    call& refused = *this->calls.find(id);
+    this->end_call(id, event_number::call_refused, row_of(point).outcome,
+                   std::move(why), retry_after_us);
+}
+
+void sidecar::state::end_call(call_id id, event_number number, verdict outcome,
+                              reason why, std::uint64_t retry_after_us)
+{
+    call const& of = *this->calls.find(id);
     link::failure told;
-    told.request = refused.message.request;
-    told.outcome = row_of(point).outcome;
+    told.request = of.message.request;
+    told.outcome = outcome;
     told.why = std::move(why);
     told.retry_after_us = retry_after_us;
     told.leaving = this->is_draining;
     told.tables = this->tables.in_force().version;
-    process::note(*this->shared, event_number::call_refused, told.request,
-                  refused.message.team, {{"reason", to_text(told.why)}});
-    link::stream_id const stream = refused.stream;
+    process::note(
+        *this->shared, number, told.request, of.message.team,
+        {{"verdict", std::string(to_name(verdict_names, told.outcome))},
+         {"reason", to_text(told.why)}});
+    link::stream_id const stream = of.stream;
+    this->settle_claim(id, outcome);
     this->drop(id);
     this->links.send(stream, link::to_frame(told));
     this->links.finish(stream);
@@ -179,11 +197,16 @@
 
 void sidecar::state::cancel(call_id id)
 {
+    if (this->detach(id))
+        return;
     call const& gone = *this->calls.find(id);
     process::note(
         *this->shared, event_number::call_cancelled, gone.message.request,
         gone.message.team,
         {{"stage", std::string(to_name(call_stage_names, gone.stage))}});
+    bool const is_running = gone.stage == call_stage::running;
+    this->settle_claim(id,
+                       is_running ? verdict::may_have_run : verdict::not_run);
     this->drop(id);
     this->pump();
 }
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -31,12 +31,14 @@
     , platform_http(context.base)
     , log(context.base, this->platform_http, process::log_options_of(context))
     , tables(context, this->log)
+    , claims(context, this->log)
 {
     this->connect_signals();
 }
 
 void sidecar::state::connect_signals()
 {
+    this->connect_claims();
     this->front.requested.connect(sigc::mem_fun(*this, &state::on_http));
     this->links.received.connect(sigc::mem_fun(*this, &state::on_frame));
     this->links.drained.connect(sigc::mem_fun(*this, &state::on_link_drained));
@@ -107,7 +109,8 @@
 
 bool sidecar::is_drained() const
 {
-    return this->self->is_draining && this->self->calls.size() == 0;
+    return this->self->is_draining && this->self->calls.size() == 0 &&
+           !this->self->claims.has_unwritten();
 }
 
 std::size_t sidecar::open_calls() const
--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -10,6 +10,7 @@
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/process/table_reader.hpp>
 #include <jujubestand/sidecar/call.hpp>
+#include <jujubestand/sidecar/claim_desk.hpp>
 #include <jujubestand/sidecar/sidecar.hpp>
 #include <unordered_map>
 
@@ -17,7 +18,7 @@
 {
 
 /// \brief All that a sidecar holds; its duties are spread over the sources
-/// sidecar.cpp, intake.cpp and answers.cpp.
+/// sidecar.cpp, intake.cpp, claimed_calls.cpp and answers.cpp.
 struct sidecar::state
 {
     explicit state(process::context& shared);
@@ -29,6 +30,7 @@
     platform::http_client platform_http;
     platform::log_client log;
     process::table_reader tables;
+    claim_desk claims;
     slot_map<call, struct call_tag> calls;
     std::unordered_map<std::uint64_t, call_id> by_stream;
     std::unordered_map<std::uint64_t, call_id> by_exchange;
@@ -48,13 +50,28 @@
     void on_body(link::stream_id stream, link::frame const& frame);
     void on_stream_closed(link::stream_id stream);
     void admit(call_id id);
+    void enqueue(call_id id);
     void refuse(call_id id, failure_point point, reason why,
                 std::uint64_t retry_after_us);
+    void end_call(call_id id, event_number number, verdict outcome, reason why,
+                  std::uint64_t retry_after_us);
     void pump();
     void run(call_id id);
     void cancel(call_id id);
     void drop(call_id id);
 
+    // claimed_calls.cpp
+    void connect_claims();
+    void follow_claims();
+    void claim(call_id id);
+    void on_claim_won(claim_number claim);
+    void on_claim_answered(claim_number claim,
+                           claims::answer_wanted const& told);
+    void replay(call_id id, claims::call_outcome const& recorded);
+    void settle_claim(call_id id, verdict outcome);
+    [[nodiscard]] bool detach(call_id id);
+    void keep_answer(call& of, std::string const& bytes);
+
     // answers.cpp
     void on_head(http::exchange_id exchange, http::response_head const& head);
     void on_data(http::exchange_id exchange, std::string const& bytes);
@@ -72,6 +89,14 @@
     return (static_cast<std::uint64_t>(id.generation) << 32U) | id.slot;
 }
 
+/// \brief The id that `key_of` made a key of.
+template <class Id>
+[[nodiscard]] Id id_of(std::uint64_t key) noexcept
+{
+    return Id{static_cast<std::uint32_t>(key),
+              static_cast<std::uint32_t>(key >> 32U)};
+}
+
 } // namespace jujubestand::sidecar
 
 #endif
