--- a/examples/run_once.cpp
+++ b/examples/run_once.cpp
@@ -96,7 +96,9 @@
     at.claimant.options.claimant = incarnation_id(1);
     read_log(at, 0);
     offer(at, 1, 1);
-    offer(at, 2, 2);
+    // The outcome waits for the appends' distance.
+    carry_out(at, claims::tick(at.claimant, now_at(2)), 2);
+    offer(at, 2, 3);
     std::cout << "executions: " << at.executions
               << "\nanswer to the second call: " << at.last_answer << '\n';
     return at.executions == 1 && at.last_answer == "booked for Tuesday" ? 0 : 1;
