--- a/jujubestand/process/context.cpp
+++ b/jujubestand/process/context.cpp
@@ -7,6 +7,16 @@
 namespace jujubestand::process
 {
 
+namespace
+{
+
+// A service's sidecar claims its calls on the log, in group commits of 20 ms
+// distance at the least; others append a record now and then.
+constexpr double claims_appends_per_second = 50;
+constexpr double claims_append_burst = 100;
+
+} // namespace
+
 void begin(context& shared, event_base* base, settings::settings read,
            settings::role role)
 {
@@ -58,6 +68,14 @@
     options.service = shared.settings.log;
     options.poll_wait = std::chrono::milliseconds(shared.settings.log_poll_ms);
     options.seed = shared.random();
+    bool const claims =
+        shared.role == settings::role::sidecar &&
+        shared.settings.kind == settings::upstream_kind::service;
+    if (claims)
+    {
+        options.budget.appends_per_second = claims_appends_per_second;
+        options.budget.burst = claims_append_burst;
+    }
     return options;
 }
 
--- a/jujubestand/sidecar/claim_desk.cpp
+++ b/jujubestand/sidecar/claim_desk.cpp
@@ -19,18 +19,6 @@
     return {0, claim};
 }
 
-claims::claim_options options_of(process::context const& shared)
-{
-    settings::settings const& read = shared.settings;
-    claims::claim_options options;
-    options.claimant = shared.incarnation;
-    options.accepted_age = std::chrono::milliseconds(read.key_age_limit_ms);
-    options.retention = std::chrono::milliseconds(read.log_retention_ms);
-    options.answer_limit_bytes =
-        static_cast<std::size_t>(read.outcome_limit_bytes);
-    return options;
-}
-
 // A repeat must ask for the same thing at the same place.
 digest body_of(link::call const& message)
 {
@@ -43,9 +31,25 @@
 
 } // namespace
 
-claim_desk::claim_desk(process::context& context, platform::log_client& client)
+claims::claim_options claim_options_of(process::context& shared)
+{
+    settings::settings const& read = shared.settings;
+    claims::claim_options options;
+    // Wider than an incarnation's random bits: two sidecars with one nonce
+    // would both take a claim for their own.
+    options.claimant = incarnation_id(shared.random());
+    options.accepted_age = std::chrono::milliseconds(read.key_age_limit_ms);
+    options.retention = std::chrono::milliseconds(read.log_retention_ms);
+    options.answer_limit_bytes =
+        static_cast<std::size_t>(read.outcome_limit_bytes);
+    return options;
+}
+
+claim_desk::claim_desk(process::context& context, platform::log_client& client,
+                       claims::claim_options const& limits)
     : shared(&context)
     , log(&client)
+    , options(limits)
 {
     client.received.connect(sigc::mem_fun(*this, &claim_desk::on_batch));
     client.gap.connect(sigc::mem_fun(*this, &claim_desk::on_gap));
@@ -64,7 +68,7 @@
     auto const [at, is_new] = this->shards.try_emplace(stream);
     if (!is_new)
         return at->second;
-    at->second.state.options = options_of(*this->shared);
+    at->second.state.options = this->options;
     at->second.tail = this->log->tail(stream, log_offset{});
     at->second.timer.emplace(this->shared->base,
                              [this, stream]
--- a/jujubestand/sidecar/claim_desk.hpp
+++ b/jujubestand/sidecar/claim_desk.hpp
@@ -18,6 +18,9 @@
 /// \brief The caller's number of a claim; its call's id.
 using claim_number = std::uint64_t;
 
+/// \brief A process's limits for claims, from its settings.
+[[nodiscard]] claims::claim_options claim_options_of(process::context& shared);
+
 /// \brief Runs the claimants of one sidecar: their messages come from the
 /// log and the loop's clock, their effects go to the log and to signals.
 class claim_desk
@@ -25,7 +28,9 @@
 public:
     /// \param shared the process's context; must outlive the desk
     /// \param log the process's log client; must outlive the desk
-    claim_desk(process::context& shared, platform::log_client& log);
+    /// \param options limits and times of its claimants
+    claim_desk(process::context& shared, platform::log_client& log,
+               claims::claim_options const& options);
 
     /// \brief Follows all claim streams of a pool; again is harmless.
     void follow(pool_id const& pool, std::uint32_t claim_streams);
@@ -82,6 +87,7 @@
 
     process::context* shared;
     platform::log_client* log;
+    claims::claim_options options;
     std::map<std::string, shard> shards;
     std::unordered_map<claim_number, known_claim> claims_known;
 };
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -31,7 +31,7 @@
     , platform_http(context.base)
     , log(context.base, this->platform_http, process::log_options_of(context))
     , tables(context, this->log)
-    , claims(context, this->log)
+    , claims(context, this->log, claim_options_of(context))
 {
     this->connect_signals();
 }
