--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -29,7 +29,7 @@
     , platform_http(context.base)
     , list(context.base, this->platform_http, process::list_options_of(context))
     , log(context.base, this->platform_http, process::log_options_of(context))
-    , tables(context, this->log)
+    , tables(context, this->log, this->links)
     , reader(static_cast<std::size_t>(context.settings.json_depth_limit))
 {
     this->intake.teams = make_team_table(context.settings.teams);
@@ -57,6 +57,8 @@
             this->shared->noted.emit(what);
         });
     this->list.received.connect(sigc::mem_fun(*this, &state::on_list));
+    this->list.received.connect(
+        sigc::mem_fun(this->tables, &process::table_reader::on_list));
 }
 
 admin::readiness entry::state::readiness() const
@@ -122,6 +124,7 @@
     call_id const added = this->calls.insert(std::move(next));
     this->by_caller[key_of(caller)] = added;
     call& placed = *this->calls.find(added);
+    this->begin_relay(placed);
     placed.deadline_timer.emplace(this->shared->base,
                                   [this, added]
                                   {
--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -52,15 +52,23 @@
     void try_next(call_id id);
     [[nodiscard]] std::optional<upstream_place> choose(call const& from);
     void send(call_id id, upstream_place const& place);
+    [[nodiscard]] bool take_newer_tables(call& of);
     void on_attempt_failed(call_id id, link::failure const& failed);
     void on_deadline(call_id id);
     void end_attempt(call& of);
     void on_stream_closed(link::stream_id stream, link::stream_end const& end);
 
+    // resume.cpp
+    [[nodiscard]] bool resume_later(call_id id, link::stream_end const& end);
+    void resume(call_id id);
+    void begin_relay(call& of);
+    void rewind_relay(call& of);
+
     // relay.cpp
     void on_frame(link::stream_id stream, link::frame const& frame);
     void on_head(call_id id, link::frame const& frame);
     void on_piece(call_id id, link::frame const& frame);
+    void relay_piece(call& of, link::piece const& piece);
     void on_last(call_id id, link::frame const& frame);
     void on_failure(call_id id, link::frame const& frame);
     void on_caller_drained(http::caller_id caller);
@@ -68,6 +76,7 @@
     void answer_whole(call_id id, link::last const& last);
     void answer_problem(call_id id);
     void fail_malformed(call_id id, reason why);
+    void saw_tables(call const& of, log_offset version);
     void give_back(call& of);
 };
 
--- a/jujubestand/process/context.cpp
+++ b/jujubestand/process/context.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// A service's sidecar claims its calls on the log, in group commits of 20 ms
+// A service's sidecar claims its calls on the log, in group commits of 25 ms
 // distance at the least; others append a record now and then.
 constexpr double claims_appends_per_second = 50;
 constexpr double claims_append_burst = 100;
--- a/jujubestand/sidecar/call.hpp
+++ b/jujubestand/sidecar/call.hpp
@@ -9,6 +9,7 @@
 #include <jujubestand/link/messages.hpp>
 #include <jujubestand/link/node.hpp>
 #include <jujubestand/loop/timer.hpp>
+#include <jujubestand/streams/upstream_answer.hpp>
 #include <optional>
 #include <string>
 
@@ -57,9 +58,7 @@
     mono_time deadline{};
     http::exchange_id exchange;
     bool has_head = false;
-    std::uint64_t next_sequence = 0;
-    /// The end of the answer, in which its usage stands.
-    std::string tail;
+    streams::upstream_answer answer;
     bool is_paused = false;
     /// Set once its claim is won.
     std::optional<answer_record> record;
--- a/jujubestand/sidecar/claimed_calls.cpp
+++ b/jujubestand/sidecar/claimed_calls.cpp
@@ -144,10 +144,10 @@
 void sidecar::state::settle_claim(call_id id, verdict outcome)
 {
     call& of = *this->calls.find(id);
-    if (of.stage == call_stage::claiming)
-        this->claims.cancel(key_of(id));
-    else if (of.record)
+    if (of.record)
         this->claims.end(key_of(id), to_outcome(*of.record, outcome));
+    else if (of.stage == call_stage::claiming)
+        this->claims.cancel(key_of(id));
 }
 
 // A claimed call that has begun is not cut when its entry or caller goes
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -9,6 +9,8 @@
 
 void sidecar::state::on_frame(link::stream_id stream, link::frame const& frame)
 {
+    if (this->tables.on_frame(stream, frame))
+        return;
     this->links.consume(stream, frame.payload.size());
     switch (frame.kind)
     {
@@ -21,6 +23,9 @@
     case link::frame_kind::body:
         this->on_body(stream, frame);
         break;
+    case link::frame_kind::resume:
+        this->on_resume(stream, frame);
+        break;
     case link::frame_kind::cancel:
         this->on_stream_closed(stream);
         this->links.reset(stream);
@@ -105,14 +110,17 @@
                      0);
         return;
     }
-    auto const limit =
-        static_cast<std::size_t>(this->shared->settings.queue_requests);
-    if (this->waiting.size() >= limit)
+    // The newer tables go out on the stream before the refusal does.
+    if (this->tables.on_version(next.stream, next.message.tables) ==
+        config::tables_age::older)
     {
-        this->refuse(id, failure_point::sidecar_refused,
-                     {reason_code::queue_full, "the queue is full", {}}, 0);
+        this->refuse(
+            id, failure_point::sidecar_refused,
+            {reason_code::tables_stale, "routed under older tables", {}}, 0);
         return;
     }
+    if (this->refuse_if_full(id))
+        return;
     next.deadline_timer.emplace(this->shared->base,
                                 [this, id]
                                 {
@@ -125,8 +133,22 @@
         this->claim(id);
 }
 
+bool sidecar::state::refuse_if_full(call_id id)
+{
+    auto const limit =
+        static_cast<std::size_t>(this->shared->settings.queue_requests);
+    if (this->waiting.size() < limit)
+        return false;
+    this->refuse(id, failure_point::sidecar_refused,
+                 {reason_code::queue_full, "the queue is full", {}}, 0);
+    return true;
+}
+
+// The queue may have filled up while the call was claimed.
 void sidecar::state::enqueue(call_id id)
 {
+    if (this->refuse_if_full(id))
+        return;
     this->calls.find(id)->stage = call_stage::waiting;
     this->waiting.push_back(id);
     this->pump();
@@ -156,11 +178,8 @@
         *this->shared, number, told.request, of.message.team,
         {{"verdict", std::string(to_name(verdict_names, told.outcome))},
          {"reason", to_text(told.why)}});
-    link::stream_id const stream = of.stream;
     this->settle_claim(id, outcome);
-    this->drop(id);
-    this->links.send(stream, link::to_frame(told));
-    this->links.finish(stream);
+    this->tell_end(id, link::to_frame(told));
 }
 
 void sidecar::state::pump()
@@ -184,6 +203,7 @@
                              upstream_request(next.message, next.body, {}));
     this->by_exchange[key_of(next.exchange)] = id;
     next.body.clear();
+    this->answers.begin(next.message.request, next.message.entry, next.stream);
     process::note(*this->shared, event_number::call_started,
                   next.message.request, next.message.team, {});
 }
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -21,17 +21,28 @@
     return options;
 }
 
+streams::replay_limits replay_limits_of(settings::settings const& read)
+{
+    streams::replay_limits limits;
+    limits.handed_bytes = static_cast<std::size_t>(read.replay_window_bytes);
+    limits.kept_for = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::milliseconds(read.replay_keep_ms));
+    return limits;
+}
+
 } // namespace
 
 sidecar::state::state(process::context& context)
     : shared(&context)
     , links(context.base, process::node_options_of(context), context.clock)
+    , answers(context.base, this->links, replay_limits_of(context.settings))
     , front(context.base, http::server_options{})
     , upstream(context.base, client_options_of(context.settings))
     , platform_http(context.base)
     , log(context.base, this->platform_http, process::log_options_of(context))
-    , tables(context, this->log)
+    , tables(context, this->log, this->links)
     , claims(context, this->log, claim_options_of(context))
+    , list(context.base, this->platform_http, process::list_options_of(context))
 {
     this->connect_signals();
 }
@@ -41,12 +52,14 @@
     this->connect_claims();
     this->front.requested.connect(sigc::mem_fun(*this, &state::on_http));
     this->links.received.connect(sigc::mem_fun(*this, &state::on_frame));
-    this->links.drained.connect(sigc::mem_fun(*this, &state::on_link_drained));
-    this->links.closed.connect(
-        [this](link::stream_id stream, link::stream_end const&)
+    this->links.drained.connect(
+        [this](link::stream_id stream)
         {
-            this->on_stream_closed(stream);
+            this->answers.go_on(stream);
         });
+    this->links.closed.connect(sigc::mem_fun(*this, &state::on_link_closed));
+    this->answers.has_room.connect(sigc::mem_fun(*this, &state::on_room));
+    this->answers.abandoned.connect(sigc::mem_fun(*this, &state::on_abandoned));
     this->links.noted.connect(
         [this](event_note const& what)
         {
@@ -57,6 +70,8 @@
         {
             this->shared->noted.emit(what);
         });
+    this->list.received.connect(
+        sigc::mem_fun(this->tables, &process::table_reader::on_list));
     this->upstream.head.connect(sigc::mem_fun(*this, &state::on_head));
     this->upstream.data.connect(sigc::mem_fun(*this, &state::on_data));
     this->upstream.ended.connect(sigc::mem_fun(*this, &state::on_ended));
@@ -98,6 +113,7 @@
     auto const link = this->self->links.listen(read.link, why);
     if (!link)
         return std::nullopt;
+    this->self->list.start();
     this->self->tables.start();
     return listening{*http, *link};
 }
@@ -110,6 +126,7 @@
 bool sidecar::is_drained() const
 {
     return this->self->is_draining && this->self->calls.size() == 0 &&
+           this->self->answers.open_answers() == 0 &&
            !this->self->claims.has_unwritten();
 }
 
--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -7,8 +7,10 @@
 #include <jujubestand/http/client.hpp>
 #include <jujubestand/http/server.hpp>
 #include <jujubestand/platform/http_client.hpp>
+#include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/process/table_reader.hpp>
+#include <jujubestand/sidecar/answer_sender.hpp>
 #include <jujubestand/sidecar/call.hpp>
 #include <jujubestand/sidecar/claim_desk.hpp>
 #include <jujubestand/sidecar/sidecar.hpp>
@@ -25,12 +27,14 @@
 
     process::context* shared;
     link::node links;
+    answer_sender answers;
     http::server front;
     http::client upstream;
     platform::http_client platform_http;
     platform::log_client log;
     process::table_reader tables;
     claim_desk claims;
+    platform::list_client list;
     slot_map<call, struct call_tag> calls;
     std::unordered_map<std::uint64_t, call_id> by_stream;
     std::unordered_map<std::uint64_t, call_id> by_exchange;
@@ -51,6 +55,7 @@
     void on_stream_closed(link::stream_id stream);
     void admit(call_id id);
     void enqueue(call_id id);
+    [[nodiscard]] bool refuse_if_full(call_id id);
     void refuse(call_id id, failure_point point, reason why,
                 std::uint64_t retry_after_us);
     void end_call(call_id id, event_number number, verdict outcome, reason why,
@@ -76,10 +81,17 @@
     void on_head(http::exchange_id exchange, http::response_head const& head);
     void on_data(http::exchange_id exchange, std::string const& bytes);
     void on_ended(http::exchange_id exchange, http::exchange_end const& end);
-    void on_link_drained(link::stream_id stream);
+    void take_step(call_id id, streams::answer_step step);
+    void on_link_closed(link::stream_id stream, link::stream_end const& how);
+    void on_resume(link::stream_id stream, link::frame const& frame);
+    void on_room(request_id const& request);
+    void on_abandoned(request_id const& request);
+    [[nodiscard]] std::optional<call_id> running_call(request_id const& of);
     void on_deadline(call_id id);
     void finish_whole(call_id id);
     void fail(call_id id, failure_point point, std::string text);
+    void fail_answer(call_id id, reason why);
+    void tell_end(call_id id, link::frame ending);
 };
 
 /// \brief An id as a key of a hash map.
