Merge calls under claims

Claims met the fair queue: a call that has won its claim is offered to the queue, and is entered there before those that it displaces are refused, since a refusal pumps the queue.

--- a/jujubestand/entry/intake.cpp
+++ b/jujubestand/entry/intake.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <jujubestand/claims/key.hpp>
 #include <jujubestand/core/digest.hpp>
 
 namespace jujubestand::entry
@@ -131,17 +132,23 @@
     if (key->empty() || key->size() > key_limit_bytes)
         return refuse(why, reason_code::malformed_key,
                       "an Idempotency-Key has 1 to 255 characters");
+    if (!into.route.is_idempotent && !claims::key_time(*key))
+        return refuse(why, reason_code::malformed_key,
+                      "this route needs a UUID of version 7 (RFC 9562)");
     into.message.idempotency_key = std::string(*key);
     return true;
 }
 
 bool apply_route(config::store const& tables, accepted& into, reason& why)
 {
+    auto const& current = config::in_force(tables);
+    if (current.version == log_offset{})
+        return refuse(why, reason_code::tables_missing,
+                      "this entry has no tables yet");
     auto const* route = find_route(tables, into.message);
     if (route == nullptr)
         return refuse(why, reason_code::unknown_route,
                       "no route takes this request");
-    auto const& current = config::in_force(tables);
     auto const pool = current.pools.find(route->pool);
     if (pool == current.pools.end())
         return refuse(why, reason_code::unknown_route,
--- a/jujubestand/entry/test/streams_test.cpp
+++ b/jujubestand/entry/test/streams_test.cpp
@@ -113,8 +113,8 @@
 {
     this->start_path(1);
     this->make_cuttable();
-    auto const id =
-        this->post("/booking/new", "{}", {{"Idempotency-Key", "k"}});
+    auto const id = this->post("/booking/new", "{}",
+                               {{"Idempotency-Key", this->new_key()}});
     ASSERT_TRUE(this->run_until_asked(1));
     auto& pair = this->asked_pair();
     this->ways.at(0)->hold();
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -34,6 +34,12 @@
     told.request = of.message.request;
     told.upstream = this->shared->settings.upstream;
     told.status = head.status;
+    if (of.record)
+    {
+        of.record->status = head.status;
+        of.record->content_type = std::string(
+            http::find_header(head.headers, "Content-Type").value_or(""));
+    }
     for (auto const& header : head.headers)
     {
         if (!http::is_hop_by_hop(header.name))
@@ -50,10 +56,11 @@
         return;
     call_id const id = found->second;
     this->note_progress(id);
+    this->keep_answer(*this->calls.find(id), bytes);
     this->take_step(id,
                     streams::take_bytes(this->calls.find(id)->answer, bytes));
     call* const of = this->calls.find(id);
-    if (of == nullptr || of->is_paused ||
+    if (of == nullptr || of->is_paused || of->is_detached ||
         !this->answers.must_hold_back(of->message.request))
         return;
     of->is_paused = true;
@@ -188,36 +195,23 @@
                   of.message.team,
                   {{"cached_tokens", std::to_string(told.cached_tokens)},
                    {"prompt_tokens", std::to_string(told.prompt_tokens)}});
+    this->settle_claim(id, verdict::ran);
     this->tell_end(id, link::to_frame(told));
 }
 
 void sidecar::state::fail(call_id id, failure_point point, std::string text)
 {
     auto const& row = row_of(point);
-    this->fail_as(id, row.outcome, {row.code, std::move(text), {}});
+    this->end_call(id, event_number::call_failed, row.outcome,
+                   {row.code, std::move(text), {}}, 0);
 }
 
 // The upstream has run it, or still does, and the answer is of no use.
 void sidecar::state::fail_answer(call_id id, reason why)
 {
-    this->fail_as(id, row_of(failure_point::answer_invalid).outcome,
-                  std::move(why));
-}
-
-void sidecar::state::fail_as(call_id id, verdict outcome, reason why)
-{
-    call const& of = *this->calls.find(id);
-    link::failure told;
-    told.request = of.message.request;
-    told.outcome = outcome;
-    told.why = std::move(why);
-    told.leaving = this->is_draining;
-    told.tables = this->tables.in_force().version;
-    process::note(
-        *this->shared, event_number::call_failed, told.request, of.message.team,
-        {{"verdict", std::string(to_name(verdict_names, told.outcome))},
-         {"reason", to_text(told.why)}});
-    this->tell_end(id, link::to_frame(told));
+    this->end_call(id, event_number::call_failed,
+                   row_of(failure_point::answer_invalid).outcome,
+                   std::move(why), 0);
 }
 
 void sidecar::state::tell_end(call_id id, link::frame ending)
@@ -245,6 +239,9 @@
     if (found == nullptr)
         return;
     bool const is_running = found->stage == call_stage::running;
+    // The entry has answered its caller by now.
+    if (this->detach(id))
+        return;
     this->fail(id,
                is_running ? failure_point::upstream_timeout
                           : failure_point::sidecar_deadline_in_queue,
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -90,8 +90,7 @@
 
 void sidecar::state::admit(call_id id)
 {
-    call const& next = *this->calls.find(id);
-    request_id const message_id = next.message.request;
+    call& next = *this->calls.find(id);
     if (this->is_draining)
     {
         this->refuse(id, failure_point::sidecar_refused,
@@ -108,28 +107,49 @@
             {reason_code::tables_stale, "routed under older tables", {}}, 0);
         return;
     }
+    if (this->refuse_if_full(id))
+        return;
+    next.deadline_timer.emplace(this->shared->base,
+                                [this, id]
+                                {
+                                    this->on_deadline(id);
+                                });
+    next.deadline_timer->start(next.deadline - next.arrived);
+    if (next.message.is_idempotent)
+        this->enqueue(id);
+    else
+        this->claim(id);
+}
+
+// Spares a claim that could only be given up.
+bool sidecar::state::refuse_if_full(call_id id)
+{
+    if (this->queue.waiting.size() < this->queue.options.waiting_limit)
+        return false;
+    this->refuse(id, failure_point::sidecar_refused,
+                 {reason_code::queue_full, "the queue is full", {}}, 0);
+    return true;
+}
+
+// The queue may have filled up while the call was claimed.
+void sidecar::state::enqueue(call_id id)
+{
+    call& next = *this->calls.find(id);
     admission::offer_result const offered =
         admission::offer(this->queue, this->item_of(next), mono_now());
-    for (auto const& request : offered.displaced)
-        this->refuse_dropped(
-            {request,
-             {reason_code::queue_full, "a more urgent request came", {}},
-             offered.retry_after});
     if (!offered.is_accepted)
     {
         this->refuse(id, failure_point::sidecar_refused, offered.why,
                      to_us(offered.retry_after));
         return;
     }
-    this->by_request[message_id] = id;
-    call& waiting = *this->calls.find(id);
-    waiting.stage = call_stage::waiting;
-    waiting.deadline_timer.emplace(this->shared->base,
-                                   [this, id]
-                                   {
-                                       this->on_deadline(id);
-                                   });
-    waiting.deadline_timer->start(waiting.deadline - waiting.arrived);
+    next.stage = call_stage::waiting;
+    this->by_request[next.message.request] = id;
+    for (auto const& request : offered.displaced)
+        this->refuse_dropped(
+            {request,
+             {reason_code::queue_full, "a more urgent request came", {}},
+             offered.retry_after});
     this->pump();
 }
 
@@ -157,20 +177,27 @@
 void sidecar::state::refuse(call_id id, failure_point point, reason why,
                             std::uint64_t retry_after_us)
 {
-    call& refused = *this->calls.find(id);
+    this->end_call(id, event_number::call_refused, row_of(point).outcome,
+                   std::move(why), retry_after_us);
+}
+
+void sidecar::state::end_call(call_id id, event_number number, verdict outcome,
+                              reason why, std::uint64_t retry_after_us)
+{
+    call const& of = *this->calls.find(id);
     link::failure told;
-    told.request = refused.message.request;
-    told.outcome = row_of(point).outcome;
+    told.request = of.message.request;
+    told.outcome = outcome;
     told.why = std::move(why);
     told.retry_after_us = retry_after_us;
     told.leaving = this->is_draining;
     told.tables = this->tables.in_force().version;
-    process::note(*this->shared, event_number::call_refused, told.request,
-                  refused.message.team, {{"reason", to_text(told.why)}});
-    link::stream_id const stream = refused.stream;
-    this->drop(id);
-    this->links.send(stream, link::to_frame(told));
-    this->links.finish(stream);
+    process::note(
+        *this->shared, number, told.request, of.message.team,
+        {{"verdict", std::string(to_name(verdict_names, told.outcome))},
+         {"reason", to_text(told.why)}});
+    this->settle_claim(id, outcome);
+    this->tell_end(id, link::to_frame(told));
 }
 
 void sidecar::state::pump()
@@ -237,11 +264,16 @@
 
 void sidecar::state::cancel(call_id id)
 {
+    if (this->detach(id))
+        return;
     call const& gone = *this->calls.find(id);
     process::note(
         *this->shared, event_number::call_cancelled, gone.message.request,
         gone.message.team,
         {{"stage", std::string(to_name(call_stage_names, gone.stage))}});
+    bool const is_running = gone.stage == call_stage::running;
+    this->settle_claim(id,
+                       is_running ? verdict::may_have_run : verdict::not_run);
     this->drop(id);
     this->pump();
 }
@@ -264,7 +296,8 @@
     if (found->stage == call_stage::waiting)
         static_cast<void>(
             admission::cancel(this->queue, found->message.request));
-    if (found->stage != call_stage::receiving)
+    if (found->stage == call_stage::waiting ||
+        found->stage == call_stage::running)
         this->by_request.erase(found->message.request);
     this->calls.erase(id);
 }
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -51,6 +51,7 @@
     , platform_http(context.base)
     , log(context.base, this->platform_http, process::log_options_of(context))
     , tables(context, this->log, this->links)
+    , claims(context, this->log, claim_options_of(context))
     , list(context.base, this->platform_http, process::list_options_of(context))
     , queue(queue_options_of(context.settings))
     , expiry_timer(context.base,
@@ -64,6 +65,7 @@
 
 void sidecar::state::connect_signals()
 {
+    this->connect_claims();
     this->front.requested.connect(sigc::mem_fun(*this, &state::on_http));
     this->links.received.connect(sigc::mem_fun(*this, &state::on_frame));
     this->links.drained.connect(
@@ -141,7 +143,8 @@
 bool sidecar::is_drained() const
 {
     return this->self->is_draining && this->self->calls.size() == 0 &&
-           this->self->answers.open_answers() == 0;
+           this->self->answers.open_answers() == 0 &&
+           !this->self->claims.has_unwritten();
 }
 
 std::size_t sidecar::open_calls() const
