--- a/jujubestand/link/framing.cpp
+++ b/jujubestand/link/framing.cpp
@@ -127,7 +127,11 @@
         frames.push_back(std::move(next));
         rest.remove_prefix(frame_length_bytes + length);
     }
-    reader.partial.erase(0, reader.partial.size() - rest.size());
+    // Streams are many: one between two frames keeps no room for them.
+    if (rest.empty())
+        std::string().swap(reader.partial);
+    else
+        reader.partial.erase(0, reader.partial.size() - rest.size());
     return true;
 }
 
--- a/jujubestand/link/node_streams.cpp
+++ b/jujubestand/link/node_streams.cpp
@@ -133,8 +133,9 @@
     one.outgoing_begin += output.bytes;
     output.is_last = output.bytes == left && one.is_finishing;
     one.is_finished = output.is_last;
+    // Streams are many: one with nothing to send keeps no room for it.
     if (output.bytes == left)
-        one.outgoing.clear();
+        std::string().swap(one.outgoing);
     else if (one.outgoing_begin >= compact_bytes)
         one.outgoing.erase(0, one.outgoing_begin);
     if (output.bytes == left || one.outgoing_begin >= compact_bytes)
