Drop a prompt once no further attempt can use it

The entry kept each prompt to the end of its answer and the sidecar its room. A started answer that cannot be repeated needs neither.

--- a/jujubestand/entry/relay.cpp
+++ b/jujubestand/entry/relay.cpp
@@ -138,7 +138,12 @@
         }
     }
     else
+    {
+        // No further attempt can be made: the prompt is of no more use.
+        if (!of.relay.received.keeps_digests)
+            std::string().swap(of.body);
         this->front.write(of.caller, piece.bytes);
+    }
 }
 
 // A caller that reads slowly holds back its own stream: the window is given
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -168,7 +168,7 @@
         this->upstream.start(*this->shared->settings.upstream_address,
                              upstream_request(next.message, next.body, {}));
     this->by_exchange[key_of(next.exchange)] = id;
-    next.body.clear();
+    std::string().swap(next.body);
     this->answers.begin(next.message.request, next.message.entry, next.stream);
     process::note(*this->shared, event_number::call_started,
                   next.message.request, next.message.team, {});
