--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -123,7 +123,7 @@
 void measure_capacity(double seconds, losses& lost)
 {
     constexpr std::size_t clients = 3;
-    constexpr double rate = 1'200;
+    constexpr double rate = 1'500;
     bench::deployment deployed(plan_of(
         4, {"--step-us", "5000", "--decode-us", "1", "--prefill-us", "0.01"}));
     std::vector<std::future<bench::load_result>> running;
