Let the relay carry a connection's last bytes before its end

A relayed answer longer than the socket's buffer lost its tail when its sender closed: the relay freed both ends with bytes still queued. The end now waits until the other side has taken what came before it, unless that side has ended as well.

--- a/standins/relay/tcp_relay.cpp
+++ b/standins/relay/tcp_relay.cpp
@@ -162,11 +162,15 @@
     microseconds const distance(from.is_caller ? this->switches.there_us
                                                : this->switches.back_us);
     from.parcel_bytes += bytes.size();
-    from.parcels.push_back(
-        parcel{mono_now() + distance, std::move(bytes), is_end});
+    bool const was_empty = from.parcels.empty();
+    mono_time const due = mono_now() + distance;
+    from.parcels.push_back(parcel{due, std::move(bytes), false});
+    if (is_end)
+        from.parcels.push_back(parcel{due, {}, true});
+    from.is_over = from.is_over || is_end;
     if (from.parcel_bytes > parcels_limit_bytes)
         bufferevent_disable(from.buffer.get(), EV_READ);
-    if (from.parcels.size() == 1)
+    if (was_empty)
         this->arm(from, distance);
 }
 
@@ -181,7 +185,9 @@
     mono_time const now = mono_now();
     while (!from.parcels.empty() && from.parcels.front().due <= now)
     {
-        if (evbuffer_get_length(output) > output_limit_bytes)
+        // What the other end still reads must reach it before its end does.
+        bool const is_last = from.parcels.front().is_end && !to.is_over;
+        if (evbuffer_get_length(output) > (is_last ? 0 : output_limit_bytes))
             return this->arm(from, busy_wait);
         parcel const next = std::move(from.parcels.front());
         from.parcels.pop_front();
--- a/standins/relay/tcp_relay.hpp
+++ b/standins/relay/tcp_relay.hpp
@@ -73,6 +73,7 @@
         buffer_ptr buffer;
         std::deque<parcel> parcels;
         std::size_t parcel_bytes = 0;
+        bool is_over = false;
         event_ptr timer;
     };
 
