--- a/bench/state.cpp
+++ b/bench/state.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds answer_limit{10'000};
 constexpr milliseconds herd_limit{5'000};
 constexpr milliseconds settle_time{9'000};
+constexpr milliseconds list_settle_time{2'000};
 constexpr double microseconds_per_millisecond = 1e3;
 constexpr int slow_link_us = 100'000;
 
@@ -242,6 +243,8 @@
         node->link = link;
         all.list_as(*node, "live");
     }
+    // Until the lagging list shows the fast links again.
+    std::this_thread::sleep_for(list_settle_time);
 }
 
 bool answers_a_request(address const& entry)
--- a/jujubestand/ctl/table_commands.cpp
+++ b/jujubestand/ctl/table_commands.cpp
@@ -48,6 +48,17 @@
     *context.out << shown.dump(context.is_json ? -1 : 2) << '\n';
 }
 
+// Not the version in force: another edit may have followed in the same read.
+std::uint64_t version_of(log_session const& session, request_id nonce)
+{
+    for (auto const& one : session.history())
+    {
+        if (one.result.nonce == nonce)
+            return one.result.winner.value;
+    }
+    return 0;
+}
+
 exit_code publish(command_context const& context, log_session& session,
                   std::vector<config::change> changes)
 {
@@ -59,7 +70,7 @@
     auto const code = session.publish(config::pack(made), made.nonce, why);
     if (code != exit_code::done)
         return fail(context, code, why);
-    auto const version = session.known().content.version.value;
+    auto const version = version_of(session, made.nonce);
     if (context.is_json)
         print(context, json{{"version", version}});
     else
@@ -408,8 +419,8 @@
     code = session.publish(config::pack(made), made.nonce, why);
     if (code != exit_code::done)
         return fail(context, code, why);
-    *context.out << "restored as version "
-                 << session.known().content.version.value << '\n';
+    *context.out << "restored as version " << version_of(session, made.nonce)
+                 << '\n';
     return code;
 }
 
--- a/jujubestand/ctl/test/table_commands_test.cpp
+++ b/jujubestand/ctl/test/table_commands_test.cpp
@@ -129,6 +129,22 @@
     EXPECT_NE(lost.err.find("by bob"), std::string::npos) << lost.err;
 }
 
+TEST(ctl, an_accepted_edit_is_told_its_own_version)
+{
+    served_log log;
+    log.log.after_append = [&log]
+    {
+        config::edit next;
+        next.base = log_offset(1);
+        next.changes = {config::change{}};
+        next.changes[0].kind = config::change_kind::set_pool;
+        next.changes[0].pool_row.id = pool_id("q");
+        log.log.append("config", config::pack(next));
+        log.log.after_append = nullptr;
+    };
+    EXPECT_EQ(log.tool({"pool", "set", "p"}).out, "accepted as version 1\n");
+}
+
 TEST(ctl, a_lost_answer_is_read_back)
 {
     served_log log;
--- a/jujubestand/platform/test/fake_log.hpp
+++ b/jujubestand/platform/test/fake_log.hpp
@@ -59,6 +59,8 @@
     std::uint64_t reads = 0;
     /// Runs when an append arrives, before it takes effect.
     std::function<void()> before_append;
+    /// Runs when one has taken effect, before its answer.
+    std::function<void()> after_append;
 
 private:
     void handle(evhttp_request* request)
@@ -80,6 +82,8 @@
         if (this->before_append)
             this->before_append();
         auto const offset = this->append(name, fake_server::body_of(request));
+        if (this->after_append)
+            this->after_append();
         if (this->lose_answers)
             return fake_server::reply(request, 500, "");
         fake_server::reply(request, 200,
