--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -107,8 +107,6 @@
             {reason_code::tables_stale, "routed under older tables", {}}, 0);
         return;
     }
-    if (this->refuse_if_full(id))
-        return;
     next.deadline_timer.emplace(this->shared->base,
                                 [this, id]
                                 {
@@ -117,7 +115,7 @@
     next.deadline_timer->start(next.deadline - next.arrived);
     if (next.message.is_idempotent)
         this->enqueue(id);
-    else
+    else if (!this->refuse_if_full(id))
         this->claim(id);
 }
 
