--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -14,9 +14,9 @@
 #include <jujubestand/process/table_reader.hpp>
 #include <jujubestand/sidecar/answer_sender.hpp>
 #include <jujubestand/sidecar/call.hpp>
+#include <jujubestand/sidecar/claim_desk.hpp>
 #include <jujubestand/sidecar/engine_view.hpp>
 #include <jujubestand/sidecar/engine_watch.hpp>
-#include <jujubestand/sidecar/claim_desk.hpp>
 #include <jujubestand/sidecar/sidecar.hpp>
 #include <unordered_map>
 
