Serve a fresh entry without probes; end a stop after the last bytes

Cause: an upstream of which nothing was known was taken to run no weights version, so a pool that names one was refused as a whole wherever no probe is sent: short prompts at a restarted entry, and every request to a pool of one upstream. A reply that said "not ready" was never forgotten in the same cases. Beside it, a planned stop counted a caller as done once its last bytes were handed to evhttp, not once they were at the socket, and could cut them. Change: without a recent reply an upstream is given the benefit of the doubt, but for leaving, which holds for a minute; its sidecar refuses what it must not run. The server counts a caller until its bytes are out. The tool ignores SIGPIPE as the daemon does. A declaration without a function went from the placement bench.

--- a/bench/placement/comparison.hpp
+++ b/bench/placement/comparison.hpp
@@ -47,10 +47,6 @@
 void print_comparison(fleet const& size, std::vector<policy_figures> const& all,
                       std::string const& suffix);
 
-/// \brief Faults during a run: times to recover are printed.
-void run_faults(event_base* base, fleet const& size,
-                comparison_plan const& plan);
-
 } // namespace jujubestand::bench
 
 #endif
--- a/jujubestand/http/server.cpp
+++ b/jujubestand/http/server.cpp
@@ -9,6 +9,7 @@
 #include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace jujubestand::http
@@ -108,7 +109,6 @@
     auto* connection = evhttp_request_get_connection(handle);
     if (connection == nullptr)
         return;
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
     bufferevent_setwatermark(buffer_of(handle), EV_READ, 0, 0);
 }
 
@@ -131,6 +131,8 @@
     std::vector<caller_id> to_cut;
     slot_map<pending, struct caller_tag> callers;
     std::unordered_map<evhttp_connection*, caller_id> by_connection;
+    // Answered, but their last bytes are not at the socket yet.
+    std::unordered_set<evhttp_connection*> unflushed;
 
     static void on_request(evhttp_request* handle, void* argument)
     {
@@ -144,9 +146,17 @@
         self->owner->requested.emit(caller, received);
     }
 
+    static void on_flushed(evhttp_request* handle, void* argument)
+    {
+        auto* connection = evhttp_request_get_connection(handle);
+        static_cast<state*>(argument)->unflushed.erase(connection);
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
+
     static void on_close(evhttp_connection* connection, void* argument)
     {
         auto* self = static_cast<state*>(argument);
+        self->unflushed.erase(connection);
         auto const found = self->by_connection.find(connection);
         if (found == self->by_connection.end())
             return;
@@ -209,8 +219,11 @@
         if (found == nullptr)
             return nullptr;
         evhttp_request* handle = found->handle;
+        auto* connection = evhttp_request_get_connection(handle);
         unwatch(handle);
-        this->forget(caller, evhttp_request_get_connection(handle));
+        this->forget(caller, connection);
+        this->unflushed.insert(connection);
+        evhttp_request_set_on_complete_cb(handle, on_flushed, this);
         return handle;
     }
 };
@@ -240,6 +253,8 @@
 {
     for (auto const& row : this->self->by_connection)
         evhttp_connection_set_closecb(row.first, nullptr, nullptr);
+    for (auto* connection : this->self->unflushed)
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
     evhttp_free(this->self->http);
     event_free(this->self->cut_event);
 }
@@ -343,7 +358,7 @@
 
 std::size_t server::open_callers() const noexcept
 {
-    return this->self->callers.size();
+    return this->self->callers.size() + this->self->unflushed.size();
 }
 
 } // namespace jujubestand::http
--- a/jujubestand/http/server.hpp
+++ b/jujubestand/http/server.hpp
@@ -72,7 +72,8 @@
     /// \brief Bytes accepted by `write` that the socket has not taken yet.
     [[nodiscard]] std::size_t buffered_bytes(caller_id caller);
 
-    /// \brief Callers that are waiting for an answer or its end.
+    /// \brief Callers that are waiting for an answer or its last bytes; a
+    /// process that ends while there are any cuts them off.
     [[nodiscard]] std::size_t open_callers() const noexcept;
 
     /// \brief A whole request came; the receiver owes an answer.
--- a/jujubestand/http/test/exchange_test.cpp
+++ b/jujubestand/http/test/exchange_test.cpp
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <csignal>
 #include <event2/event.h>
 #include <gtest/gtest.h>
 #include <jujubestand/http/client.hpp>
@@ -29,6 +30,8 @@
 
     void SetUp() override
     {
+        // As the programs do: a peer that leaves is told by the write.
+        std::signal(SIGPIPE, SIG_IGN);
         reason why;
         auto const bound = this->front->listen(address{"127.0.0.1", 0}, why);
         ASSERT_TRUE(bound) << to_text(why);
@@ -153,6 +156,59 @@
     EXPECT_EQ(this->status, 200);
 }
 
+TEST_F(exchange_test, a_caller_counts_until_its_last_bytes_are_out)
+{
+    std::string const large(32U << 20U, 'z');
+    bool is_answered = false;
+    this->front->requested.connect(
+        [&](caller_id caller, request const&)
+        {
+            this->front->reply(caller, 200, {}, large);
+            is_answered = true;
+        });
+    auto const exchange = this->back->start(this->where, post("x"));
+    this->back->pause(exchange);
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return is_answered;
+        }));
+    this->back->pause(exchange);
+    EXPECT_EQ(this->front->open_callers(), 1U);
+    this->back->unpause(exchange);
+    ASSERT_TRUE(this->run_until(
+        [this]
+        {
+            return this->end.has_value();
+        }));
+    EXPECT_EQ(this->received.size(), large.size());
+    EXPECT_EQ(this->front->open_callers(), 0U);
+}
+
+TEST_F(exchange_test, a_caller_that_leaves_before_its_last_bytes_is_forgotten)
+{
+    std::string const large(32U << 20U, 'z');
+    bool is_answered = false;
+    this->front->requested.connect(
+        [&](caller_id caller, request const&)
+        {
+            this->front->reply(caller, 200, {}, large);
+            is_answered = true;
+        });
+    auto const exchange = this->back->start(this->where, post("x"));
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return is_answered;
+        }));
+    this->back->cancel(exchange);
+    EXPECT_TRUE(this->run_until(
+        [&]
+        {
+            return this->front->open_callers() == 0;
+        }));
+}
+
 TEST_F(exchange_test, a_refused_connection_has_sent_nothing)
 {
     this->front.reset();
--- a/jujubestand/placement/placement.cpp
+++ b/jujubestand/placement/placement.cpp
@@ -230,6 +230,21 @@
     return second_cost < first_cost ? second : first;
 }
 
+/// Takes back what an old reply would rule out: nothing else would ask the
+/// upstream again, and its sidecar refuses what it must not run.
+void forget_old_refusals(link::probe_reply& reply, upstream_view const& view,
+                         placement_options const& options,
+                         placement_request const& request, mono_time now)
+{
+    auto const age = now - view.reply_at;
+    if (view.has_reply && age < options.sent_lifetime)
+        return;
+    reply.ready = true;
+    reply.role.clear();
+    reply.weights_version = request.weights_version;
+    reply.leaving = reply.leaving && age < options.memory_lifetime;
+}
+
 /// A reply to stand in where there was no probe: what the upstream said
 /// last, with the tokens that this entry remembers placing there.
 link::probe_reply assumed_reply(placement_state const& state,
@@ -241,7 +256,7 @@
         reply = view.reply;
     else
         reply.engine_age_us = std::numeric_limits<std::uint64_t>::max();
-    reply.ready = reply.ready || !view.has_reply;
+    forget_old_refusals(reply, view, state.options, request, now);
     reply.cached_tokens = 0;
     for (auto const& each : request.prompt.levels)
     {
--- a/jujubestand/placement/test/placement_test.cpp
+++ b/jujubestand/placement/test/placement_test.cpp
@@ -253,6 +253,40 @@
     }
 }
 
+// A restarted entry has no reply yet, and a short prompt asks for none.
+TEST(placement, a_pool_with_a_weights_version_is_served_without_a_probe)
+{
+    for (std::size_t const count : {1U, 2U, 5U})
+    {
+        auto const state = state_of(count);
+        auto request = request_of(1, 1);
+        request.weights_version = "7";
+        EXPECT_TRUE(choose_of(state, request, {})) << count;
+    }
+}
+
+TEST(placement, an_old_refusal_does_not_rule_out_for_ever)
+{
+    auto state = state_of(1);
+    auto reply = idle_reply();
+    reply.ready = false;
+    take_reply(state, outcome_of(0, reply), start);
+    auto const request = request_of(1, 1);
+    EXPECT_FALSE(choose(state, request, {}, start, 3));
+    EXPECT_TRUE(choose(state, request, {}, start + 2s, 3));
+}
+
+TEST(placement, a_leaving_upstream_is_left_alone_for_longer)
+{
+    auto state = state_of(1);
+    auto reply = idle_reply();
+    reply.leaving = true;
+    take_reply(state, outcome_of(0, reply), start);
+    auto const request = request_of(1, 1);
+    EXPECT_FALSE(choose(state, request, {}, start + 30s, 3));
+    EXPECT_TRUE(choose(state, request, {}, start + 61s, 3));
+}
+
 TEST(placement, probes_lost_still_leave_a_choice)
 {
     placement_state const state = state_of(3);
--- a/programs/jujubestandctl.cpp
+++ b/programs/jujubestandctl.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <glog/logging.h>
 #include <iostream>
 #include <jujubestand/ctl/command.hpp>
@@ -6,6 +7,7 @@
 
 int main(int argc, char** argv)
 {
+    std::signal(SIGPIPE, SIG_IGN);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     std::vector<std::string> const arguments(argv + 1, argv + argc);
