--- a/jujubestand/config/test/validation_test.cpp
+++ b/jujubestand/config/test/validation_test.cpp
@@ -116,6 +116,29 @@
     EXPECT_EQ(refusal({delete_route("r"), delete_pool("p")}), "accepted");
 }
 
+TEST(validation, keys_of_calls_that_may_run_once_do_not_move)
+{
+    tables before = base_tables();
+    before.routes.at(route_id("r")).is_idempotent = false;
+    auto const told = [&before](change const& one)
+    {
+        reason why;
+        edit made;
+        made.changes = {set_pool("q"), one};
+        return apply(before, made, why) ? "accepted" : why.text;
+    };
+    auto wider = set_pool("p");
+    wider.pool_row.claim_streams = 2;
+    EXPECT_EQ(told(wider),
+              "claim_streams moves keys of calls that may run once");
+    EXPECT_EQ(told(set_route("r", "q", {depot}, {small})),
+              "the pool moves keys of calls that may run once");
+    EXPECT_EQ(told(set_route("r", "p", {depot}, {small})), "accepted");
+    before.routes.at(route_id("r")).is_idempotent = true;
+    EXPECT_EQ(told(wider), "accepted");
+    EXPECT_EQ(told(set_route("r", "q", {depot}, {small})), "accepted");
+}
+
 TEST(validation, names_the_row_and_the_rule)
 {
     EXPECT_EQ(refusal({}), ": no changes");
--- a/jujubestand/config/validation.cpp
+++ b/jujubestand/config/validation.cpp
@@ -189,6 +189,48 @@
     return refuse(why, "unknown kind of change", {});
 }
 
+bool has_unrepeatable_route(tables const& content, pool_id const& pool)
+{
+    return std::any_of(content.routes.begin(), content.routes.end(),
+                       [&pool](auto const& row)
+                       {
+                           return !row.second.is_idempotent &&
+                                  row.second.pool == pool;
+                       });
+}
+
+// A key's claims stand on one stream, named by the pool and its number of
+// streams. Were a key to move, its claims would not be found there, and a
+// repeat of its call would run again.
+bool keeps_claims(tables const& before, tables const& after, change const& made,
+                  reason& why)
+{
+    if (made.kind == change_kind::set_pool)
+    {
+        pool_id const& id = made.pool_row.id;
+        auto const old = before.pools.find(id);
+        bool const is_moved =
+            old != before.pools.end() &&
+            old->second.claim_streams != made.pool_row.claim_streams &&
+            has_unrepeatable_route(before, id);
+        return !is_moved ||
+               refuse(why,
+                      "claim_streams moves keys of calls that may run once",
+                      "pool " + id.text);
+    }
+    if (made.kind != change_kind::set_route)
+        return true;
+    route_id const& id = made.route_row.id;
+    auto const old = before.routes.find(id);
+    auto const now = after.routes.find(id);
+    bool const is_moved =
+        old != before.routes.end() && now != after.routes.end() &&
+        !old->second.is_idempotent && old->second.pool != now->second.pool;
+    return !is_moved ||
+           refuse(why, "the pool moves keys of calls that may run once",
+                  "route " + id.text);
+}
+
 // Checked after all changes, so that one edit may replace a pool and move its
 // routes; a row that a later change of the edit deleted is not checked.
 bool is_valid_change(tables const& after, change const& made, reason& why)
@@ -237,7 +279,8 @@
     }
     for (auto const& one : made.changes)
     {
-        if (!is_valid_change(after, one, why))
+        if (!is_valid_change(after, one, why) ||
+            !keeps_claims(before, after, one, why))
             return std::nullopt;
     }
     return after;
