Start to listen in one place for both roles

Cause: entry and sidecar each had the same record of where they listen, the same steps to get there, and the daemon the same branch for each. Change: process/listening; the daemon starts a role and says where it listens once. The tests' fixture names the one record. Conclusion: the two drains still differ for a reason: an entry gives the balancer notice, a sidecar refuses at once.

--- a/jujubestand/entry/entry.hpp
+++ b/jujubestand/entry/entry.hpp
@@ -1,22 +1,15 @@
 #ifndef JUJUBESTAND_ENTRY_ENTRY_HPP
 #define JUJUBESTAND_ENTRY_ENTRY_HPP
 
-#include <jujubestand/core/address.hpp>
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/process/context.hpp>
+#include <jujubestand/process/listening.hpp>
 #include <memory>
 #include <optional>
 
 namespace jujubestand::entry
 {
 
-/// \brief Where a process listens.
-struct listening
-{
-    address http;
-    address link;
-};
-
 /// \brief The process that takes callers' requests and sends each to the
 /// sidecar beside the upstream that is chosen for it.
 class entry
@@ -31,7 +24,7 @@
     entry& operator=(entry&&) = delete;
 
     /// \brief Starts to listen and to read the platform.
-    [[nodiscard]] std::optional<listening> start(reason& why);
+    [[nodiscard]] std::optional<process::listening> start(reason& why);
 
     /// \brief Begins a planned stop: `/readyz` fails at once, new requests
     /// are refused after the notice, running ones end.
--- a/jujubestand/entry/test/path_fixture.hpp
+++ b/jujubestand/entry/test/path_fixture.hpp
@@ -48,7 +48,7 @@
     std::vector<seen_request> seen;
     std::unique_ptr<process::context> shared;
     std::unique_ptr<sidecar::sidecar> sidecar;
-    sidecar::listening listening;
+    process::listening listening;
 };
 
 /// \brief The whole path in one process on one loop: caller, entry, two
@@ -64,7 +64,7 @@
     std::vector<upstream_pair> pairs;
     std::unique_ptr<process::context> shared;
     std::unique_ptr<entry> front;
-    std::optional<listening> where;
+    std::optional<process::listening> where;
     std::unique_ptr<http::client> caller;
     std::vector<std::pair<http::exchange_id, seen_answer>> answers;
 
--- a/jujubestand/process/daemon.cpp
+++ b/jujubestand/process/daemon.cpp
@@ -89,41 +89,38 @@
     process.drain_check->start_every(drain_check_period);
 }
 
-void say_ready(running& process, address const& http, address const& link)
+void say_ready(running& process, listening const& where)
 {
     auto const& read = process.shared.settings;
     note(process.shared, event_number::process_ready, {}, {},
          {{"instance", read.instance.text},
-          {"http", to_text(http)},
-          {"link", to_text(link)}});
-    std::cout << "ready http=" << to_text(http) << " link=" << to_text(link)
-              << std::endl;
+          {"http", to_text(where.http)},
+          {"link", to_text(where.link)}});
+    std::cout << "ready http=" << to_text(where.http)
+              << " link=" << to_text(where.link) << std::endl;
 }
 
-bool start_duty(running& process, settings::role role)
+std::optional<listening> start_role(running& process, settings::role role,
+                                    reason& why)
 {
-    reason why;
     if (role == settings::role::entry)
     {
         process.work.entry = std::make_unique<entry::entry>(process.shared);
-        if (auto const where = process.work.entry->start(why))
-        {
-            say_ready(process, where->http, where->link);
-            return true;
-        }
+        return process.work.entry->start(why);
     }
+    process.work.sidecar = std::make_unique<sidecar::sidecar>(process.shared);
+    return process.work.sidecar->start(why);
+}
+
+bool start_duty(running& process, settings::role role)
+{
+    reason why;
+    auto const where = start_role(process, role, why);
+    if (where)
+        say_ready(process, *where);
     else
-    {
-        process.work.sidecar =
-            std::make_unique<sidecar::sidecar>(process.shared);
-        if (auto const where = process.work.sidecar->start(why))
-        {
-            say_ready(process, where->http, where->link);
-            return true;
-        }
-    }
-    std::cerr << to_text(why) << '\n';
-    return false;
+        std::cerr << to_text(why) << '\n';
+    return where.has_value();
 }
 
 } // namespace
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -121,19 +121,17 @@
 
 sidecar::~sidecar() = default;
 
-std::optional<listening> sidecar::start(reason& why)
+std::optional<process::listening> sidecar::start(reason& why)
 {
-    auto const& read = this->self->shared->settings;
-    auto const http = this->self->front.listen(read.http, why);
-    if (!http)
-        return std::nullopt;
-    auto const link = this->self->links.listen(read.link, why);
-    if (!link)
+    auto const where =
+        process::listen(this->self->shared->settings, this->self->front,
+                        this->self->links, why);
+    if (!where)
         return std::nullopt;
     this->self->list.start();
     this->self->tables.start();
     this->self->watch_engine();
-    return listening{*http, *link};
+    return where;
 }
 
 void sidecar::drain()
--- a/jujubestand/sidecar/sidecar.hpp
+++ b/jujubestand/sidecar/sidecar.hpp
@@ -1,22 +1,15 @@
 #ifndef JUJUBESTAND_SIDECAR_SIDECAR_HPP
 #define JUJUBESTAND_SIDECAR_SIDECAR_HPP
 
-#include <jujubestand/core/address.hpp>
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/process/context.hpp>
+#include <jujubestand/process/listening.hpp>
 #include <memory>
 #include <optional>
 
 namespace jujubestand::sidecar
 {
 
-/// \brief Where a process listens.
-struct listening
-{
-    address http;
-    address link;
-};
-
 /// \brief The process beside one upstream, which sees all work for it.
 class sidecar
 {
@@ -30,7 +23,7 @@
     sidecar& operator=(sidecar&&) = delete;
 
     /// \brief Starts to listen.
-    [[nodiscard]] std::optional<listening> start(reason& why);
+    [[nodiscard]] std::optional<process::listening> start(reason& why);
 
     /// \brief Begins a planned stop: new calls are refused as not run, those
     /// that were taken in end.
