Let the bound addresses be moved out

Cause: clang-tidy: a const local is copied on return. Change: two consts fewer. Conclusion: none beyond it.

--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -188,9 +188,8 @@
 
 std::optional<process::listening> entry::start(reason& why)
 {
-    auto const where =
-        process::listen(this->self->shared->settings, this->self->front,
-                        this->self->links, why);
+    auto where = process::listen(this->self->shared->settings,
+                                 this->self->front, this->self->links, why);
     if (!where)
         return std::nullopt;
     this->self->list.start();
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -123,9 +123,8 @@
 
 std::optional<process::listening> sidecar::start(reason& why)
 {
-    auto const where =
-        process::listen(this->self->shared->settings, this->self->front,
-                        this->self->links, why);
+    auto where = process::listen(this->self->shared->settings,
+                                 this->self->front, this->self->links, why);
     if (!where)
         return std::nullopt;
     this->self->list.start();
