Run on the platform: a gateway on each front, an agent beside each engine

Cause: the users' platform brings its own store, list of upstreams and way of speaking, and nothing here spoke it. Change: platform/ decodes the wire; http1 (http_parser over bufferevents) refuses heads that two parsers could read differently; follow keeps up with keyed topics; dispatch decides where calls go; gateway and agent are the shells. A call goes straight from gateway to upstream. Ruled out for now: data through the process beside the engine (a second hop, and no such process beside plain services); see docs/design/platform.md.

--- /dev/null
+++ b/jujubestand/agent/rollout.cpp
@@ -0,0 +1,125 @@
+#include <jujubestand/agent/rollout.hpp>
+
+#include <algorithm>
+
+namespace jujubestand::agent
+{
+
+namespace
+{
+
+/// After an answer that says that nothing was begun.
+constexpr std::chrono::milliseconds refused_pause{250};
+
+std::uint64_t version_of(status::engine_report const& report,
+                         std::string const& model)
+{
+    auto const found = report.versions.find(model);
+    return found == report.versions.end() ? 0 : found->second;
+}
+
+std::size_t loads_at_once(rollout const& state)
+{
+    return std::max(state.limits.loads_at_once_min,
+                    state.engines / state.limits.engines_per_load);
+}
+
+// Engines load in turns, so that most of them serve at any time.
+mono_time due_at(rollout const& state, mono_time since)
+{
+    auto const turn = state.place / loads_at_once(state);
+    return since + state.limits.notice +
+           state.limits.turn * static_cast<std::int64_t>(turn);
+}
+
+bool is_outdated(rollout const& state, status::engine_report const& report)
+{
+    return std::any_of(state.wanted.begin(), state.wanted.end(),
+                       [&](auto const& row)
+                       {
+                           auto const has = version_of(report, row.first);
+                           return has > 0 && has < row.second.version;
+                       });
+}
+
+} // namespace
+
+bool on_wanted(rollout& state, std::string const& model, std::uint64_t version,
+               mono_time now)
+{
+    auto& known = state.wanted[model];
+    if (version <= known.version)
+        return false;
+    known.version = version;
+    // A turn that is pending serves the newer version as well.
+    auto const due = due_at(state, now);
+    known.due = known.due ? std::min(*known.due, due) : due;
+    return true;
+}
+
+void on_engines(rollout& state, std::vector<std::string> engines,
+                std::string const& own)
+{
+    std::sort(engines.begin(), engines.end());
+    auto const found = std::find(engines.begin(), engines.end(), own);
+    state.engines = std::max<std::size_t>(1, engines.size());
+    if (found != engines.end())
+        state.place = static_cast<std::size_t>(found - engines.begin());
+}
+
+bool is_preparing(rollout const& state, status::engine_report const& report,
+                  mono_time now)
+{
+    if (!state.fence || !is_outdated(state, report))
+        return false;
+    return std::any_of(state.wanted.begin(), state.wanted.end(),
+                       [&](auto const& row)
+                       {
+                           return row.second.due &&
+                                  now + state.limits.notice >= *row.second.due;
+                       });
+}
+
+std::optional<order> next_order(rollout& state,
+                                status::engine_report const& report,
+                                mono_time now)
+{
+    if (!state.fence || report.is_busy)
+        return std::nullopt;
+    for (auto& [model, want] : state.wanted)
+    {
+        auto const has = version_of(report, model);
+        if (has >= want.version)
+        {
+            want.due.reset();
+            if (state.ordered_version <= has)
+                state.ordered_at.reset();
+            continue;
+        }
+        if (has == 0)
+            continue;
+        bool const is_due = want.due && now >= *want.due;
+        bool const is_pending =
+            state.ordered_at && now - *state.ordered_at <
+                                    state.limits.order_patience;
+        if (!is_due || is_pending)
+            continue;
+        state.ordered_at = now;
+        state.ordered_version = want.version;
+        return order{model, want.version, *state.fence, report.orders_accepted};
+    }
+    return std::nullopt;
+}
+
+void on_order_answer(rollout& state, order_answer answer, mono_time now)
+{
+    if (answer == order_answer::old_fence)
+        state.fence.reset();
+    bool const is_void = answer == order_answer::conflict ||
+                         answer == order_answer::refused ||
+                         answer == order_answer::old_fence;
+    if (is_void)
+        state.ordered_at = now - state.limits.order_patience + refused_pause;
+}
+
+} // namespace jujubestand::agent
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -24,6 +24,8 @@
     drain_finished = 1003,
     drain_cut = 1004,
     settings_refused = 1005,
+    settings_reloaded = 1006,
+    lines_dropped = 1007,
 
     // Entry.
     request_accepted = 1100,
@@ -35,6 +37,7 @@
     attempt_failed = 1106,
     retry_scheduled = 1107,
     hedge_started = 1108,
+    request_waits = 1109,
 
     // Sidecar.
     call_received = 1200,
@@ -56,6 +59,8 @@
     tables_handed_over = 1401,
     tables_expired_soon = 1402,
     edit_rejected = 1403,
+    freshness_lost = 1404,
+    freshness_regained = 1405,
 
     // Membership.
     member_live = 1500,
@@ -63,6 +68,8 @@
     member_leaving = 1502,
     member_gone = 1503,
     engine_restarted = 1504,
+    engine_unreachable = 1505,
+    engine_reachable = 1506,
 
     // Claims.
     claim_appended = 1600,
@@ -76,12 +83,16 @@
     lease_lost = 1701,
     order_given = 1702,
     order_refused = 1703,
+    weights_wanted = 1704,
+    weights_loaded = 1705,
+    fence_taken = 1706,
 
     // The platform.
     log_unreachable = 1800,
     log_reachable = 1801,
     log_gap = 1802,
     log_budget_exceeded = 1803,
+    record_rejected = 1804,
 
     // Requests that crash upstreams.
     strike_recorded = 1900,
--- a/jujubestand/core/time.hpp
+++ b/jujubestand/core/time.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_CORE_TIME_HPP
 
 #include <chrono>
+#include <ctime>
 
 namespace jujubestand
 {
@@ -20,10 +21,17 @@
                                           std::chrono::milliseconds>;
 
 /// \brief Reads the monotonic clock; for shells and programs only.
+///
+/// It goes on while the machine is suspended, so that an age measured with
+/// it is never too small.
 [[nodiscard]] inline mono_time mono_now() noexcept
 {
-    return std::chrono::time_point_cast<microseconds>(
-        std::chrono::steady_clock::now());
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return mono_time{
+        std::chrono::duration_cast<microseconds>(
+            std::chrono::seconds{now.tv_sec} +
+            std::chrono::nanoseconds{now.tv_nsec})};
 }
 
 /// \brief Reads the wall clock; for shells and programs only.
--- /dev/null
+++ b/jujubestand/follow/follower.cpp
@@ -0,0 +1,201 @@
+#include <jujubestand/follow/follower.hpp>
+
+#include <algorithm>
+#include <jujubestand/loop/timer.hpp>
+#include <platform/store.hpp>
+#include <utility>
+
+namespace jujubestand::follow
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds pause_after_failure_first{100};
+constexpr std::chrono::milliseconds pause_after_failure_limit{800};
+constexpr std::chrono::milliseconds refresh_interval{400};
+
+} // namespace
+
+struct follower::state
+{
+    platform::store& from;
+    reading how;
+    follower_events events;
+    topic known;
+    listing gathered;
+    mono_time asked_at{};
+    mono_time refreshed_at{};
+    http1::call_id call;
+    std::chrono::milliseconds failure_pause{0};
+    loop::timer next;
+
+    state(event_base* base, platform::store& source, reading manner,
+          follower_events told)
+        : from(source)
+        , how(std::move(manner))
+        , events(std::move(told))
+        , next(base,
+               [this]
+               {
+                   this->step();
+               })
+    {
+    }
+
+    void step();
+    void read(std::chrono::milliseconds wait);
+    void list_part(std::string const& after);
+    void on_listed(platform::listing_end const& end);
+    void on_read(platform::read_end const& end);
+    void tell(std::vector<record> const& changes);
+    void succeed();
+    void fail(reason const& why);
+};
+
+void follower::state::step()
+{
+    this->asked_at = mono_now();
+    if (!this->known.is_listed)
+    {
+        this->gathered = listing{};
+        this->list_part({});
+        return;
+    }
+    this->read(this->how.wait);
+}
+
+void follower::state::read(std::chrono::milliseconds wait)
+{
+    this->call =
+        this->from.read(this->how.topic, this->known.next, wait,
+                        [this](platform::read_end const& end)
+                        {
+                            this->on_read(end);
+                        });
+}
+
+void follower::state::list_part(std::string const& after)
+{
+    this->call = this->from.list(this->how.topic, after,
+                    [this](platform::listing_end const& end)
+                    {
+                        this->on_listed(end);
+                    });
+}
+
+// Parts of a list are no snapshot: the end of the first part is where
+// reading goes on, so that nothing written meanwhile is missed.
+void follower::state::on_listed(platform::listing_end const& end)
+{
+    if (!end.part)
+    {
+        this->fail(end.why);
+        return;
+    }
+    auto const& rows = end.part->rows;
+    if (this->gathered.records.empty())
+        this->gathered.end = rows.end;
+    this->gathered.records.insert(this->gathered.records.end(),
+                                  rows.records.begin(), rows.records.end());
+    if (end.part->has_more && !rows.records.empty())
+    {
+        this->list_part(rows.records.back().key);
+        return;
+    }
+    this->tell(on_listing(this->known, this->gathered, this->asked_at));
+    this->succeed();
+}
+
+void follower::state::on_read(platform::read_end const& end)
+{
+    if (end.is_expired)
+        this->known.is_listed = false;
+    if (!end.page && !end.is_expired)
+    {
+        this->fail(end.why);
+        return;
+    }
+    if (end.page)
+        this->tell(on_page(this->known, *end.page, this->asked_at));
+    this->succeed();
+}
+
+void follower::state::tell(std::vector<record> const& changes)
+{
+    if (!changes.empty())
+        this->events.on_changes(changes);
+}
+
+void follower::state::succeed()
+{
+    bool const was_failing =
+        std::exchange(this->failure_pause, std::chrono::milliseconds{0})
+            .count() > 0;
+    if (was_failing)
+        this->events.on_reachable();
+    this->next.start(this->how.pause);
+}
+
+void follower::state::fail(reason const& why)
+{
+    bool const is_first = this->failure_pause.count() == 0;
+    this->failure_pause =
+        is_first ? pause_after_failure_first
+                 : std::min(this->failure_pause * 2, pause_after_failure_limit);
+    if (is_first)
+        this->events.on_unreachable(why);
+    this->next.start(this->failure_pause);
+}
+
+follower::follower(event_base* base, platform::store& from, reading how,
+                   follower_events events)
+    : self(std::make_unique<state>(base, from, std::move(how),
+                                   std::move(events)))
+{
+}
+
+follower::~follower() = default;
+
+void follower::start()
+{
+    this->self->step();
+}
+
+void follower::refresh()
+{
+    state& mine = *this->self;
+    auto const now = mono_now();
+    if (now - mine.refreshed_at < refresh_interval)
+        return;
+    mine.refreshed_at = now;
+    mine.from.cancel(mine.call);
+    mine.next.stop();
+    mine.asked_at = now;
+    if (mine.known.is_listed)
+        mine.read(std::chrono::milliseconds{0});
+    else
+        mine.step();
+}
+
+void follower::set_pause(std::chrono::milliseconds pause)
+{
+    this->self->how.pause = pause;
+}
+
+topic const& follower::known() const noexcept
+{
+    return this->self->known;
+}
+
+void follower::take(listing const& from, mono_time proven_at)
+{
+    this->self->tell(on_listing(this->self->known, from, proven_at));
+}
+
+void follower::vouch(std::uint64_t end, mono_time proven_at)
+{
+    on_vouched(this->self->known, end, proven_at);
+}
+
+} // namespace jujubestand::follow
--- /dev/null
+++ b/jujubestand/follow/topic.cpp
@@ -0,0 +1,108 @@
+#include <jujubestand/follow/topic.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace jujubestand::follow
+{
+
+namespace
+{
+
+bool take(topic& state, record const& row)
+{
+    auto const known = state.newest.find(row.key);
+    if (known != state.newest.end() && known->second.offset >= row.offset)
+        return false;
+    state.newest[row.key] = row;
+    return true;
+}
+
+void prove(topic& state, mono_time at)
+{
+    state.proven_at = state.proven_at ? std::max(*state.proven_at, at) : at;
+}
+
+// Keys that the list lacks and that were not written after it was made.
+std::vector<record> remove_unlisted(topic& state, listing const& from)
+{
+    std::set<std::string> listed;
+    for (auto const& row : from.records)
+        listed.insert(row.key);
+    std::vector<record> removed;
+    for (auto& [key, known] : state.newest)
+    {
+        if (known.value.empty() || known.offset >= from.end ||
+            listed.contains(key))
+            continue;
+        known.value.clear();
+        removed.push_back(known);
+    }
+    return removed;
+}
+
+} // namespace
+
+std::vector<record> on_listing(topic& state, listing const& from,
+                               mono_time asked_at)
+{
+    if (from.end < state.next)
+        return {};
+    std::vector<record> changes;
+    for (auto const& row : from.records)
+    {
+        if (take(state, row))
+            changes.push_back(row);
+    }
+    for (auto& row : remove_unlisted(state, from))
+        changes.push_back(std::move(row));
+    state.next = from.end;
+    state.is_listed = true;
+    prove(state, asked_at);
+    return changes;
+}
+
+std::vector<record> on_page(topic& state, read_page const& page,
+                            mono_time asked_at)
+{
+    if (page.end < state.next)
+        return {};
+    std::vector<record> changes;
+    for (auto const& row : page.records)
+    {
+        if (take(state, row))
+            changes.push_back(row);
+        state.next = std::max(state.next, row.offset + 1);
+    }
+    // A page may end before the topic does; only the last one proves.
+    if (state.next >= page.end)
+        prove(state, asked_at);
+    return changes;
+}
+
+void on_vouched(topic& state, std::uint64_t end, mono_time proven_at)
+{
+    if (state.is_listed && state.next >= end)
+        prove(state, proven_at);
+}
+
+listing to_listing(topic const& state)
+{
+    listing result;
+    result.end = state.next;
+    for (auto const& [key, row] : state.newest)
+    {
+        if (!row.value.empty())
+            result.records.push_back(row);
+    }
+    return result;
+}
+
+std::optional<microseconds> age(topic const& state, mono_time now)
+{
+    if (!state.proven_at)
+        return std::nullopt;
+    return now - *state.proven_at;
+}
+
+} // namespace jujubestand::follow
--- /dev/null
+++ b/jujubestand/gateway/calls.cpp
@@ -0,0 +1,172 @@
+#include <jujubestand/gateway/calls.hpp>
+
+#include <algorithm>
+#include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/beliefs.hpp>
+#include <jujubestand/gateway/sends.hpp>
+#include <platform/calls.hpp>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds not_fresh_pause{500};
+
+/// Calls that wait are decided on anew at least this often.
+constexpr std::chrono::milliseconds review_interval{15};
+
+/// An unknown route or key may be one that we have not read yet; after this
+/// age the caller is told to come back instead.
+constexpr std::chrono::milliseconds unknown_age_limit{2'500};
+
+problem not_fresh()
+{
+    problem what;
+    what.why = reason{reason_code::tables_stale,
+                      "keys and routes are not proven current", {}};
+    what.retry_after = not_fresh_pause;
+    return what;
+}
+
+problem unknown(int status, reason_code code, char const* text)
+{
+    problem what;
+    what.status = status;
+    what.why = reason{code, text, {}};
+    return what;
+}
+
+// What a caller is told whose key or route is not known: only knowledge that
+// is recent can say so for certain.
+problem unknown_or_stale(gateway_state const& self, problem const& what,
+                         mono_time now)
+{
+    auto const age = follow::age(self.operator_topic->known(), now);
+    return age && *age <= unknown_age_limit ? what : not_fresh();
+}
+
+dispatch::call terms_of(live_call const& call, dispatch::call_key key,
+                        std::string_view pool)
+{
+    dispatch::call terms;
+    terms.key = key;
+    terms.pool = pool;
+    if (call.route.has_prompts)
+        terms.asked = call.asked.asked;
+    terms.priority = call.team.priority.value_or(call.route.priority);
+    terms.arrived_at = call.arrived_at;
+    terms.deadline = call.deadline;
+    terms.target_latency = call.route.target_latency;
+    return terms;
+}
+
+void take_in(gateway_state& self, live_call call)
+{
+    auto const key = ++self.last_call;
+    auto const pool = traffic::choose_pool(call.route, self.draw());
+    call.terms = terms_of(call, key, pool);
+    retries::retry_options options;
+    options.budget_ratio = self.settings.limits.retry_ratio / 2;
+    options.budget_limit = self.settings.limits.retry_reserve;
+    retries::take_request(self.budgets[call.terms.pool], options,
+                          call.arrived_at);
+    self.log->write(event_number::request_accepted, call.asked.request_id,
+                    {{"route", call.route.name},
+                     {"team", call.team.name},
+                     {"left_ms",
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          call.deadline - call.arrived_at)
+                          .count()}});
+    self.by_exchange[call.exchange] = key;
+    auto const terms = call.terms;
+    self.live.emplace(key, std::move(call));
+    auto const made = dispatch::submit(self.dispatch, terms, mono_now());
+    apply(self, made);
+    if (made.what == dispatch::action::hold)
+        self.review_timer->start(review_interval);
+}
+
+} // namespace
+
+void on_request(gateway_state& self, http1::exchange_id exchange,
+                http1::server_request request)
+{
+    if (platform::is_readiness_question(request.head))
+    {
+        bool const ready = is_ready(self, mono_now());
+        self.callers->respond(
+            exchange, ready ? 200 : status_unavailable, {}, {});
+        return;
+    }
+    live_call call;
+    call.exchange = exchange;
+    call.arrived_at = mono_now();
+    call.asked = platform::read_call(std::move(request));
+    auto const& id = call.asked.request_id;
+    if (!check_freshness(self, call.arrived_at))
+    {
+        refuse_request(self, exchange, id, not_fresh());
+        return;
+    }
+    auto const* const route =
+        traffic::find_route(*self.tables, call.asked.host, call.asked.path);
+    if (route == nullptr)
+    {
+        refuse_request(
+            self, exchange, id,
+            unknown_or_stale(self,
+                             unknown(status_not_found,
+                                     reason_code::unknown_route, "no route"),
+                             call.arrived_at));
+        return;
+    }
+    auto const* const team = traffic::find_team(*self.tables, call.asked.key);
+    bool const needs_key = !route->is_public && !self.tables->teams.empty();
+    if (needs_key && team == nullptr)
+    {
+        refuse_request(
+            self, exchange, id,
+            unknown_or_stale(self,
+                             unknown(status_unauthorized,
+                                     reason_code::unknown_team, "no such key"),
+                             call.arrived_at));
+        return;
+    }
+    call.route = *route;
+    if (needs_key)
+        call.team = *team;
+    call.deadline =
+        call.arrived_at +
+        std::min(call.asked.time_left.value_or(route->timeout), route->timeout);
+    take_in(self, std::move(call));
+}
+
+void on_caller_gone(gateway_state& self, http1::exchange_id exchange)
+{
+    auto const found = self.by_exchange.find(exchange);
+    if (found == self.by_exchange.end())
+        return;
+    auto const key = found->second;
+    auto const& call = self.live.at(key);
+    self.log->write(event_number::caller_closed, call.asked.request_id,
+                    {{"upstream", call.upstream}});
+    self.upstreams->cancel(call.send);
+    dispatch::on_send_end(self.dispatch, key, dispatch::send_outcome::cancelled,
+                          mono_now());
+    dispatch::forget(self.dispatch, key);
+    end_call(self, key);
+}
+
+void review_waiting(gateway_state& self)
+{
+    if (self.dispatch.waiting.empty())
+        return;
+    for (auto const& made : dispatch::review(self.dispatch, mono_now()))
+        apply(self, made);
+    if (!self.dispatch.waiting.empty())
+        self.review_timer->start(review_interval);
+}
+
+} // namespace jujubestand::gateway
--- /dev/null
+++ b/jujubestand/gateway/event_stream.cpp
@@ -0,0 +1,83 @@
+#include <jujubestand/gateway/event_stream.hpp>
+
+#include <charconv>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+/// An event that is larger has no end in sight.
+constexpr std::size_t event_limit_bytes = 1U << 20U;
+
+// Bytes up to the blank line that ends the first event; 0 if there is none.
+std::size_t first_event_bytes(std::string_view text)
+{
+    constexpr std::string_view plain_end = "\n\n";
+    constexpr std::string_view crlf_end = "\r\n\r\n";
+    auto const plain = text.find(plain_end);
+    auto const crlf = text.find(crlf_end);
+    if (plain == std::string_view::npos && crlf == std::string_view::npos)
+        return 0;
+    if (plain < crlf)
+        return plain + plain_end.size();
+    return crlf + crlf_end.size();
+}
+
+std::optional<std::uint64_t> id_of(std::string_view event)
+{
+    constexpr std::string_view key = "id:";
+    while (!event.empty())
+    {
+        auto const end = event.find('\n');
+        auto line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size()
+                                                          : end + 1);
+        if (!line.starts_with(key))
+            continue;
+        line.remove_prefix(key.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t value = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), value).ec ==
+            std::errc{})
+            return value;
+    }
+    return std::nullopt;
+}
+
+bool was_passed_on(event_stream const& state, std::optional<std::uint64_t> id)
+{
+    return id && state.last_id && *id <= *state.last_id;
+}
+
+} // namespace
+
+std::string on_bytes(event_stream& state, std::string_view bytes)
+{
+    std::string passed;
+    state.partial += bytes;
+    std::string_view left = state.partial;
+    while (std::size_t const size = first_event_bytes(left))
+    {
+        auto const event = left.substr(0, size);
+        auto const id = id_of(event);
+        left.remove_prefix(size);
+        if (was_passed_on(state, id))
+            continue;
+        passed += event;
+        if (id)
+            state.last_id = id;
+    }
+    state.partial.erase(0, state.partial.size() - left.size());
+    state.is_broken = state.partial.size() > event_limit_bytes;
+    return passed;
+}
+
+void on_continued(event_stream& state)
+{
+    state.partial.clear();
+}
+
+} // namespace jujubestand::gateway
--- /dev/null
+++ b/jujubestand/http1/head.hpp
@@ -0,0 +1,39 @@
+#ifndef JUJUBESTAND_HTTP1_HEAD_HPP
+#define JUJUBESTAND_HTTP1_HEAD_HPP
+
+#include <jujubestand/core/reason.hpp>
+#include <jujubestand/http/message.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubestand::http1
+{
+
+/// \brief Start line and fields of a request or a response.
+struct message_head
+{
+    /// Requests only.
+    std::string method;
+    /// Requests only: path and query as they were sent.
+    std::string target;
+    /// Responses only.
+    int status = 0;
+    std::vector<http::field> fields;
+    /// The connection may carry another message after this one.
+    bool is_keep_alive = false;
+};
+
+/// \brief Checks the bytes of a head up to and with its empty line, before a
+/// parser sees them, against what two parsers might read differently.
+///
+/// Refused: bare line feeds, folded lines, a field name that is not a token
+/// directly followed by a colon, control characters, more than one length,
+/// a length that is not digits, a length beside a transfer coding, and any
+/// transfer coding but `chunked`.
+/// \returns false with `why` set if the head must be refused
+[[nodiscard]] bool is_unambiguous(std::string_view head, reason& why);
+
+} // namespace jujubestand::http1
+
+#endif
--- /dev/null
+++ b/jujubestand/http1/server.hpp
@@ -0,0 +1,113 @@
+#ifndef JUJUBESTAND_HTTP1_SERVER_HPP
+#define JUJUBESTAND_HTTP1_SERVER_HPP
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <jujubestand/core/address.hpp>
+#include <jujubestand/core/reason.hpp>
+#include <jujubestand/core/slot_map.hpp>
+#include <jujubestand/http1/reader.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct event_base;
+
+namespace jujubestand::http1
+{
+
+using peer_id = slot_id<struct peer_tag>;
+
+/// \brief Address of one request on one connection.
+struct exchange_id
+{
+    peer_id peer;
+    std::uint64_t number = 0;
+
+    auto operator<=>(exchange_id const&) const = default;
+};
+
+/// \brief A whole request as it was received.
+struct server_request
+{
+    message_head head;
+    std::string body;
+};
+
+/// \brief What the server tells its owner, from the loop.
+struct server_events
+{
+    std::function<void(exchange_id, server_request)> on_request;
+    /// The caller closed before its answer was complete; no answer can be
+    /// sent any more.
+    std::function<void(exchange_id)> on_gone;
+};
+
+/// \brief What callers may send, and how slowly.
+struct server_limits
+{
+    reader_limits message;
+    std::chrono::milliseconds head_timeout{5'000};
+    std::chrono::milliseconds idle_timeout{60'000};
+};
+
+/// \brief HTTP/1.1 server on libevent's loop; one request at a time on each
+/// connection, answered whole or as a chunked stream.
+class server
+{
+public:
+    /// \param base the process's loop; must outlive the server
+    server(event_base* base, server_events events);
+    ~server();
+    server(server const&) = delete;
+    server& operator=(server const&) = delete;
+    server(server&&) = delete;
+    server& operator=(server&&) = delete;
+
+    /// \brief Listens on one more address.
+    /// \returns false with `why` set if it can't
+    [[nodiscard]] bool listen(address const& where, reason& why);
+
+    /// \brief Limits of requests that begin from now on.
+    void set_limits(server_limits limits);
+
+    /// \brief Answers a request whole.
+    void respond(exchange_id exchange, int status,
+                 std::vector<http::field> const& fields, std::string_view body);
+
+    /// \brief Begins an answer of unknown length.
+    void begin(exchange_id exchange, int status,
+               std::vector<http::field> const& fields);
+
+    /// \brief Sends the next bytes of an answer that was begun.
+    void send(exchange_id exchange, std::string_view bytes);
+
+    /// \brief Ends an answer that was begun, as complete.
+    void finish(exchange_id exchange);
+
+    /// \brief Closes the connection so that the answer can't look complete.
+    void abort(exchange_id exchange);
+
+    /// \brief From now on connections close after the answer under way, and
+    /// idle ones at once.
+    void drain();
+
+    /// \brief Requests that wait for the end of their answer, or that are
+    /// being read.
+    [[nodiscard]] std::size_t busy() const;
+
+    /// \brief Connections that are open.
+    [[nodiscard]] std::size_t connections() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> self;
+};
+
+} // namespace jujubestand::http1
+
+#endif
--- /dev/null
+++ b/jujubestand/status/messages.hpp
@@ -0,0 +1,82 @@
+#ifndef JUJUBESTAND_STATUS_MESSAGES_HPP
+#define JUJUBESTAND_STATUS_MESSAGES_HPP
+
+#include <cstdint>
+#include <map>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubestand::status
+{
+
+/// \brief Number of the messages' format; others are ignored.
+inline constexpr std::uint32_t format_number = 1;
+
+/// \brief A gateway asks an agent for its status.
+struct question
+{
+    std::uint32_t format = format_number;
+    /// The asker's own clock; comes back in the answer.
+    std::int64_t asked_at_us = 0;
+    std::string gateway;
+    /// The operator's topic up to this offset is known to the gateway.
+    std::uint64_t operator_end = 0;
+    /// Age of the gateway's proof of that; -1: never proven.
+    std::int64_t proof_age_us = -1;
+
+    MSGPACK_DEFINE_ARRAY(format, asked_at_us, gateway, operator_end,
+                         proof_age_us)
+};
+
+/// \brief What an agent knows of its engine and of the store.
+struct answer
+{
+    std::uint32_t format = format_number;
+    std::int64_t asked_at_us = 0;
+    std::string agent;
+    bool is_engine_reachable = false;
+    /// The engine is about to load weights.
+    bool is_preparing = false;
+    bool is_busy = false;
+    std::map<std::string, std::uint64_t> versions;
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint32_t reading = 0;
+    std::uint64_t memory_used = 0;
+    std::uint64_t memory_total = 0;
+    /// Age of the engine's report.
+    std::uint32_t report_age_ms = 0;
+    /// The operator's topic up to this offset is known to the agent.
+    std::uint64_t operator_end = 0;
+    /// Age of the proof of that; -1: never proven.
+    std::int64_t proof_age_us = -1;
+    /// Gateways that asked lately.
+    std::uint32_t gateways = 0;
+
+    MSGPACK_DEFINE_ARRAY(format, asked_at_us, agent, is_engine_reachable,
+                         is_preparing, is_busy, versions, queued, running,
+                         reading, memory_used, memory_total, report_age_ms,
+                         operator_end, proof_age_us, gateways)
+};
+
+/// \brief Bytes of a message.
+template <class Message>
+[[nodiscard]] std::string to_bytes(Message const& message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, message);
+    return {buffer.data(), buffer.size()};
+}
+
+/// \brief Reads a question; nothing if the bytes are none.
+[[nodiscard]] std::optional<question> read_question(std::string_view bytes);
+
+/// \brief Reads an answer; nothing if the bytes are none.
+[[nodiscard]] std::optional<answer> read_answer(std::string_view bytes);
+
+} // namespace jujubestand::status
+
+#endif
--- /dev/null
+++ b/jujubestand/traffic/call.hpp
@@ -0,0 +1,76 @@
+#ifndef JUJUBESTAND_TRAFFIC_CALL_HPP
+#define JUJUBESTAND_TRAFFIC_CALL_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <jujubestand/core/address.hpp>
+#include <jujubestand/http/message.hpp>
+#include <jujubestand/traffic/prompt.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jujubestand::traffic
+{
+
+/// \brief A caller's call, decoded.
+struct caller_call
+{
+    std::string request_id;
+    std::string method;
+    /// Path and query.
+    std::string target;
+    /// Path without query.
+    std::string path;
+    std::string host;
+    std::string key;
+    /// How long the caller waits from when the call was read.
+    std::optional<std::chrono::milliseconds> time_left;
+    std::optional<prompt> asked;
+    /// Last event that the caller has of a stream which it resumes.
+    std::string last_event;
+    /// Fields that go on to the upstream as they are.
+    std::vector<http::field> passed;
+    std::string body;
+};
+
+/// \brief What one send of a call says to its upstream.
+struct send_terms
+{
+    /// The upstream refuses the call if it is another one.
+    std::string upstream;
+    std::string team;
+    std::chrono::milliseconds time_left{0};
+    /// Engines only: weights that the call must run on.
+    std::optional<std::uint64_t> weights;
+    /// Engines only: cached parts are found only under the same text.
+    std::string cache_scope;
+    /// 0 is the most urgent.
+    std::optional<std::uint8_t> priority;
+    /// Another upstream that may hold parts of the prompt.
+    std::optional<address> fetch_from;
+    /// The stream goes on after this event.
+    std::string last_event;
+};
+
+/// \brief What the head of an upstream's answer says.
+struct answer_head
+{
+    int status = 0;
+    std::string request_id;
+    /// The upstream signed it as its own.
+    bool is_signed = false;
+    /// The upstream states that it did not run the call, and won't.
+    bool is_not_run = false;
+    /// Its bytes are not those that the upstream made.
+    bool is_encoded = false;
+    /// Version of the weights it ran on, if told.
+    std::optional<std::uint64_t> weights;
+    /// Fields that go on to the caller as they are.
+    std::vector<http::field> passed;
+};
+
+} // namespace jujubestand::traffic
+
+#endif
