Tell gateways what engines have cached; load weights in turns

Cause: prompts were placed by hashing alone, so parts were read again wherever an engine had dropped them, reading times were guessed too low, and all engines loaded weights at once since each agent listed them before they had registered. Ruled out: a broken cache scope (parts were found kept, only too rarely). Change: agents follow their engine's cache events and send gateways what they lack; the choice counts missing tokens, and names the engine to fetch from. Turns are computed from the newest list.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -28,6 +28,9 @@
 constexpr std::chrono::milliseconds report_interval{60};
 constexpr std::chrono::milliseconds report_timeout{400};
 constexpr std::chrono::milliseconds order_timeout{1'000};
+constexpr std::chrono::milliseconds cache_wait{1'000};
+constexpr std::chrono::milliseconds cache_pause{20};
+constexpr std::chrono::milliseconds cache_retry_pause{250};
 constexpr std::chrono::milliseconds fence_retry_pause{400};
 constexpr std::chrono::milliseconds gateway_memory{3'000};
 
@@ -62,11 +65,11 @@
     unsigned report_failures = 0;
     rollout weights;
     std::string upstream;
+    status::cache_view cache;
+    std::optional<loop::timer> cache_timer;
     std::map<std::string, mono_time> gateways;
 };
 
-void ask_report(agent_state& self);
-
 std::int64_t to_ms(microseconds span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -231,8 +234,9 @@
     }
 }
 
-void on_report(agent_state& self, std::string const& body, reason why)
+void on_report(agent_state& self, std::string const& body)
 {
+    reason why;
     auto const report = platform::decode_report(body, why);
     if (!report)
     {
@@ -252,15 +256,10 @@
         give_order(self, *due);
 }
 
-void ask_report(agent_state& self)
+// One call for text, whole or nothing.
+void ask(agent_state& self, http1::client_request request,
+         std::function<void(std::optional<std::string> const&)> done)
 {
-    if (self.is_reporting)
-        return;
-    self.is_reporting = true;
-    self.report_asked_at = mono_now();
-    auto request = platform::report_request(*self.settings.upstream);
-    request.timeout = report_timeout;
-    request.connect_timeout = report_timeout;
     auto const body = std::make_shared<std::string>();
     http1::call_events events;
     events.on_head = [](http1::message_head const&) {};
@@ -268,14 +267,78 @@
     {
         *body += bytes;
     };
-    events.on_end = [&self, body](http1::call_end const& end)
+    events.on_end = [body, done = std::move(done)](http1::call_end const& end)
     {
-        self.is_reporting = false;
-        on_report(self, end.is_complete ? *body : std::string{}, end.why);
+        done(end.is_complete ? std::optional(*body) : std::nullopt);
     };
     self.calls->start(std::move(request), std::move(events));
 }
 
+void ask_report(agent_state& self)
+{
+    if (self.is_reporting)
+        return;
+    self.is_reporting = true;
+    self.report_asked_at = mono_now();
+    auto request = platform::report_request(*self.settings.upstream);
+    request.timeout = report_timeout;
+    request.connect_timeout = report_timeout;
+    ask(self, std::move(request),
+        [&self](std::optional<std::string> const& body)
+        {
+            self.is_reporting = false;
+            on_report(self, body.value_or(""));
+        });
+}
+
+void ask_cache_events(agent_state& self);
+
+void list_cache(agent_state& self)
+{
+    auto request = platform::cache_list_request(*self.settings.upstream);
+    request.timeout = cache_wait;
+    ask(self, std::move(request),
+        [&self](std::optional<std::string> const& body)
+        {
+            reason why;
+            auto const list = platform::decode_cache_list(body.value_or(""), why);
+            if (list)
+                status::on_list(self.cache, *list);
+            self.cache_timer->start(cache_retry_pause);
+        });
+}
+
+void on_cache_events(agent_state& self, std::optional<std::string> const& body)
+{
+    reason why;
+    auto const events = platform::decode_cache_events(body.value_or(""), why);
+    if (!events)
+    {
+        self.cache_timer->start(cache_retry_pause);
+        return;
+    }
+    if (status::on_events(self.cache, *events))
+    {
+        self.cache_timer->start(cache_pause);
+        return;
+    }
+    self.log->write(event_number::cache_events_gap, {},
+                    {{"next", static_cast<std::int64_t>(events->next)}});
+    list_cache(self);
+}
+
+void ask_cache_events(agent_state& self)
+{
+    auto request = platform::cache_events_request(
+        *self.settings.upstream, self.cache.next, cache_wait);
+    request.timeout = 2 * cache_wait;
+    ask(self, std::move(request),
+        [&self](std::optional<std::string> const& body)
+        {
+            on_cache_events(self, body);
+        });
+}
+
 std::uint32_t count_gateways(agent_state& self, mono_time now)
 {
     std::erase_if(self.gateways,
@@ -309,6 +372,7 @@
     answer.reading = report.reading;
     answer.memory_used = report.memory_used;
     answer.memory_total = report.memory_total;
+    answer.cache = status::delta_since(self.cache, asked.cache_generation);
     answer.report_age_ms =
         static_cast<std::uint32_t>(to_ms(now - self.reported_at));
     return answer;
@@ -386,6 +450,11 @@
                               {
                                   ask_report(self);
                               });
+    self.cache_timer.emplace(self.base,
+                             [&self]
+                             {
+                                 ask_cache_events(self);
+                             });
     self.fence_timer.emplace(self.base,
                              [&self]
                              {
@@ -432,6 +501,9 @@
               {{"role", "agent"}, {"name", self.settings.name}});
     self.report_timer->start_every(report_interval);
     self.operator_topic->start();
+    self.cache.generation =
+        static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
+    ask_cache_events(self);
     take_fence(self);
     learn_engines(self);
     event_base_dispatch(base);
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -25,11 +25,13 @@
 }
 
 // Engines load in turns, so that most of them serve at any time.
-mono_time due_at(rollout const& state, mono_time since)
+bool is_due(rollout const& state, wanted_version const& want, mono_time now)
 {
+    if (!want.since)
+        return false;
     auto const turn = state.place / loads_at_once(state);
-    return since + state.limits.notice +
-           state.limits.turn * static_cast<std::int64_t>(turn);
+    return now >= *want.since + state.limits.notice +
+                      state.limits.turn * static_cast<std::int64_t>(turn);
 }
 
 bool is_outdated(rollout const& state, status::engine_report const& report)
@@ -52,8 +54,8 @@
         return false;
     known.version = version;
     // A turn that is pending serves the newer version as well.
-    auto const due = due_at(state, now);
-    known.due = known.due ? std::min(*known.due, due) : due;
+    if (!known.since)
+        known.since = now;
     return true;
 }
 
@@ -75,8 +77,8 @@
     return std::any_of(state.wanted.begin(), state.wanted.end(),
                        [&](auto const& row)
                        {
-                           return row.second.due &&
-                                  now + state.limits.notice >= *row.second.due;
+                           return is_due(state, row.second,
+                                         now + state.limits.notice);
                        });
 }
 
@@ -91,18 +93,17 @@
         auto const has = version_of(report, model);
         if (has >= want.version)
         {
-            want.due.reset();
+            want.since.reset();
             if (state.ordered_version <= has)
                 state.ordered_at.reset();
             continue;
         }
         if (has == 0)
             continue;
-        bool const is_due = want.due && now >= *want.due;
         bool const is_pending =
             state.ordered_at && now - *state.ordered_at <
                                     state.limits.order_patience;
-        if (!is_due || is_pending)
+        if (!is_due(state, want, now) || is_pending)
             continue;
         state.ordered_at = now;
         state.ordered_version = want.version;
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -33,8 +33,9 @@
 struct wanted_version
 {
     std::uint64_t version = 0;
-    /// When the order is due here.
-    std::optional<mono_time> due;
+    /// When the oldest version was named that the engine lacks; nothing once
+    /// it has the newest one.
+    std::optional<mono_time> since;
 };
 
 /// \brief An agent's part in bringing new weights to its engine.
--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -13,31 +13,58 @@
 /// A prompt's parts that others share, and those that are its own.
 struct prompt_split
 {
+    std::vector<traffic::prompt_part> shared;
     double shared_tokens = 0;
     double own_tokens = 0;
     /// Part that decides which engine is the prompt's home.
     std::uint64_t home_part = 0;
-    /// First part, the one that most prompts share.
-    std::uint64_t first_part = 0;
 };
 
 prompt_split split_of(traffic::prompt const& asked)
 {
     prompt_split result;
-    double total = 0;
-    for (auto const& part : asked.parts)
-        total += part.tokens;
-    if (!asked.parts.empty())
+    if (asked.parts.empty())
     {
-        auto const last = asked.parts.size() - 1;
-        result.own_tokens = asked.parts[last].tokens;
-        result.first_part = asked.parts.front().id;
-        result.home_part = asked.parts[last == 0 ? 0 : last - 1].id;
+        result.own_tokens = asked.input_tokens;
+        return result;
     }
-    result.shared_tokens = total - result.own_tokens;
+    result.shared.assign(asked.parts.begin(), asked.parts.end() - 1);
+    for (auto const& part : result.shared)
+        result.shared_tokens += part.tokens;
+    result.own_tokens = asked.parts.back().tokens;
+    result.home_part = result.shared.empty() ? asked.parts.back().id
+                                             : result.shared.back().id;
     return result;
 }
 
+/// Tokens of a prompt's shared parts that one engine holds, from the first
+/// part on: a part serves only if all before it are there.
+double cached_tokens(state const& all, upstream const& one, call const& asked,
+                     prompt_split const& split, std::uint64_t weights,
+                     mono_time now)
+{
+    constexpr std::uint32_t block_tokens = 16;
+    std::string const scope = cache_scope(asked.cache_owner, weights);
+    double tokens = 0;
+    for (auto const& part : split.shared)
+    {
+        auto const hash = status::hash_of(scope, part.id);
+        auto const expected = one.expected_parts.find(hash);
+        bool const is_expected =
+            expected != one.expected_parts.end() &&
+            now - expected->second < all.limits.expected_parts_limit;
+        auto const held = one.cache.parts.find(hash);
+        std::uint32_t has =
+            held == one.cache.parts.end() ? 0 : held->second;
+        if (is_expected)
+            has = part.tokens;
+        tokens += std::min(has, part.tokens);
+        if (has + block_tokens <= part.tokens)
+            break;
+    }
+    return tokens;
+}
+
 bool is_fresh(state const& all, upstream const& one, mono_time now)
 {
     return one.load && now - one.load->at <= all.limits.report_age_limit;
@@ -137,10 +164,58 @@
     return running * all.limits.running_cost_ms;
 }
 
+/// The engine that holds most of a prompt's shared parts.
+struct source
+{
+    upstream const* engine = nullptr;
+    std::uint64_t weights = 0;
+    double tokens = 0;
+};
+
+// For each version of the weights, since parts of one serve no other.
+std::vector<source> find_sources(state const& all, call const& asked,
+                                 prompt_split const& split, mono_time now)
+{
+    std::vector<source> result;
+    for (auto const& [key, one] : all.upstreams)
+    {
+        if (one.record.pool != asked.pool || !is_in_use(all, one, now))
+            continue;
+        auto const weights = weights_of(all, one, asked.asked->model, now);
+        double const tokens =
+            cached_tokens(all, one, asked, split, weights.version, now);
+        if (tokens <= 0)
+            continue;
+        auto const found = std::find_if(result.begin(), result.end(),
+                                        [&](source const& row)
+                                        {
+                                            return row.weights ==
+                                                   weights.version;
+                                        });
+        if (found == result.end())
+            result.push_back({&one, weights.version, tokens});
+        else if (tokens > found->tokens)
+            *found = {&one, weights.version, tokens};
+    }
+    return result;
+}
+
+source source_for(std::vector<source> const& all, std::uint64_t weights)
+{
+    for (auto const& row : all)
+    {
+        if (row.weights == weights)
+            return row;
+    }
+    return {};
+}
+
 std::optional<choice> weigh_engine(state const& all, upstream const& one,
                                    call const& asked, prompt_split const& split,
+                                   std::vector<source> const& sources,
                                    upstream const* home, mono_time now)
 {
+    constexpr double fetch_worth_tokens = 64;
     auto const weights = weights_of(all, one, asked.asked->model, now);
     if (!weights.is_allowed)
         return std::nullopt;
@@ -153,10 +228,16 @@
     choice result;
     result.upstream = one.key;
     result.weights = weights.version;
-    result.reading_tokens = split.own_tokens;
-    result.memory_tokens = split.own_tokens + asked.asked->output_tokens_limit;
-    if (&one != home)
-        result.memory_tokens += split.shared_tokens;
+    double const held =
+        cached_tokens(all, one, asked, split, weights.version, now);
+    auto const best = source_for(sources, weights.version);
+    double const fetched = std::max(0.0, best.tokens - held);
+    result.cached_tokens = held;
+    result.reading_tokens =
+        split.own_tokens + split.shared_tokens - held - fetched;
+    result.memory_tokens = split.own_tokens +
+                           asked.asked->output_tokens_limit +
+                           split.shared_tokens - held;
     if (!has_memory(all, one, result.memory_tokens))
         return std::nullopt;
     double const backlog_ms =
@@ -164,11 +245,15 @@
     if (backlog_ms > all.limits.reading_backlog_limit_ms)
         return std::nullopt;
     result.expected_ms =
-        backlog_ms + split.own_tokens / all.limits.reading_tokens_per_ms +
-        running_cost(all, one, now) + weights.cost_ms +
-        failure_cost(all, one, now);
-    if (&one != home)
-        result.expected_ms += all.limits.away_cost_ms;
+        backlog_ms + result.reading_tokens / all.limits.reading_tokens_per_ms +
+        fetched * all.limits.fetch_ms_per_token + running_cost(all, one, now) +
+        weights.cost_ms + failure_cost(all, one, now);
+    if (fetched > fetch_worth_tokens)
+        result.fetch_from = best.engine->record.where;
+    bool const is_copy = best.engine != nullptr ? fetched > fetch_worth_tokens
+                                                : &one != home;
+    if (is_copy)
+        result.expected_ms += all.limits.copy_cost_ms;
     return result;
 }
 
@@ -199,25 +284,13 @@
            asked.tried.end();
 }
 
-// At the home of the prompt its first part may come from where that part is
-// at home; elsewhere all shared parts may come from the prompt's home.
-std::optional<address> source_of(state const& all, call const& asked,
-                                 prompt_split const& split,
-                                 upstream const* home, choice const& chosen,
-                                 mono_time now)
+} // namespace
+
+std::string cache_scope(std::string const& owner, std::uint64_t weights)
 {
-    if (split.shared_tokens <= 0 || home == nullptr)
-        return std::nullopt;
-    upstream const* source = home;
-    if (home->key == chosen.upstream)
-        source = home_of(all, asked.pool, split.first_part, now);
-    if (source == nullptr || source->key == chosen.upstream)
-        return std::nullopt;
-    return source->record.where;
+    return owner + "." + std::to_string(weights);
 }
 
-} // namespace
-
 double reading_backlog(state const& all, upstream const& one)
 {
     double tokens = one.open_reading_tokens;
@@ -253,9 +326,11 @@
 {
     prompt_split split;
     upstream const* home = nullptr;
+    std::vector<source> sources;
     if (asked.asked)
     {
         split = split_of(*asked.asked);
+        sources = find_sources(all, asked, split, now);
         home = home_of(all, asked.pool, split.home_part, now);
     }
     std::optional<choice> best;
@@ -265,13 +340,12 @@
             !is_in_use(all, one, now))
             continue;
         auto const candidate =
-            asked.asked ? weigh_engine(all, one, asked, split, home, now)
+            asked.asked ? weigh_engine(all, one, asked, split, sources, home,
+                                       now)
                         : weigh_plain(all, one, now);
         if (candidate && (!best || candidate->expected_ms < best->expected_ms))
             best = candidate;
     }
-    if (best && asked.asked)
-        best->fetch_from = source_of(all, asked, split, home, *best, now);
     return best;
 }
 
--- a/jujubestand/dispatch/choice.hpp
+++ b/jujubestand/dispatch/choice.hpp
@@ -14,6 +14,7 @@
     std::optional<std::uint64_t> weights;
     std::optional<address> fetch_from;
     double expected_ms = 0;
+    double cached_tokens = 0;
     double reading_tokens = 0;
     double memory_tokens = 0;
 };
@@ -23,6 +24,11 @@
 [[nodiscard]] std::optional<choice> choose(state const& all, call const& asked,
                                            mono_time now);
 
+/// \brief Text that a call's parts are cached under: other weights, or an
+/// isolated team, never meet.
+[[nodiscard]] std::string cache_scope(std::string const& owner,
+                                      std::uint64_t weights);
+
 /// \brief Upstreams of a pool that take calls, whether they have room or not.
 [[nodiscard]] std::size_t usable(state const& all, std::string const& pool,
                                  mono_time now);
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -30,6 +30,22 @@
     return result;
 }
 
+// The agent tells what is cached only after the engine has read it.
+void expect_parts(upstream& one, call const& asked, choice const& chosen,
+                  mono_time now)
+{
+    constexpr std::size_t expected_limit = 512;
+    if (!asked.asked || asked.asked->parts.size() < 2)
+        return;
+    if (one.expected_parts.size() > expected_limit)
+        one.expected_parts.clear();
+    std::string const scope =
+        cache_scope(asked.cache_owner, chosen.weights.value_or(0));
+    for (std::size_t at = 0; at + 1 < asked.asked->parts.size(); ++at)
+        one.expected_parts[status::hash_of(scope, asked.asked->parts[at].id)] =
+            now;
+}
+
 decision send(state& all, call const& asked, choice const& chosen,
               mono_time now)
 {
@@ -48,9 +64,11 @@
         all.mean_reading_tokens +=
             weight * (chosen.reading_tokens - all.mean_reading_tokens);
     }
+    expect_parts(one, asked, chosen, now);
     decision result;
     result.call = asked.key;
     result.what = action::send;
+    result.cached_tokens = chosen.cached_tokens;
     result.upstream = chosen.upstream;
     result.weights = chosen.weights;
     result.fetch_from = chosen.fetch_from;
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -7,6 +7,7 @@
 #include <jujubestand/core/enum_table.hpp>
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
+#include <jujubestand/status/cache_view.hpp>
 #include <jujubestand/status/engine_report.hpp>
 #include <jujubestand/traffic/prompt.hpp>
 #include <jujubestand/traffic/upstream.hpp>
@@ -35,9 +36,13 @@
     double reading_backlog_limit_ms = 350;
     /// Cost of another running call, which slows all of an engine's steps.
     double running_cost_ms = 0.7;
-    /// Cost of reading at another engine what the home holds: the transfer,
-    /// and the copy that it takes up there.
-    double away_cost_ms = 35;
+    /// Time to fetch a cached token from another engine.
+    double fetch_ms_per_token = 0.002;
+    /// Cost of one more copy of cached parts, for the memory that it takes.
+    double copy_cost_ms = 30;
+    /// Parts of our own sends count as cached for this long without word of
+    /// the agent.
+    std::chrono::milliseconds expected_parts_limit{1'200};
     /// Cost of an upstream that failed lately, per failure.
     double failure_cost_ms = 250;
     /// Share of an engine's memory that calls may fill.
@@ -77,8 +82,8 @@
     std::string pool;
     /// Empty where the pool's upstreams are no engines.
     std::optional<traffic::prompt> asked;
-    /// Keeps the cached parts of an isolated team apart; empty: shared.
-    std::string cache_scope;
+    /// Whom the cached parts are for: an isolated team, or all others.
+    std::string cache_owner;
     /// 0 is the most urgent.
     std::uint8_t priority = 5;
     mono_time arrived_at{};
@@ -114,6 +119,8 @@
     std::optional<std::uint64_t> weights;
     /// For `send` to an engine: may hold parts of the prompt.
     std::optional<address> fetch_from;
+    /// Tokens of the prompt that are believed cached there, for the log.
+    double cached_tokens = 0;
     /// Expected time to the first output, for the log.
     double expected_ms = 0;
     /// For `refuse`.
@@ -161,6 +168,10 @@
     traffic::upstream_record record;
     std::uint64_t name_hash = 0;
     std::optional<engine_load> load;
+    /// Parts of prompts that it has cached, by its agent.
+    status::cache_copy cache;
+    /// Parts that our own sends bring there, until the agent tells.
+    std::unordered_map<status::part_hash, mono_time> expected_parts;
     /// Newest known weights of each model.
     std::map<std::string, std::uint64_t> versions;
     /// Sends of this process that have not ended.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -94,6 +94,8 @@
     {
         one.versions.clear();
         one.load.reset();
+        one.cache = {};
+        one.expected_parts.clear();
         one.failures = 0;
         one.avoid_until = mono_time{};
     }
@@ -125,6 +127,13 @@
         raise(one->versions, model, version);
 }
 
+void on_cache(state& all, upstream_key of, status::cache_delta const& delta)
+{
+    upstream* const one = find(all, of);
+    if (one != nullptr)
+        status::on_delta(one->cache, delta);
+}
+
 void on_weights_seen(state& all, upstream_key of, std::string const& model,
                      std::uint64_t version)
 {
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -17,6 +17,9 @@
 /// \brief Takes in an engine's report.
 void on_load(state& all, upstream_key of, engine_load const& load);
 
+/// \brief Takes in what changed in an engine's cache.
+void on_cache(state& all, upstream_key of, status::cache_delta const& delta);
+
 /// \brief An answer told the weights that a model runs on.
 void on_weights_seen(state& all, upstream_key of, std::string const& model,
                      std::uint64_t version);
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -6,7 +6,7 @@
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <memory>
-#include <set>
+#include <map>
 
 namespace jujubestand::gateway
 {
@@ -106,15 +106,18 @@
     if (auto const age = follow::age(known, now))
         question.proof_age_us = age->count();
     question.gateway = self.settings.name;
-    std::string const bytes = status::to_bytes(question);
-    std::set<std::string> hosts;
+    std::map<std::string, std::uint64_t> hosts;
     for (auto const& [key, one] : self.dispatch.upstreams)
     {
         if (!one.versions.empty())
-            hosts.insert(one.record.where.host);
+            hosts[one.record.where.host] = one.cache.generation;
+    }
+    for (auto const& [host, generation] : hosts)
+    {
+        question.cache_generation = generation;
+        self.agents->send(address{host, self.settings.internal_port},
+                          status::to_bytes(question));
     }
-    for (auto const& host : hosts)
-        self.agents->send(address{host, self.settings.internal_port}, bytes);
 }
 
 void on_agent_answer(gateway_state& self, address const& from,
@@ -126,7 +129,10 @@
     auto const now = mono_now();
     auto const* const one = dispatch::find_by_host(self.dispatch, from.host);
     if (one != nullptr)
+    {
         dispatch::on_load(self.dispatch, one->key, to_load(*answer, now));
+        dispatch::on_cache(self.dispatch, one->key, answer->cache);
+    }
     self.dispatch.gateways = std::max(1U, answer->gateways);
     take_proof(self, from.host, *answer);
     review_waiting(self);
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -55,6 +55,7 @@
     terms.pool = pool;
     if (call.route.has_prompts)
         terms.asked = call.asked.asked;
+    terms.cache_owner = call.team.is_isolated ? "team " + call.team.name : "all";
     terms.priority = call.team.priority.value_or(call.route.priority);
     terms.arrived_at = call.arrived_at;
     terms.deadline = call.deadline;
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/gateway/sends.hpp>
 
 #include <algorithm>
+#include <jujubestand/dispatch/choice.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <platform/calls.hpp>
 
@@ -58,13 +59,6 @@
                                                                  now);
 }
 
-std::string cache_scope_of(live_call const& call,
-                           dispatch::decision const& made)
-{
-    std::string scope = call.team.is_isolated ? call.team.name : "shared";
-    return scope + "." + std::to_string(made.weights.value_or(0));
-}
-
 std::string last_event_of(live_call const& call)
 {
     if (call.events.last_id)
@@ -84,7 +78,8 @@
         return terms;
     constexpr std::uint8_t urgency_limit = 9;
     terms.weights = made.weights;
-    terms.cache_scope = cache_scope_of(call, made);
+    terms.cache_scope =
+        dispatch::cache_scope(call.terms.cache_owner, *made.weights);
     terms.priority = std::min(call.terms.priority, urgency_limit);
     terms.fetch_from = made.fetch_from;
     return terms;
@@ -346,6 +341,7 @@
         {{"upstream", call->upstream},
          {"expected_ms", static_cast<std::int64_t>(made.expected_ms)},
          {"weights", static_cast<std::int64_t>(made.weights.value_or(0))},
+         {"cached", static_cast<std::int64_t>(made.cached_tokens)},
          {"fetch", made.fetch_from ? to_text(*made.fetch_from) : "none"}});
     call->send = self.upstreams->start(
         std::move(request), events_of(self, made.call, call->asked.request_id));
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_STATUS_MESSAGES_HPP
 
 #include <cstdint>
+#include <jujubestand/status/cache_view.hpp>
 #include <map>
 #include <msgpack.hpp>
 #include <optional>
@@ -26,9 +27,11 @@
     std::uint64_t operator_end = 0;
     /// Age of the gateway's proof of that; -1: never proven.
     std::int64_t proof_age_us = -1;
+    /// Generation of the engine's cache that the gateway knows.
+    std::uint64_t cache_generation = 0;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, gateway, operator_end,
-                         proof_age_us)
+                         proof_age_us, cache_generation)
 };
 
 /// \brief What an agent knows of its engine and of the store.
@@ -55,11 +58,13 @@
     std::int64_t proof_age_us = -1;
     /// Gateways that asked lately.
     std::uint32_t gateways = 0;
+    /// What changed in the engine's cache since the asked generation.
+    cache_delta cache;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, agent, is_engine_reachable,
                          is_preparing, is_busy, versions, queued, running,
                          reading, memory_used, memory_total, report_age_ms,
-                         operator_end, proof_age_us, gateways)
+                         operator_end, proof_age_us, gateways, cache)
 };
 
 /// \brief Bytes of a message.
