Move resumable streams off engines that are about to load weights

Cause: an order waits for running calls, and long replies run for seconds, so an engine was out for up to three seconds for a load of a third of one. Ruled out: slow loads (0.37 s once nothing ran). Change: when an agent tells that a load is near, gateways continue resumable streams elsewhere after their last event; turns are 0.5 s apart.

--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -22,7 +22,7 @@
     std::size_t engines_per_load = 5;
     std::size_t loads_at_once_min = 2;
     /// Time after which the next engines begin to load.
-    std::chrono::milliseconds turn{330};
+    std::chrono::milliseconds turn{500};
     /// Gateways stop sending this long before the order is given.
     std::chrono::milliseconds notice{120};
     /// An order without an effect is given again after this.
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -4,6 +4,7 @@
 #include <jujubestand/core/bounded_unpack.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <memory>
 #include <map>
@@ -130,7 +131,10 @@
     auto const* const one = dispatch::find_by_host(self.dispatch, from.host);
     if (one != nullptr)
     {
+        bool const was_preparing = one->load && one->load->is_preparing;
         dispatch::on_load(self.dispatch, one->key, to_load(*answer, now));
+        if (answer->is_preparing && !was_preparing)
+            move_streams(self, one->key);
         dispatch::on_cache(self.dispatch, one->key, answer->cache);
     }
     self.dispatch.gateways = std::max(1U, answer->gateways);
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -68,11 +68,8 @@
     auto const key = ++self.last_call;
     auto const pool = traffic::choose_pool(call.route, self.draw());
     call.terms = terms_of(call, key, pool);
-    retries::retry_options options;
-    options.budget_ratio = self.settings.limits.retry_ratio / 2;
-    options.budget_limit = self.settings.limits.retry_reserve;
-    retries::take_request(self.budgets[call.terms.pool], options,
-                          call.arrived_at);
+    retries::take_request(self.budgets[call.terms.pool],
+                          retry_options_of(self), call.arrived_at);
     self.log->write(event_number::request_accepted, call.asked.request_id,
                     {{"route", call.route.name},
                      {"team", call.team.name},
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds idle_limit{4'000};
 constexpr std::chrono::milliseconds connect_timeout{600};
 
+/// Sends of one call, those included that did not run.
+constexpr std::uint32_t sends_limit = 4;
+
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
@@ -85,22 +88,29 @@
     return terms;
 }
 
+} // namespace
+
 retries::retry_options retry_options_of(gateway_state const& self)
 {
     auto const& limits = self.settings.limits;
-    // Other gateways spend from the same reserve; half of it stays unused
-    // for those that are not known yet.
-    constexpr double used_share = 0.5;
+    // Other gateways spend from the same reserve; a part stays unused for
+    // those that are not known yet.
+    constexpr double ratio_share = 0.9;
+    constexpr double reserve_share = 0.75;
     retries::retry_options options;
-    options.budget_ratio = limits.retry_ratio * used_share;
+    options.attempts_limit = sends_limit;
+    options.budget_ratio = limits.retry_ratio * ratio_share;
     options.budget_limit =
-        std::max(2.0, limits.retry_reserve * used_share /
+        std::max(2.0, limits.retry_reserve * reserve_share /
                           static_cast<double>(self.dispatch.gateways));
     options.budget_per_second = 0;
     options.backoff_base = std::chrono::milliseconds{0};
     return options;
 }
 
+namespace
+{
+
 void answer_whole(gateway_state& self, dispatch::call_key key)
 {
     live_call* const call = find(self, key);
@@ -219,8 +229,8 @@
     // Sends that did not run do not count against the route's limit twice
     // over: one more upstream may be asked.
     std::uint32_t const limit =
-        std::max<std::uint32_t>(call.route.attempts_limit,
-                                call.outcome == verdict::not_run ? 3 : 1);
+        call.outcome == verdict::not_run ? sends_limit
+                                         : call.route.attempts_limit;
     if (!is_repeatable || call.sends >= limit)
         return false;
     retries::request_progress progress;
@@ -261,6 +271,8 @@
     call->send = http1::call_id{};
     call->outcome = worst(call->outcome, verdict_of(outcome));
     dispatch::on_send_end(self.dispatch, key, outcome, now);
+    if (verdict_of(outcome) != verdict::not_run)
+        call->terms.tried.push_back(call->upstream_key);
     if (is_final(*call, outcome))
     {
         answer_whole(self, key);
@@ -293,6 +305,25 @@
     fail_call(self, key, what);
 }
 
+void move_stream(gateway_state& self, dispatch::call_key key)
+{
+    live_call* const call = find(self, key);
+    auto const now = mono_now();
+    bool const is_movable = call != nullptr &&
+                            call->route.kind == traffic::call_kind::stream &&
+                            may_repeat(*call);
+    if (!is_movable ||
+        !can_send_again(self, *call, dispatch::send_outcome::cancelled, now))
+        return;
+    self.upstreams->cancel(call->send);
+    call->send = http1::call_id{};
+    call->outcome = worst(call->outcome, verdict::may_have_run);
+    call->terms.tried.push_back(call->upstream_key);
+    dispatch::on_send_end(self.dispatch, key, dispatch::send_outcome::cancelled,
+                          now);
+    send_again(self, key);
+}
+
 http1::call_events events_of(gateway_state& self, dispatch::call_key key,
                              std::string const& request_id)
 {
@@ -323,7 +354,7 @@
     auto const& one = self.dispatch.upstreams.at(made.upstream);
     auto const now = mono_now();
     call->upstream = one.record.id;
-    call->terms.tried.push_back(made.upstream);
+    call->upstream_key = made.upstream;
     ++call->sends;
     http1::client_request request;
     request.server = one.record.where;
@@ -377,6 +408,18 @@
     fail_call(self, made.call, what);
 }
 
+void move_streams(gateway_state& self, dispatch::upstream_key from)
+{
+    std::vector<dispatch::call_key> moved;
+    for (auto const& [key, sent] : self.dispatch.sends)
+    {
+        if (sent.upstream == from)
+            moved.push_back(key);
+    }
+    for (auto const key : moved)
+        move_stream(self, key);
+}
+
 void fail_call(gateway_state& self, dispatch::call_key key, problem const& what)
 {
     live_call* const call = find(self, key);
--- a/jujubestand/gateway/sends.hpp
+++ b/jujubestand/gateway/sends.hpp
@@ -8,9 +8,17 @@
 namespace jujubestand::gateway
 {
 
+/// \brief This gateway's share of the repeated sends that all may make.
+[[nodiscard]] retries::retry_options
+retry_options_of(gateway_state const& self);
+
 /// \brief Carries out a decision on a call.
 void apply(gateway_state& self, dispatch::decision const& made);
 
+/// \brief An engine is about to load weights: streams that may go on
+/// elsewhere do so, since the load waits for every call that runs there.
+void move_streams(gateway_state& self, dispatch::upstream_key from);
+
 /// \brief Ends a call with a failure of our own.
 void fail_call(gateway_state& self, dispatch::call_key key,
                problem const& what);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -43,6 +43,7 @@
     /// The send under way; default if there is none.
     http1::call_id send;
     std::string upstream;
+    dispatch::upstream_key upstream_key = 0;
     std::uint32_t sends = 0;
     /// Worst over the sends that ended.
     verdict outcome = verdict::not_run;
