--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -365,6 +365,8 @@
         return answer;
     auto const& report = *self.report;
     answer.is_preparing = is_preparing(self.weights, report, now);
+    if (auto const due = load_due(self.weights, report, now))
+        answer.load_due_us = due->count();
     answer.is_busy = report.is_busy;
     answer.versions = report.versions;
     answer.queued = report.queued;
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -25,23 +25,12 @@
 }
 
 // Engines load in turns, so that most of them serve at any time.
-bool is_due(rollout const& state, wanted_version const& want, mono_time now)
+mono_time due_at(rollout const& state, wanted_version const& want)
 {
-    if (!want.since)
-        return false;
-    auto const turn = state.place / loads_at_once(state);
-    return now >= *want.since + state.limits.notice +
-                      state.limits.turn * static_cast<std::int64_t>(turn);
-}
-
-bool is_outdated(rollout const& state, status::engine_report const& report)
-{
-    return std::any_of(state.wanted.begin(), state.wanted.end(),
-                       [&](auto const& row)
-                       {
-                           auto const has = version_of(report, row.first);
-                           return has > 0 && has < row.second.version;
-                       });
+    auto const turn =
+        static_cast<std::int64_t>(state.place / loads_at_once(state));
+    return want.since.value_or(mono_time{}) + state.limits.notice +
+           state.limits.turn * turn;
 }
 
 } // namespace
@@ -69,17 +58,30 @@
         state.place = static_cast<std::size_t>(found - engines.begin());
 }
 
+std::optional<microseconds> load_due(rollout const& state,
+                                     status::engine_report const& report,
+                                     mono_time now)
+{
+    if (!state.fence)
+        return std::nullopt;
+    std::optional<microseconds> soonest;
+    for (auto const& [model, want] : state.wanted)
+    {
+        auto const has = version_of(report, model);
+        if (has == 0 || has >= want.version || !want.since)
+            continue;
+        microseconds const due =
+            std::max(due_at(state, want) - now, microseconds{0});
+        soonest = soonest ? std::min(*soonest, due) : due;
+    }
+    return soonest;
+}
+
 bool is_preparing(rollout const& state, status::engine_report const& report,
                   mono_time now)
 {
-    if (!state.fence || !is_outdated(state, report))
-        return false;
-    return std::any_of(state.wanted.begin(), state.wanted.end(),
-                       [&](auto const& row)
-                       {
-                           return is_due(state, row.second,
-                                         now + state.limits.notice);
-                       });
+    auto const due = load_due(state, report, now);
+    return due && *due <= state.limits.notice;
 }
 
 std::optional<order> next_order(rollout& state,
@@ -103,7 +105,7 @@
         bool const is_pending =
             state.ordered_at && now - *state.ordered_at <
                                     state.limits.order_patience;
-        if (!is_due(state, want, now) || is_pending)
+        if (!want.since || now < due_at(state, want) || is_pending)
             continue;
         state.ordered_at = now;
         state.ordered_version = want.version;
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -22,7 +22,7 @@
     std::size_t engines_per_load = 5;
     std::size_t loads_at_once_min = 2;
     /// Time after which the next engines begin to load.
-    std::chrono::milliseconds turn{500};
+    std::chrono::milliseconds turn{420};
     /// Gateways stop sending this long before the order is given.
     std::chrono::milliseconds notice{120};
     /// An order without an effect is given again after this.
@@ -93,8 +93,14 @@
 void on_engines(rollout& state, std::vector<std::string> engines,
                 std::string const& own);
 
-/// \brief Whether gateways should send nothing new: an order is due soon, or
-/// is being carried out.
+/// \brief Time until the engine is to load weights, 0 if that is due or
+/// going on; nothing if no load is known to come.
+[[nodiscard]] std::optional<microseconds>
+load_due(rollout const& state, status::engine_report const& report,
+         mono_time now);
+
+/// \brief Whether gateways should send nothing new: a load is due soon, or
+/// is going on.
 [[nodiscard]] bool is_preparing(rollout const& state,
                                 status::engine_report const& report,
                                 mono_time now);
--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -164,6 +164,20 @@
     return running * all.limits.running_cost_ms;
 }
 
+// A call that would not end before its engine loads weights.
+double interruption_cost(state const& all, upstream const& one,
+                         call const& asked, double expected_ms, mono_time now)
+{
+    if (!one.load || !one.load->load_due_at)
+        return 0;
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    double const left_ms = milliseconds(*one.load->load_due_at - now).count();
+    double const output_ms = asked.asked->output_tokens_expected *
+                             all.limits.output_ms_per_token;
+    return expected_ms + output_ms > left_ms ? all.limits.interruption_cost_ms
+                                             : 0;
+}
+
 /// The engine that holds most of a prompt's shared parts.
 struct source
 {
@@ -254,6 +268,8 @@
                                                 : &one != home;
     if (is_copy)
         result.expected_ms += all.limits.copy_cost_ms;
+    result.expected_ms +=
+        interruption_cost(all, one, asked, result.expected_ms, now);
     return result;
 }
 
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -47,7 +47,13 @@
     double failure_cost_ms = 250;
     /// Share of an engine's memory that calls may fill.
     double memory_share = 0.96;
-    /// Weights that are older than wanted for this long are worth less.
+    /// Time in which engines make a token.
+    double output_ms_per_token = 4.5;
+    /// Cost of a call that would still run when its engine is to load
+    /// weights: it holds the load up, or has to move.
+    double interruption_cost_ms = 250;
+    /// Calls that begin on older weights than wanted are worth less after
+    /// this.
     std::chrono::milliseconds weights_grace{900};
     double old_weights_cost_ms = 400;
     /// Calls do not begin on older weights after this.
@@ -73,6 +79,8 @@
     bool is_down = false;
     /// It is about to load weights: new calls would only be refused.
     bool is_preparing = false;
+    /// When it is to load weights, if that is known.
+    std::optional<mono_time> load_due_at;
 };
 
 /// \brief One call that is to be served.
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -28,6 +28,8 @@
     load.at = now - std::chrono::milliseconds{from.report_age_ms};
     load.is_down = !from.is_engine_reachable;
     load.is_preparing = from.is_preparing;
+    if (from.load_due_us >= 0)
+        load.load_due_at = now + microseconds{from.load_due_us};
     load.report.is_busy = from.is_busy;
     load.report.versions = from.versions;
     load.report.queued = from.queued;
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds connect_timeout{600};
 
 /// Sends of one call, those included that did not run.
-constexpr std::uint32_t sends_limit = 4;
+constexpr std::uint32_t sends_limit = 6;
 
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
@@ -56,6 +56,13 @@
             call.route.is_resumable);
 }
 
+// The route's limit counts upstreams that may have run the call.
+void count_run(live_call& call)
+{
+    ++call.runs;
+    call.terms.tried.push_back(call.upstream_key);
+}
+
 std::chrono::milliseconds time_left(live_call const& call, mono_time now)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline -
@@ -226,12 +233,7 @@
 {
     bool const is_repeatable =
         verdict_of(outcome) == verdict::not_run || may_repeat(call);
-    // Sends that did not run do not count against the route's limit twice
-    // over: one more upstream may be asked.
-    std::uint32_t const limit =
-        call.outcome == verdict::not_run ? sends_limit
-                                         : call.route.attempts_limit;
-    if (!is_repeatable || call.sends >= limit)
+    if (!is_repeatable || call.runs >= call.route.attempts_limit)
         return false;
     retries::request_progress progress;
     progress.attempts = call.sends;
@@ -272,7 +274,7 @@
     call->outcome = worst(call->outcome, verdict_of(outcome));
     dispatch::on_send_end(self.dispatch, key, outcome, now);
     if (verdict_of(outcome) != verdict::not_run)
-        call->terms.tried.push_back(call->upstream_key);
+        count_run(*call);
     if (is_final(*call, outcome))
     {
         answer_whole(self, key);
@@ -305,6 +307,13 @@
     fail_call(self, key, what);
 }
 
+// Moves leave half of the budget to sends that failed.
+bool can_afford_move(gateway_state& self, live_call const& call)
+{
+    return self.budgets[call.terms.pool].saved >=
+           retry_options_of(self).budget_limit / 2;
+}
+
 void move_stream(gateway_state& self, dispatch::call_key key)
 {
     live_call* const call = find(self, key);
@@ -313,12 +322,14 @@
                             call->route.kind == traffic::call_kind::stream &&
                             may_repeat(*call);
     if (!is_movable ||
+        call->runs + 1 >= call->route.attempts_limit ||
+        !can_afford_move(self, *call) ||
         !can_send_again(self, *call, dispatch::send_outcome::cancelled, now))
         return;
     self.upstreams->cancel(call->send);
     call->send = http1::call_id{};
     call->outcome = worst(call->outcome, verdict::may_have_run);
-    call->terms.tried.push_back(call->upstream_key);
+    count_run(*call);
     dispatch::on_send_end(self.dispatch, key, dispatch::send_outcome::cancelled,
                           now);
     send_again(self, key);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -45,6 +45,8 @@
     std::string upstream;
     dispatch::upstream_key upstream_key = 0;
     std::uint32_t sends = 0;
+    /// Sends after which the call may have run.
+    std::uint32_t runs = 0;
     /// Worst over the sends that ended.
     verdict outcome = verdict::not_run;
     traffic::answer_head answer;
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -41,8 +41,10 @@
     std::int64_t asked_at_us = 0;
     std::string agent;
     bool is_engine_reachable = false;
-    /// The engine is about to load weights.
+    /// The engine is about to load weights, or does so.
     bool is_preparing = false;
+    /// Time until it is to load weights; -1: no load is known to come.
+    std::int64_t load_due_us = -1;
     bool is_busy = false;
     std::map<std::string, std::uint64_t> versions;
     std::uint32_t queued = 0;
@@ -62,7 +64,7 @@
     cache_delta cache;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, agent, is_engine_reachable,
-                         is_preparing, is_busy, versions, queued, running,
+                         is_preparing, load_due_us, is_busy, versions, queued, running,
                          reading, memory_used, memory_total, report_age_ms,
                          operator_end, proof_age_us, gateways, cache)
 };
--- a/jujubestand/traffic/prompt.hpp
+++ b/jujubestand/traffic/prompt.hpp
@@ -23,6 +23,8 @@
     std::vector<prompt_part> parts;
     std::uint32_t input_tokens = 0;
     std::uint32_t output_tokens_limit = 0;
+    /// The caller's own estimate, or half of the limit.
+    std::uint32_t output_tokens_expected = 0;
 };
 
 } // namespace jujubestand::traffic
