Push an agent's news; hold an order until nothing is being read

Cause: calls that an engine reads when an order comes are refused, and a gateway learned of a load up to 100 ms late. Change: agents push a change of usability; an order waits up to 0.45 s for reading calls; a log line says why a call is not sent again.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -45,6 +45,13 @@
 
 constexpr int ok = 200;
 
+/// \brief A gateway that asks for our status.
+struct known_gateway
+{
+    address where;
+    mono_time asked_at{};
+};
+
 struct agent_state
 {
     event_base* base = nullptr;
@@ -67,7 +74,9 @@
     std::string upstream;
     status::cache_view cache;
     std::optional<loop::timer> cache_timer;
-    std::map<std::string, mono_time> gateways;
+    std::map<std::string, known_gateway> gateways;
+    /// What gateways were told last of whether to send.
+    bool was_usable = false;
 };
 
 std::int64_t to_ms(microseconds span)
@@ -274,6 +283,8 @@
     self.calls->start(std::move(request), std::move(events));
 }
 
+void tell_gateways(agent_state& self);
+
 void ask_report(agent_state& self)
 {
     if (self.is_reporting)
@@ -288,6 +299,7 @@
         {
             self.is_reporting = false;
             on_report(self, body.value_or(""));
+            tell_gateways(self);
         });
 }
 
@@ -344,7 +356,7 @@
     std::erase_if(self.gateways,
                   [now](auto const& row)
                   {
-                      return now - row.second > gateway_memory;
+                      return now - row.second.asked_at > gateway_memory;
                   });
     return static_cast<std::uint32_t>(self.gateways.size());
 }
@@ -380,6 +392,23 @@
     return answer;
 }
 
+// News that can't wait for the next question: whether to send at all.
+void tell_gateways(agent_state& self)
+{
+    auto const now = mono_now();
+    bool const is_usable = self.is_reachable && self.report &&
+                           !self.report->is_busy &&
+                           !is_preparing(self.weights, *self.report, now);
+    if (is_usable == self.was_usable)
+        return;
+    self.was_usable = is_usable;
+    status::question unasked;
+    unasked.cache_generation = self.cache.generation;
+    auto const bytes = status::to_bytes(answer_to(self, unasked, now));
+    for (auto const& [name, gateway] : self.gateways)
+        self.questions->send(gateway.where, bytes);
+}
+
 // A gateway that knows more, or that lacks a recent proof, makes us read.
 void refresh_for(agent_state& self, status::question const& asked,
                  mono_time now)
@@ -401,7 +430,7 @@
     if (!asked)
         return;
     auto const now = mono_now();
-    self.gateways[asked->gateway] = now;
+    self.gateways[asked->gateway] = known_gateway{from, now};
     self.questions->send(from, status::to_bytes(answer_to(self, *asked, now)));
     refresh_for(self, *asked, now);
 }
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -33,6 +33,14 @@
            state.limits.turn * turn;
 }
 
+// Calls that came before the notice have not begun to run yet.
+bool is_settling(rollout const& state, wanted_version const& want,
+                 status::engine_report const& report, mono_time now)
+{
+    return report.queued + report.reading > 0 &&
+           now < due_at(state, want) + state.limits.settle_limit;
+}
+
 } // namespace
 
 bool on_wanted(rollout& state, std::string const& model, std::uint64_t version,
@@ -105,7 +113,8 @@
         bool const is_pending =
             state.ordered_at && now - *state.ordered_at <
                                     state.limits.order_patience;
-        if (!want.since || now < due_at(state, want) || is_pending)
+        if (!want.since || now < due_at(state, want) || is_pending ||
+            is_settling(state, want, report, now))
             continue;
         state.ordered_at = now;
         state.ordered_version = want.version;
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -25,6 +25,9 @@
     std::chrono::milliseconds turn{420};
     /// Gateways stop sending this long before the order is given.
     std::chrono::milliseconds notice{120};
+    /// Calls that wait or are read when an order comes are refused by the
+    /// engine; the order is held back for them, but not longer than this.
+    std::chrono::milliseconds settle_limit{450};
     /// An order without an effect is given again after this.
     std::chrono::milliseconds order_patience{700};
 };
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -86,7 +86,7 @@
 void take_proof(gateway_state& self, std::string const& host,
                 status::answer const& from)
 {
-    if (from.proof_age_us < 0)
+    if (from.proof_age_us < 0 || from.asked_at_us == 0)
         return;
     auto const proven_at =
         mono_time{microseconds{from.asked_at_us - from.proof_age_us}};
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -228,13 +228,16 @@
            !promises_not_run(call.answer.status);
 }
 
-bool can_send_again(gateway_state& self, live_call const& call,
-                    dispatch::send_outcome outcome, mono_time now)
+// \returns `none` if the call may be sent once more, or why it may not
+reason_code why_not_again(gateway_state& self, live_call const& call,
+                          dispatch::send_outcome outcome, mono_time now)
 {
     bool const is_repeatable =
         verdict_of(outcome) == verdict::not_run || may_repeat(call);
-    if (!is_repeatable || call.runs >= call.route.attempts_limit)
-        return false;
+    if (!is_repeatable)
+        return reason_code::upstream_read_cut;
+    if (call.runs >= call.route.attempts_limit)
+        return reason_code::attempts_spent;
     retries::request_progress progress;
     progress.attempts = call.sends;
     progress.worst = may_repeat(call) ? verdict::not_run : call.outcome;
@@ -243,10 +246,10 @@
     retries::attempt_failure failure;
     failure.outcome = verdict_of(outcome);
     failure.has_alternative = true;
-    return retries::decide(self.budgets[call.terms.pool],
-                           retry_options_of(self), progress, failure, now,
-                           self.draw())
-        .is_retry;
+    auto const made = retries::decide(self.budgets[call.terms.pool],
+                                      retry_options_of(self), progress,
+                                      failure, now, self.draw());
+    return made.is_retry ? reason_code::none : made.why;
 }
 
 void send_again(gateway_state& self, dispatch::call_key key)
@@ -280,12 +283,15 @@
         answer_whole(self, key);
         return;
     }
-    self.log->write(event_number::attempt_failed, call->asked.request_id,
-                    {{"upstream", call->upstream},
-                     {"outcome", to_name(dispatch::send_outcome_names, outcome)},
-                     {"status", call->answer.status},
-                     {"why", end.why.text}});
-    if (can_send_again(self, *call, outcome, now))
+    auto const why_not = why_not_again(self, *call, outcome, now);
+    self.log->write(
+        event_number::attempt_failed, call->asked.request_id,
+        {{"upstream", call->upstream},
+         {"outcome", to_name(dispatch::send_outcome_names, outcome)},
+         {"status", call->answer.status},
+         {"why", end.why.text},
+         {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
+    if (why_not == reason_code::none)
     {
         send_again(self, key);
         return;
@@ -324,7 +330,8 @@
     if (!is_movable ||
         call->runs + 1 >= call->route.attempts_limit ||
         !can_afford_move(self, *call) ||
-        !can_send_again(self, *call, dispatch::send_outcome::cancelled, now))
+        why_not_again(self, *call, dispatch::send_outcome::cancelled, now) !=
+            reason_code::none)
         return;
     self.upstreams->cancel(call->send);
     call->send = http1::call_id{};
--- a/jujubestand/status/cache_view.cpp
+++ b/jujubestand/status/cache_view.cpp
@@ -87,7 +87,7 @@
 {
     if (delta.is_whole)
         copy.parts.clear();
-    else if (delta.generation < copy.generation)
+    else if (delta.generation < copy.generation || delta.entries.empty())
         return;
     for (auto const& entry : delta.entries)
     {
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -38,6 +38,7 @@
 struct answer
 {
     std::uint32_t format = format_number;
+    /// 0: nobody asked; such an answer proves nothing.
     std::int64_t asked_at_us = 0;
     std::string agent;
     bool is_engine_reachable = false;
