Let a load wait for long calls while short ones go on coming

Cause: an engine that had its order refused everything for up to two seconds, until its longest stream ended. Change: engines after the first turn give long calls up to 2.6 s to end before they stop taking calls; what a call costs there grows with its duration.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -261,6 +261,7 @@
     self.report = report;
     self.reported_at = self.report_asked_at;
     set_reachable(self, true, {});
+    on_runs(self.weights, report->runs, mono_now());
     if (auto const due = next_order(self.weights, *report, mono_now()))
         give_order(self, *due);
 }
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/agent/rollout.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubestand::agent
 {
@@ -25,12 +26,33 @@
 }
 
 // Engines load in turns, so that most of them serve at any time.
-mono_time due_at(rollout const& state, wanted_version const& want)
+std::size_t turn_of(rollout const& state)
+{
+    return state.place / loads_at_once(state);
+}
+
+mono_time turn_at(rollout const& state, wanted_version const& want)
 {
-    auto const turn =
-        static_cast<std::int64_t>(state.place / loads_at_once(state));
     return want.since.value_or(mono_time{}) + state.limits.notice +
-           state.limits.turn * turn;
+           state.limits.turn * static_cast<std::int64_t>(turn_of(state));
+}
+
+bool has_long_run(rollout const& state, mono_time now)
+{
+    return std::any_of(state.runs.begin(), state.runs.end(),
+                       [&](auto const& row)
+                       {
+                           return now - row.second > state.limits.long_run;
+                       });
+}
+
+// Engines of the first turn begin at once: their long calls move away. The
+// others give theirs time to end.
+bool is_waiting_for_long_runs(rollout const& state, wanted_version const& want,
+                              mono_time now)
+{
+    return turn_of(state) > 0 && has_long_run(state, now) &&
+           now < want.since.value_or(now) + state.limits.long_run_limit;
 }
 
 // Calls that came before the notice have not begun to run yet.
@@ -38,7 +60,7 @@
                  status::engine_report const& report, mono_time now)
 {
     return report.queued + report.reading > 0 &&
-           now < due_at(state, want) + state.limits.settle_limit;
+           now < want.begun_at + state.limits.settle_limit;
 }
 
 } // namespace
@@ -56,6 +78,18 @@
     return true;
 }
 
+void on_runs(rollout& state, std::vector<std::uint64_t> const& running,
+             mono_time now)
+{
+    std::map<std::uint64_t, mono_time> next;
+    for (auto const id : running)
+    {
+        auto const known = state.runs.find(id);
+        next[id] = known == state.runs.end() ? now : known->second;
+    }
+    state.runs = std::move(next);
+}
+
 void on_engines(rollout& state, std::vector<std::string> engines,
                 std::string const& own)
 {
@@ -79,7 +113,7 @@
         if (has == 0 || has >= want.version || !want.since)
             continue;
         microseconds const due =
-            std::max(due_at(state, want) - now, microseconds{0});
+            std::max(turn_at(state, want) - now, microseconds{0});
         soonest = soonest ? std::min(*soonest, due) : due;
     }
     return soonest;
@@ -88,8 +122,18 @@
 bool is_preparing(rollout const& state, status::engine_report const& report,
                   mono_time now)
 {
-    auto const due = load_due(state, report, now);
-    return due && *due <= state.limits.notice;
+    return std::any_of(
+        state.wanted.begin(), state.wanted.end(),
+        [&](auto const& row)
+        {
+            auto const& want = row.second;
+            auto const has = version_of(report, row.first);
+            return state.fence && has > 0 && has < want.version &&
+                   want.since &&
+                   now + state.limits.notice >= turn_at(state, want) &&
+                   (want.is_begun ||
+                    !is_waiting_for_long_runs(state, want, now));
+        });
 }
 
 std::optional<order> next_order(rollout& state,
@@ -104,6 +148,7 @@
         if (has >= want.version)
         {
             want.since.reset();
+            want.is_begun = false;
             if (state.ordered_version <= has)
                 state.ordered_at.reset();
             continue;
@@ -113,7 +158,13 @@
         bool const is_pending =
             state.ordered_at && now - *state.ordered_at <
                                     state.limits.order_patience;
-        if (!want.since || now < due_at(state, want) || is_pending ||
+        if (!want.since || now < turn_at(state, want) || is_pending)
+            continue;
+        if (!want.is_begun && is_waiting_for_long_runs(state, want, now))
+            continue;
+        if (!std::exchange(want.is_begun, true))
+            want.begun_at = now;
+        if (now < want.begun_at + state.limits.notice ||
             is_settling(state, want, report, now))
             continue;
         state.ordered_at = now;
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -25,6 +25,12 @@
     std::chrono::milliseconds turn{420};
     /// Gateways stop sending this long before the order is given.
     std::chrono::milliseconds notice{120};
+    /// A call that runs for longer is a long one: a load waits for its end
+    /// while short calls go on coming.
+    std::chrono::milliseconds long_run{600};
+    /// Long calls hold a load up no longer than this after the weights were
+    /// named.
+    std::chrono::milliseconds long_run_limit{2'600};
     /// Calls that wait or are read when an order comes are refused by the
     /// engine; the order is held back for them, but not longer than this.
     std::chrono::milliseconds settle_limit{450};
@@ -39,6 +45,9 @@
     /// When the oldest version was named that the engine lacks; nothing once
     /// it has the newest one.
     std::optional<mono_time> since;
+    /// Gateways were told to send nothing new, and when.
+    bool is_begun = false;
+    mono_time begun_at{};
 };
 
 /// \brief An agent's part in bringing new weights to its engine.
@@ -54,6 +63,8 @@
     std::size_t engines = 1;
     /// When the last order went out, until its effect is seen.
     std::optional<mono_time> ordered_at;
+    /// Running calls of the engine, and since when they are seen.
+    std::map<std::uint64_t, mono_time> runs;
     std::uint64_t ordered_version = 0;
 };
 
@@ -91,6 +102,10 @@
 bool on_wanted(rollout& state, std::string const& model, std::uint64_t version,
                mono_time now);
 
+/// \brief Takes in what runs at the engine.
+void on_runs(rollout& state, std::vector<std::uint64_t> const& running,
+             mono_time now);
+
 /// \brief The engine's place among those of its pool is known.
 /// \param engines ids of all engines that take calls
 void on_engines(rollout& state, std::vector<std::string> engines,
--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -174,8 +174,11 @@
     double const left_ms = milliseconds(*one.load->load_due_at - now).count();
     double const output_ms = asked.asked->output_tokens_expected *
                              all.limits.output_ms_per_token;
-    return expected_ms + output_ms > left_ms ? all.limits.interruption_cost_ms
-                                             : 0;
+    double const duration_ms = expected_ms + output_ms;
+    if (duration_ms <= left_ms)
+        return 0;
+    return std::min(duration_ms * all.limits.interruption_cost_share,
+                    all.limits.interruption_cost_limit_ms);
 }
 
 /// The engine that holds most of a prompt's shared parts.
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -50,8 +50,9 @@
     /// Time in which engines make a token.
     double output_ms_per_token = 4.5;
     /// Cost of a call that would still run when its engine is to load
-    /// weights: it holds the load up, or has to move.
-    double interruption_cost_ms = 250;
+    /// weights, as a share of its duration: it holds the load up, or moves.
+    double interruption_cost_share = 0.25;
+    double interruption_cost_limit_ms = 400;
     /// Calls that begin on older weights than wanted are worth less after
     /// this.
     std::chrono::milliseconds weights_grace{900};
--- a/jujubestand/status/engine_report.hpp
+++ b/jujubestand/status/engine_report.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace jujubestand::status
 {
@@ -23,6 +24,8 @@
     std::uint32_t running = 0;
     /// Running calls that made no output yet.
     std::uint32_t reading = 0;
+    /// Hashes of the ids of the running calls.
+    std::vector<std::uint64_t> runs;
     /// Memory that running calls hold, in tokens.
     std::uint64_t memory_used = 0;
     std::uint64_t memory_total = 0;
