--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -14,6 +14,18 @@
 
 constexpr std::chrono::milliseconds not_fresh_pause{500};
 
+/// Callers of a gateway that stops are sent to others at once.
+constexpr std::chrono::milliseconds stopping_pause{50};
+
+/// Calls that come this soon after a stop began are taken whatever they are.
+constexpr std::chrono::milliseconds stop_free_time{2'500};
+
+/// Kept of the grace for calls to wait and be read.
+constexpr std::chrono::milliseconds stop_reserve{1'500};
+
+/// What engines take for a token when they are busy.
+constexpr std::chrono::milliseconds output_time_per_token{7};
+
 /// Calls that wait are decided on anew at least this often.
 constexpr std::chrono::milliseconds review_interval{15};
 
@@ -63,6 +75,30 @@
     return terms;
 }
 
+problem stopping()
+{
+    problem what;
+    what.why = reason{reason_code::draining, "this gateway stops", {}};
+    what.retry_after = stopping_pause;
+    return what;
+}
+
+// The balancer may go on sending callers until the process ends; what would
+// be cut by that is refused while it has not run.
+bool ends_before_stop(gateway_state const& self, live_call const& call)
+{
+    if (!self.is_stopping)
+        return true;
+    auto const since = call.arrived_at - self.stopping_since;
+    if (since < stop_free_time)
+        return true;
+    auto const left = self.settings.limits.stop_grace - stop_reserve - since;
+    auto const tokens =
+        call.terms.asked ? call.terms.asked->output_tokens_limit : 0;
+    return left > std::chrono::milliseconds{0} &&
+           left > tokens * output_time_per_token;
+}
+
 void take_in(gateway_state& self, live_call call)
 {
     auto const key = ++self.last_call;
@@ -77,6 +113,11 @@
                       std::chrono::duration_cast<std::chrono::milliseconds>(
                           call.deadline - call.arrived_at)
                           .count()}});
+    if (!ends_before_stop(self, call))
+    {
+        refuse_request(self, call.exchange, call.asked.request_id, stopping());
+        return;
+    }
     self.by_exchange[call.exchange] = key;
     auto const terms = call.terms;
     self.live.emplace(key, std::move(call));
