Expect other gateways to send as this one does

Cause: when an engine comes back from a load, each gateway filled it up to its limit, so that prompts of seconds waited there and tokens came 50 ms apart. Ruled out: slow engines (steps are long only while prompts are read). Change: what a gateway has sent since the last report counts for the others as well; 220 ms of unread prompts are enough for an engine.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -310,24 +310,35 @@
     return owner + "." + std::to_string(weights);
 }
 
+// An engine reports all gateways' calls; of what was sent since, a gateway
+// knows its own. Others do as it does, most of all when calls wait.
 double reading_backlog(state const& all, upstream const& one)
 {
-    double tokens = one.open_reading_tokens;
-    if (one.load)
+    constexpr double usual_likeness = 0.25;
+    double reported = 0;
+    double own_reported_calls = 0;
+    double own_reported = 0;
+    double unreported = 0;
+    for (auto const& [key, send] : all.sends)
     {
-        // What the engine reports beyond our own sends is other gateways'.
-        double const reported =
-            one.load->report.reading + one.load->report.queued;
-        double own = 0;
-        for (auto const& [key, send] : all.sends)
+        if (send.upstream != one.key || !send.is_reading)
+            continue;
+        if (one.load && send.at <= one.load->at)
         {
-            if (send.upstream == one.key && send.is_reading &&
-                send.at <= one.load->at)
-                ++own;
+            ++own_reported_calls;
+            own_reported += send.reading_tokens;
         }
-        tokens += std::max(0.0, reported - own) * all.mean_reading_tokens;
+        else
+            unreported += send.reading_tokens;
     }
-    return tokens;
+    if (one.load)
+        reported = one.load->report.reading + one.load->report.queued;
+    double const likeness = all.waiting.empty() ? usual_likeness : 1.0;
+    double const others = all.gateways - 1;
+    return own_reported +
+           std::max(0.0, reported - own_reported_calls) *
+               all.mean_reading_tokens +
+           unreported * (1.0 + others * likeness);
 }
 
 std::size_t usable(state const& all, std::string const& pool, mono_time now)
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -51,7 +51,6 @@
 {
     upstream& one = all.upstreams.at(chosen.upstream);
     ++one.open_calls;
-    one.open_reading_tokens += chosen.reading_tokens;
     open_send made;
     made.upstream = chosen.upstream;
     made.at = now;
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -33,7 +33,7 @@
     /// Speed at which engines read prompts.
     double reading_tokens_per_ms = 40;
     /// Prompts handed to an engine that it has not read yet, as time.
-    double reading_backlog_limit_ms = 350;
+    double reading_backlog_limit_ms = 220;
     /// Cost of another running call, which slows all of an engine's steps.
     double running_cost_ms = 0.7;
     /// Time to fetch a cached token from another engine.
@@ -185,7 +185,6 @@
     std::map<std::string, std::uint64_t> versions;
     /// Sends of this process that have not ended.
     std::uint32_t open_calls = 0;
-    double open_reading_tokens = 0;
     /// Failures of late, halved over time.
     double failures = 0;
     mono_time failures_at{};
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -153,12 +153,8 @@
 void on_first_output(state& all, call_key call)
 {
     auto const found = all.sends.find(call);
-    if (found == all.sends.end() || !found->second.is_reading)
-        return;
-    found->second.is_reading = false;
-    upstream* const one = find(all, found->second.upstream);
-    if (one != nullptr)
-        one->open_reading_tokens -= found->second.reading_tokens;
+    if (found != all.sends.end())
+        found->second.is_reading = false;
 }
 
 void on_send_end(state& all, call_key call, send_outcome outcome, mono_time now)
