Let two gateways read the store for all

Ruled out: longer waits alone (DRAIN's two seconds set the pace of the list). Change: gateways learn of each other through agents; the two with the lowest addresses read, the others ask these and prove ages by their own clock; who gets no news within 1.3 s reads by itself. Agents are told what concerns their engine and read only on demand, to vouch.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/agent/agent.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <event2/event.h>
 #include <jujubestand/agent/rollout.hpp>
@@ -23,8 +24,6 @@
 namespace
 {
 
-/// Gateways tell of news that a read misses, so reads may wait long.
-constexpr std::chrono::milliseconds operator_wait{10'000};
 constexpr std::chrono::milliseconds report_interval{60};
 constexpr std::chrono::milliseconds report_timeout{400};
 constexpr std::chrono::milliseconds order_timeout{1'000};
@@ -104,34 +103,17 @@
         });
 }
 
-void learn_engines(agent_state& self)
+void take_wanted(agent_state& self, std::string const& model,
+                 std::uint64_t version, mono_time now)
 {
-    self.store->list(
-        platform::names::upstream_topic, {},
-        [&self](platform::listing_end const& end)
-        {
-            if (!end.part)
-                return;
-            std::vector<std::string> engines;
-            for (auto const& row : end.part->rows.records)
-            {
-                reason why;
-                auto const record =
-                    platform::decode_upstream(row.key, row.value, why);
-                if (!record || record->is_leaving ||
-                    record->pool != self.settings.upstream_pool)
-                    continue;
-                engines.push_back(record->id);
-                if (record->where == *self.settings.upstream)
-                    self.upstream = record->id;
-            }
-            on_engines(self.weights, std::move(engines), self.upstream);
-        });
+    if (on_wanted(self.weights, model, version, now))
+        self.log->write(event_number::weights_wanted, {},
+                        {{"model", model},
+                         {"version", static_cast<std::int64_t>(version)}});
 }
 
 void apply_records(agent_state& self, std::vector<follow::record> const& rows)
 {
-    bool is_news = false;
     for (auto const& row : rows)
     {
         if (row.value.empty() ||
@@ -145,18 +127,8 @@
                             {{"key", row.key}, {"why", to_text(why)}});
             continue;
         }
-        bool const is_newer = on_wanted(self.weights, wanted->model,
-                                        wanted->version, mono_now());
-        is_news = is_news || is_newer;
-        if (is_newer)
-            self.log->write(
-                event_number::weights_wanted, {},
-                {{"model", wanted->model},
-                 {"version", static_cast<std::int64_t>(wanted->version)},
-                 {"offset", static_cast<std::int64_t>(row.offset)}});
+        take_wanted(self, wanted->model, wanted->version, mono_now());
     }
-    if (is_news)
-        learn_engines(self);
 }
 
 order_answer answer_of(int status)
@@ -254,9 +226,6 @@
         return;
     }
     self.report_failures = 0;
-    // Another start of the engine: it has another id now.
-    if (self.report && self.report->born_ms != report->born_ms)
-        learn_engines(self);
     log_loaded(self, *report);
     self.report = report;
     self.reported_at = self.report_asked_at;
@@ -352,14 +321,18 @@
         });
 }
 
-std::uint32_t count_gateways(agent_state& self, mono_time now)
+std::vector<std::string> gateway_hosts(agent_state& self, mono_time now)
 {
     std::erase_if(self.gateways,
                   [now](auto const& row)
                   {
                       return now - row.second.asked_at > gateway_memory;
                   });
-    return static_cast<std::uint32_t>(self.gateways.size());
+    std::vector<std::string> hosts;
+    for (auto const& [name, gateway] : self.gateways)
+        hosts.push_back(gateway.where.host);
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
 }
 
 status::answer answer_to(agent_state& self, status::question const& asked,
@@ -369,7 +342,7 @@
     answer.asked_at_us = asked.asked_at_us;
     answer.agent = self.settings.name;
     answer.is_engine_reachable = self.is_reachable;
-    answer.gateways = count_gateways(self, now);
+    answer.gateways = gateway_hosts(self, now);
     auto const& known = self.operator_topic->known();
     answer.operator_end = known.next;
     if (auto const age = follow::age(known, now))
@@ -405,34 +378,45 @@
     self.was_usable = is_usable;
     status::question unasked;
     unasked.cache_generation = self.cache.generation;
-    auto const bytes = status::to_bytes(answer_to(self, unasked, now));
+    auto const bytes = status::to_datagram(answer_to(self, unasked, now));
     for (auto const& [name, gateway] : self.gateways)
         self.questions->send(gateway.where, bytes);
 }
 
-// A gateway that knows more, or that lacks a recent proof, makes us read.
+// Gateways read the store and tell what concerns the engine.
+void take_news(agent_state& self, status::question const& asked, mono_time now)
+{
+    for (auto const& [model, version] : asked.wanted)
+        take_wanted(self, model, version, now);
+    self.upstream = asked.upstream;
+    self.weights.place = asked.place;
+    self.weights.engines = std::max(1U, asked.engines);
+}
+
+// A gateway that lacks a recent proof, for whatever reason, makes us read.
 void refresh_for(agent_state& self, status::question const& asked,
                  mono_time now)
 {
     auto const& known = self.operator_topic->known();
     auto const age = follow::age(known, now);
-    bool const is_behind = asked.operator_end > known.next;
     bool const lacks_proof =
         (asked.proof_age_us < 0 ||
          microseconds{asked.proof_age_us} > proof_age_limit) &&
         (!age || *age > own_proof_age_limit);
-    if (is_behind || lacks_proof)
+    if (lacks_proof)
         self.operator_topic->refresh();
 }
 
 void on_question(agent_state& self, address const& from, std::string_view bytes)
 {
-    auto const asked = status::read_question(bytes);
+    auto const asked = status::from_datagram<status::question>(bytes);
     if (!asked)
         return;
     auto const now = mono_now();
+    take_news(self, *asked, now);
     self.gateways[asked->gateway] = known_gateway{from, now};
-    self.questions->send(from, status::to_bytes(answer_to(self, *asked, now)));
+    self.questions->send(from,
+                         status::to_datagram(answer_to(self, *asked, now)));
     refresh_for(self, *asked, now);
 }
 
@@ -459,7 +443,8 @@
     self.operator_topic = std::make_unique<follow::follower>(
         self.base, *self.store,
         follow::reading{std::string(platform::names::operator_topic),
-                        operator_wait, std::chrono::milliseconds{0}},
+                        std::chrono::milliseconds{0},
+                        std::chrono::milliseconds{0}},
         std::move(events));
     self.questions = std::make_unique<loop::datagrams>(
         self.base,
@@ -471,9 +456,9 @@
     served.on_request = [&self](http1::exchange_id exchange,
                                 http1::server_request const&)
     {
-        self.records->respond(
-            exchange, ok, {},
-            status::to_bytes(follow::to_listing(self.operator_topic->known())));
+        self.records->respond(exchange, ok, {},
+                              status::to_bytes(follow::changes_since(
+                                  self.operator_topic->known(), 0)));
     };
     served.on_gone = [](http1::exchange_id) {};
     self.records = std::make_unique<http1::server>(self.base, served);
@@ -532,12 +517,10 @@
     log.write(event_number::process_started, {},
               {{"role", "agent"}, {"name", self.settings.name}});
     self.report_timer->start_every(report_interval);
-    self.operator_topic->start();
     self.cache.generation =
         static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
     ask_cache_events(self);
     take_fence(self);
-    learn_engines(self);
     event_base_dispatch(base);
     log.write(event_number::drain_finished, {}, {});
     return process::exit_code::stopped;
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -90,16 +90,6 @@
     state.runs = std::move(next);
 }
 
-void on_engines(rollout& state, std::vector<std::string> engines,
-                std::string const& own)
-{
-    std::sort(engines.begin(), engines.end());
-    auto const found = std::find(engines.begin(), engines.end(), own);
-    state.engines = std::max<std::size_t>(1, engines.size());
-    if (found != engines.end())
-        state.place = static_cast<std::size_t>(found - engines.begin());
-}
-
 std::optional<microseconds> load_due(rollout const& state,
                                      status::engine_report const& report,
                                      mono_time now)
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -106,11 +106,6 @@
 void on_runs(rollout& state, std::vector<std::uint64_t> const& running,
              mono_time now);
 
-/// \brief The engine's place among those of its pool is known.
-/// \param engines ids of all engines that take calls
-void on_engines(rollout& state, std::vector<std::string> engines,
-                std::string const& own);
-
 /// \brief Time until the engine is to load weights, 0 if that is due or
 /// going on; nothing if no load is known to come.
 [[nodiscard]] std::optional<microseconds>
--- a/jujubestand/follow/follower.cpp
+++ b/jujubestand/follow/follower.cpp
@@ -27,6 +27,8 @@
     mono_time asked_at{};
     mono_time refreshed_at{};
     http1::call_id call;
+    bool is_active = false;
+    bool is_reading = false;
     std::chrono::milliseconds failure_pause{0};
     loop::timer next;
 
@@ -38,7 +40,9 @@
         , next(base,
                [this]
                {
-                   this->step();
+                   this->is_reading = false;
+                   if (this->is_active)
+                       this->step();
                })
     {
     }
@@ -50,12 +54,14 @@
     void on_read(platform::read_end const& end);
     void tell(std::vector<record> const& changes);
     void succeed();
+    void rest(std::chrono::milliseconds pause);
     void fail(reason const& why);
 };
 
 void follower::state::step()
 {
     this->asked_at = mono_now();
+    this->is_reading = true;
     if (!this->known.is_listed)
     {
         this->gathered = listing{};
@@ -134,7 +140,14 @@
             .count() > 0;
     if (was_failing)
         this->events.on_reachable();
-    this->next.start(this->how.pause);
+    this->rest(this->how.pause);
+}
+
+void follower::state::rest(std::chrono::milliseconds pause)
+{
+    this->is_reading = this->is_active;
+    if (this->is_active)
+        this->next.start(pause);
 }
 
 void follower::state::fail(reason const& why)
@@ -145,7 +158,7 @@
                  : std::min(this->failure_pause * 2, pause_after_failure_limit);
     if (is_first)
         this->events.on_unreachable(why);
-    this->next.start(this->failure_pause);
+    this->rest(this->failure_pause);
 }
 
 follower::follower(event_base* base, platform::store& from, reading how,
@@ -157,9 +170,14 @@
 
 follower::~follower() = default;
 
-void follower::start()
+void follower::set_active(bool is_active)
 {
-    this->self->step();
+    state& mine = *this->self;
+    if (mine.is_active == is_active)
+        return;
+    mine.is_active = is_active;
+    if (is_active && !mine.is_reading)
+        mine.step();
 }
 
 void follower::refresh()
@@ -172,25 +190,22 @@
     mine.from.cancel(mine.call);
     mine.next.stop();
     mine.asked_at = now;
+    mine.is_reading = true;
     if (mine.known.is_listed)
         mine.read(std::chrono::milliseconds{0});
     else
         mine.step();
 }
 
-void follower::set_pause(std::chrono::milliseconds pause)
-{
-    this->self->how.pause = pause;
-}
-
 topic const& follower::known() const noexcept
 {
     return this->self->known;
 }
 
-void follower::take(listing const& from, mono_time proven_at)
+void follower::take(listing const& from, std::uint64_t since,
+                    mono_time proven_at)
 {
-    this->self->tell(on_listing(this->self->known, from, proven_at));
+    this->self->tell(on_shared(this->self->known, from, since, proven_at));
 }
 
 void follower::vouch(std::uint64_t end, mono_time proven_at)
--- a/jujubestand/follow/follower.hpp
+++ b/jujubestand/follow/follower.hpp
@@ -50,10 +50,8 @@
     follower(follower&&) = delete;
     follower& operator=(follower&&) = delete;
 
-    void start();
-
-    /// \brief Changes the pause between reads.
-    void set_pause(std::chrono::milliseconds pause);
+    /// \brief Whether it reads by itself; off at first.
+    void set_active(bool is_active);
 
     /// \brief Reads at once, on a new connection if one is under way: it may
     /// have gone silent. Does nothing soon after the last time.
@@ -61,8 +59,8 @@
 
     [[nodiscard]] topic const& known() const noexcept;
 
-    /// \brief Takes in what another process knows; see `follow::on_listing`.
-    void take(listing const& from, mono_time proven_at);
+    /// \brief Takes in what another process knows; see `follow::on_shared`.
+    void take(listing const& from, std::uint64_t since, mono_time proven_at);
 
     /// \brief See `follow::on_vouched`.
     void vouch(std::uint64_t end, mono_time proven_at);
--- a/jujubestand/follow/topic.cpp
+++ b/jujubestand/follow/topic.cpp
@@ -86,18 +86,36 @@
         prove(state, proven_at);
 }
 
-listing to_listing(topic const& state)
+listing changes_since(topic const& state, std::uint64_t since)
 {
     listing result;
     result.end = state.next;
     for (auto const& [key, row] : state.newest)
     {
-        if (!row.value.empty())
+        if (row.offset >= since)
             result.records.push_back(row);
     }
     return result;
 }
 
+std::vector<record> on_shared(topic& state, listing const& from,
+                              std::uint64_t since, mono_time proven_at)
+{
+    bool const has_gap = since > state.next || (since > 0 && !state.is_listed);
+    if (has_gap || from.end < state.next)
+        return {};
+    std::vector<record> changes;
+    for (auto const& row : from.records)
+    {
+        if (take(state, row))
+            changes.push_back(row);
+    }
+    state.next = from.end;
+    state.is_listed = true;
+    prove(state, proven_at);
+    return changes;
+}
+
 std::optional<microseconds> age(topic const& state, mono_time now)
 {
     if (!state.proven_at)
--- a/jujubestand/follow/topic.hpp
+++ b/jujubestand/follow/topic.hpp
@@ -71,8 +71,14 @@
 /// was written from `end` on.
 void on_vouched(topic& state, std::uint64_t end, mono_time proven_at);
 
-/// \brief Everything that is known, for a process that lags.
-[[nodiscard]] listing to_listing(topic const& state);
+/// \brief The newest records from an offset on, removed keys with an empty
+/// value, for a process that knows all before that offset.
+[[nodiscard]] listing changes_since(topic const& state, std::uint64_t since);
+
+/// \brief Takes in `changes_since` of another process.
+/// \param since what was asked for; a list that leaves a gap is ignored
+std::vector<record> on_shared(topic& state, listing const& from,
+                              std::uint64_t since, mono_time proven_at);
 
 /// \brief How old the knowledge may be; nothing if it was never proven.
 [[nodiscard]] std::optional<microseconds> age(topic const& state,
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -1,12 +1,10 @@
 #include <jujubestand/gateway/agents.hpp>
 
-#include <algorithm>
-#include <jujubestand/core/bounded_unpack.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
-#include <memory>
 #include <map>
 
 namespace jujubestand::gateway
@@ -15,8 +13,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds fetch_timeout{1'000};
-
 std::int64_t to_us(mono_time at)
 {
     return at.time_since_epoch().count();
@@ -40,49 +36,6 @@
     return load;
 }
 
-void take_records(gateway_state& self, std::string const& bytes,
-                  mono_time proven_at)
-{
-    try
-    {
-        auto const records = bounded_unpack(bytes)->as<follow::listing>();
-        self.operator_topic->take(records, proven_at);
-    }
-    catch (std::exception const& error)
-    {
-        self.log->write(event_number::record_rejected, {},
-                        {{"key", "agent"}, {"why", error.what()}});
-    }
-}
-
-// The agent knows records of the operator that we lack.
-void fetch_records(gateway_state& self, std::string const& host,
-                   mono_time proven_at)
-{
-    if (self.is_fetching)
-        return;
-    self.is_fetching = true;
-    http1::client_request request;
-    request.server = address{host, self.settings.internal_port};
-    request.target = "/records";
-    request.fields = {{"Host", to_text(request.server)}};
-    request.timeout = fetch_timeout;
-    auto const body = std::make_shared<std::string>();
-    http1::call_events events;
-    events.on_head = [](http1::message_head const&) {};
-    events.on_body = [body](std::string_view bytes)
-    {
-        *body += bytes;
-    };
-    events.on_end = [&self, body, proven_at](http1::call_end const& end)
-    {
-        self.is_fetching = false;
-        if (end.is_complete)
-            take_records(self, *body, proven_at);
-    };
-    self.calls->start(std::move(request), std::move(events));
-}
-
 void take_proof(gateway_state& self, std::string const& host,
                 status::answer const& from)
 {
@@ -92,11 +45,45 @@
         mono_time{microseconds{from.asked_at_us - from.proof_age_us}};
     auto const& known = self.operator_topic->known();
     if (!known.is_listed || from.operator_end > known.next)
-        fetch_records(self, host, proven_at);
+        fetch_records(self, host, *self.operator_topic, operator_records_path,
+                      proven_at);
     else
         self.operator_topic->vouch(from.operator_end, proven_at);
 }
 
+/// An engine as its agent is told of it.
+struct engine_place
+{
+    std::string id;
+    std::uint64_t cache_generation = 0;
+    std::uint32_t place = 0;
+    std::uint32_t engines = 1;
+};
+
+// Ids of engines are in the same order at all gateways.
+std::map<std::string, engine_place> engines_by_host(gateway_state const& self)
+{
+    std::map<std::string, std::uint32_t> pools;
+    std::map<std::string, engine_place> hosts;
+    for (auto const& [id, key] : self.dispatch.by_id)
+    {
+        auto const& one = self.dispatch.upstreams.at(key);
+        if (one.versions.empty())
+            continue;
+        auto& count = pools[one.record.pool];
+        hosts[one.record.where.host] = {id, one.cache.generation, count, 1};
+        if (!one.record.is_leaving)
+            ++count;
+    }
+    for (auto& [host, engine] : hosts)
+    {
+        auto const& one =
+            self.dispatch.upstreams.at(self.dispatch.by_id.at(engine.id));
+        engine.engines = pools[one.record.pool];
+    }
+    return hosts;
+}
+
 } // namespace
 
 void ask_agents(gateway_state& self)
@@ -106,27 +93,26 @@
     auto const& known = self.operator_topic->known();
     question.asked_at_us = to_us(now);
     question.operator_end = known.next;
+    for (auto const& [model, wanted] : self.dispatch.weights)
+        question.wanted[model] = wanted.version;
     if (auto const age = follow::age(known, now))
         question.proof_age_us = age->count();
     question.gateway = self.settings.name;
-    std::map<std::string, std::uint64_t> hosts;
-    for (auto const& [key, one] : self.dispatch.upstreams)
-    {
-        if (!one.versions.empty())
-            hosts[one.record.where.host] = one.cache.generation;
-    }
-    for (auto const& [host, generation] : hosts)
+    for (auto const& [host, engine] : engines_by_host(self))
     {
-        question.cache_generation = generation;
-        self.agents->send(address{host, self.settings.internal_port},
-                          status::to_bytes(question));
+        question.cache_generation = engine.cache_generation;
+        question.upstream = engine.id;
+        question.place = engine.place;
+        question.engines = engine.engines;
+        self.datagrams->send(address{host, self.settings.internal_port},
+                             status::to_datagram(question));
     }
 }
 
 void on_agent_answer(gateway_state& self, address const& from,
                      std::string_view bytes)
 {
-    auto const answer = status::read_answer(bytes);
+    auto const answer = status::from_datagram<status::answer>(bytes);
     if (!answer)
         return;
     auto const now = mono_now();
@@ -139,7 +125,12 @@
             move_streams(self, one->key);
         dispatch::on_cache(self.dispatch, one->key, answer->cache);
     }
-    self.dispatch.gateways = std::max(1U, answer->gateways);
+    if (!answer->gateways.empty())
+    {
+        self.peers = answer->gateways;
+        self.dispatch.gateways =
+            static_cast<std::uint32_t>(answer->gateways.size());
+    }
     take_proof(self, from.host, *answer);
     review_waiting(self);
 }
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/beliefs.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/loop/signals.hpp>
 #include <platform/names.hpp>
 #include <unistd.h>
@@ -17,8 +18,8 @@
 
 /// The store may wait this long for a record of the operator.
 constexpr std::chrono::milliseconds operator_wait{1'500};
-constexpr std::chrono::milliseconds upstream_pause{400};
-constexpr std::chrono::milliseconds agent_interval{100};
+constexpr std::chrono::milliseconds upstream_pause{500};
+constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::milliseconds stop_check_interval{50};
 
 /// After SIGTERM the balancer still sends callers until it has noticed.
@@ -74,11 +75,12 @@
         follow::reading{std::string(platform::names::upstream_topic),
                         std::chrono::milliseconds{0}, upstream_pause},
         follower_events_of(self, "upstreams", apply_upstream_records));
-    self.agents = std::make_unique<loop::datagrams>(
+    self.datagrams = std::make_unique<loop::datagrams>(
         self.base,
         [&self](address const& from, std::string_view bytes)
         {
             on_agent_answer(self, from, bytes);
+            on_peer_datagram(self, from, bytes);
         });
 }
 
@@ -106,6 +108,14 @@
     };
     ready.on_gone = [](http1::exchange_id) {};
     self.readiness = std::make_unique<http1::server>(self.base, ready);
+    http1::server_events records;
+    records.on_request = [&self](http1::exchange_id exchange,
+                                 http1::server_request const& request)
+    {
+        on_records_request(self, exchange, request);
+    };
+    records.on_gone = [](http1::exchange_id) {};
+    self.records = std::make_unique<http1::server>(self.base, records);
 }
 
 bool listen(gateway_state& self, reason& why)
@@ -117,10 +127,11 @@
                      "no address for callers", {}};
         return false;
     }
+    address const own{settings.ip, settings.internal_port};
     return self.callers->listen(*settings.callers, why) &&
            (!settings.readiness ||
             self.readiness->listen(*settings.readiness, why)) &&
-           self.agents->bind(address{settings.ip, 0}, why);
+           self.datagrams->bind(own, why) && self.records->listen(own, why);
 }
 
 // On a timer, since time alone decides some of it.
@@ -134,6 +145,7 @@
         follow::on_store_failure(self.lapses, now);
     drop_lapsed(self);
     ask_agents(self);
+    ask_peers(self);
 }
 
 void begin_stop(gateway_state& self)
@@ -159,12 +171,12 @@
 
 void start_timers(gateway_state& self)
 {
-    self.agent_timer.emplace(self.base,
+    self.tick_timer.emplace(self.base,
                              [&self]
                              {
                                  on_tick(self);
                              });
-    self.agent_timer->start_every(agent_interval);
+    self.tick_timer->start_every(tick_interval);
     self.review_timer.emplace(self.base,
                               [&self]
                               {
@@ -214,8 +226,7 @@
     start_timers(self);
     log.write(event_number::process_started, {},
               {{"role", "gateway"}, {"name", self.settings.name}});
-    self.operator_topic->start();
-    self.upstream_topic->start();
+    ask_peers(self);
     event_base_dispatch(base);
     auto const cut = static_cast<std::int64_t>(self.live.size());
     log.write(cut == 0 ? event_number::drain_finished
--- /dev/null
+++ b/jujubestand/gateway/peers.cpp
@@ -0,0 +1,188 @@
+#include <jujubestand/gateway/peers.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <jujubestand/core/bounded_unpack.hpp>
+#include <jujubestand/status/messages.hpp>
+#include <memory>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+/// Gateways that read the store while all is well.
+constexpr std::size_t readers = 2;
+
+/// Knowledge that is older makes a gateway read by itself.
+constexpr std::chrono::milliseconds lag_limit{1'300};
+constexpr std::chrono::milliseconds fetch_timeout{800};
+
+std::int64_t to_us(mono_time at)
+{
+    return at.time_since_epoch().count();
+}
+
+bool is_reader(gateway_state const& self)
+{
+    auto const found = std::find(self.peers.begin(), self.peers.end(),
+                                 self.settings.ip);
+    return found == self.peers.end() ||
+           static_cast<std::size_t>(found - self.peers.begin()) < readers;
+}
+
+bool is_lagging(follow::follower const& topic, mono_time now)
+{
+    auto const age = follow::age(topic.known(), now);
+    return !age || *age > lag_limit;
+}
+
+status::topic_standing standing_of(follow::follower const& topic, mono_time now)
+{
+    status::topic_standing result;
+    result.end = topic.known().next;
+    if (auto const age = follow::age(topic.known(), now))
+        result.proof_age_us = age->count();
+    return result;
+}
+
+void take_standing(gateway_state& self, std::string const& host,
+                   follow::follower& topic, char const* path,
+                   status::topic_standing const& standing,
+                   std::int64_t asked_at_us)
+{
+    if (standing.proof_age_us < 0)
+        return;
+    mono_time const proven_at{
+        microseconds{asked_at_us - standing.proof_age_us}};
+    auto const& known = topic.known();
+    if (!known.is_listed || standing.end > known.next)
+        fetch_records(self, host, topic, path, proven_at);
+    else
+        topic.vouch(standing.end, proven_at);
+}
+
+void on_question(gateway_state& self, address const& from,
+                 status::peer_question const& asked)
+{
+    auto const now = mono_now();
+    status::peer_answer answer;
+    answer.asked_at_us = asked.asked_at_us;
+    answer.operators = standing_of(*self.operator_topic, now);
+    answer.upstreams = standing_of(*self.upstream_topic, now);
+    self.datagrams->send(from, status::to_datagram(answer));
+}
+
+void take_records(gateway_state& self, follow::follower& topic,
+                  std::string const& bytes, std::uint64_t since,
+                  mono_time proven_at)
+{
+    try
+    {
+        topic.take(bounded_unpack(bytes)->as<follow::listing>(), since,
+                   proven_at);
+    }
+    catch (std::exception const& error)
+    {
+        self.log->write(event_number::record_rejected, {},
+                        {{"key", "peer"}, {"why", error.what()}});
+    }
+}
+
+} // namespace
+
+void fetch_records(gateway_state& self, std::string const& host,
+                   follow::follower& topic, std::string const& path,
+                   mono_time proven_at)
+{
+    if (!self.fetching.insert(path).second)
+        return;
+    auto const& known = topic.known();
+    std::uint64_t const since = known.is_listed ? known.next : 0;
+    http1::client_request request;
+    request.server = address{host, self.settings.internal_port};
+    request.target = path + "?since=" + std::to_string(since);
+    request.fields = {{"Host", to_text(request.server)}};
+    request.timeout = fetch_timeout;
+    auto const body = std::make_shared<std::string>();
+    http1::call_events events;
+    events.on_head = [](http1::message_head const&) {};
+    events.on_body = [body](std::string_view bytes)
+    {
+        *body += bytes;
+    };
+    events.on_end =
+        [&self, &topic, body, path, since, proven_at](http1::call_end const& end)
+    {
+        self.fetching.erase(path);
+        if (end.is_complete)
+            take_records(self, topic, *body, since, proven_at);
+    };
+    self.calls->start(std::move(request), std::move(events));
+}
+
+void ask_peers(gateway_state& self)
+{
+    auto const now = mono_now();
+    bool const reads = is_reader(self);
+    self.operator_topic->set_active(reads ||
+                                    is_lagging(*self.operator_topic, now));
+    self.upstream_topic->set_active(reads ||
+                                    is_lagging(*self.upstream_topic, now));
+    status::peer_question question;
+    question.asked_at_us = to_us(now);
+    auto const bytes = status::to_datagram(question);
+    for (std::size_t at = 0; at < std::min(readers, self.peers.size()); ++at)
+    {
+        if (self.peers[at] != self.settings.ip)
+            self.datagrams->send(
+                address{self.peers[at], self.settings.internal_port}, bytes);
+    }
+}
+
+void on_peer_datagram(gateway_state& self, address const& from,
+                      std::string_view bytes)
+{
+    if (auto const asked = status::from_datagram<status::peer_question>(bytes))
+    {
+        on_question(self, from, *asked);
+        return;
+    }
+    auto const answer = status::from_datagram<status::peer_answer>(bytes);
+    if (!answer)
+        return;
+    take_standing(self, from.host, *self.operator_topic, operator_records_path,
+                  answer->operators, answer->asked_at_us);
+    take_standing(self, from.host, *self.upstream_topic, upstream_records_path,
+                  answer->upstreams, answer->asked_at_us);
+}
+
+void on_records_request(gateway_state& self, http1::exchange_id exchange,
+                        http1::server_request const& request)
+{
+    constexpr int ok = 200;
+    constexpr int not_found = 404;
+    std::string_view const target = request.head.target;
+    auto const mark = target.find("?since=");
+    auto const path = target.substr(0, mark);
+    std::uint64_t since = 0;
+    if (mark != std::string_view::npos)
+    {
+        auto const text = target.substr(target.find('=') + 1);
+        std::from_chars(text.data(), text.data() + text.size(), since);
+    }
+    follow::follower const* topic = nullptr;
+    if (path == operator_records_path)
+        topic = self.operator_topic.get();
+    else if (path == upstream_records_path)
+        topic = self.upstream_topic.get();
+    if (topic == nullptr)
+        self.records->respond(exchange, not_found, {}, {});
+    else
+        self.records->respond(
+            exchange, ok, {},
+            status::to_bytes(follow::changes_since(topic->known(), since)));
+}
+
+} // namespace jujubestand::gateway
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <platform/store.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -74,8 +75,11 @@
     std::unique_ptr<platform::store> store;
     std::unique_ptr<follow::follower> operator_topic;
     std::unique_ptr<follow::follower> upstream_topic;
-    std::unique_ptr<loop::datagrams> agents;
-    std::optional<loop::timer> agent_timer;
+    /// Messages with agents and other gateways.
+    std::unique_ptr<loop::datagrams> datagrams;
+    /// Serves records to other gateways.
+    std::unique_ptr<http1::server> records;
+    std::optional<loop::timer> tick_timer;
     std::optional<loop::timer> review_timer;
     std::optional<loop::timer> stop_timer;
     follow::lapses lapses;
@@ -88,7 +92,10 @@
     std::mt19937_64 draw;
     bool is_fresh = false;
     bool is_stopping = false;
-    bool is_fetching = false;
+    /// Paths of the records that are being fetched.
+    std::set<std::string> fetching;
+    /// IP numbers of all gateways, sorted; empty until agents tell.
+    std::vector<std::string> peers;
     mono_time stopping_since{};
 };
 
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -5,15 +5,15 @@
 namespace jujubestand::status
 {
 
-namespace
-{
-
 template <class Message>
-std::optional<Message> read_message(std::string_view bytes)
+std::optional<Message> from_datagram(std::string_view bytes)
 {
+    if (bytes.empty() || bytes.front() != static_cast<char>(kind_of<Message>))
+        return std::nullopt;
     try
     {
-        auto message = bounded_unpack(bytes)->template as<Message>();
+        auto message =
+            bounded_unpack(bytes.substr(1))->template as<Message>();
         if (message.format == format_number)
             return message;
     }
@@ -25,16 +25,9 @@
     return std::nullopt;
 }
 
-} // namespace
-
-std::optional<question> read_question(std::string_view bytes)
-{
-    return read_message<question>(bytes);
-}
-
-std::optional<answer> read_answer(std::string_view bytes)
-{
-    return read_message<answer>(bytes);
-}
+template std::optional<question> from_datagram(std::string_view);
+template std::optional<answer> from_datagram(std::string_view);
+template std::optional<peer_question> from_datagram(std::string_view);
+template std::optional<peer_answer> from_datagram(std::string_view);
 
 } // namespace jujubestand::status
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -29,9 +29,17 @@
     std::int64_t proof_age_us = -1;
     /// Generation of the engine's cache that the gateway knows.
     std::uint64_t cache_generation = 0;
+    /// Weights that the operator wants, by model.
+    std::map<std::string, std::uint64_t> wanted;
+    /// Id of the engine beside the agent, as it is registered.
+    std::string upstream;
+    /// Place of that engine among those of its pool, and their number.
+    std::uint32_t place = 0;
+    std::uint32_t engines = 1;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, gateway, operator_end,
-                         proof_age_us, cache_generation)
+                         proof_age_us, cache_generation, wanted, upstream,
+                         place, engines)
 };
 
 /// \brief What an agent knows of its engine and of the store.
@@ -59,8 +67,8 @@
     std::uint64_t operator_end = 0;
     /// Age of the proof of that; -1: never proven.
     std::int64_t proof_age_us = -1;
-    /// Gateways that asked lately.
-    std::uint32_t gateways = 0;
+    /// IP numbers of the gateways that asked lately, sorted.
+    std::vector<std::string> gateways;
     /// What changed in the engine's cache since the asked generation.
     cache_delta cache;
 
@@ -70,6 +78,64 @@
                          operator_end, proof_age_us, gateways, cache)
 };
 
+/// \brief A gateway asks another one how recent its knowledge is.
+struct peer_question
+{
+    std::uint32_t format = format_number;
+    std::int64_t asked_at_us = 0;
+
+    MSGPACK_DEFINE_ARRAY(format, asked_at_us)
+};
+
+/// \brief How far a gateway knows one topic of the store.
+struct topic_standing
+{
+    std::uint64_t end = 0;
+    /// Age of the proof of that; -1: never proven.
+    std::int64_t proof_age_us = -1;
+
+    MSGPACK_DEFINE_ARRAY(end, proof_age_us)
+};
+
+/// \brief What a gateway answers to another one.
+struct peer_answer
+{
+    std::uint32_t format = format_number;
+    std::int64_t asked_at_us = 0;
+    topic_standing operators;
+    topic_standing upstreams;
+
+    MSGPACK_DEFINE_ARRAY(format, asked_at_us, operators, upstreams)
+};
+
+/// \brief Kinds of messages, told by their first byte.
+enum class message_kind : char
+{
+    question = 'q',
+    answer = 'a',
+    peer_question = 'p',
+    peer_answer = 'r',
+};
+
+/// \brief Kind of each message.
+template <class Message>
+inline constexpr message_kind kind_of = message_kind::question;
+template <>
+inline constexpr message_kind kind_of<answer> = message_kind::answer;
+template <>
+inline constexpr message_kind kind_of<peer_question> =
+    message_kind::peer_question;
+template <>
+inline constexpr message_kind kind_of<peer_answer> = message_kind::peer_answer;
+
+/// \brief Bytes of a message with its kind, as one datagram.
+template <class Message>
+[[nodiscard]] std::string to_datagram(Message const& message);
+
+/// \brief Reads a datagram; nothing if it is no such message.
+template <class Message>
+[[nodiscard]] std::optional<Message> from_datagram(std::string_view bytes);
+
 /// \brief Bytes of a message.
 template <class Message>
 [[nodiscard]] std::string to_bytes(Message const& message)
@@ -79,11 +145,11 @@
     return {buffer.data(), buffer.size()};
 }
 
-/// \brief Reads a question; nothing if the bytes are none.
-[[nodiscard]] std::optional<question> read_question(std::string_view bytes);
-
-/// \brief Reads an answer; nothing if the bytes are none.
-[[nodiscard]] std::optional<answer> read_answer(std::string_view bytes);
+template <class Message>
+std::string to_datagram(Message const& message)
+{
+    return static_cast<char>(kind_of<Message>) + to_bytes(message);
+}
 
 } // namespace jujubestand::status
 
