Make reading away from a prompt's home dearer

Cause: two gateways that met the same cold prompt sent it to two engines. Change: each shared token read away from home costs 0.03 ms more.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -271,6 +271,9 @@
                                                 : &one != home;
     if (is_copy)
         result.expected_ms += all.limits.copy_cost_ms;
+    double const reread = split.shared_tokens - held - fetched;
+    if (&one != home)
+        result.expected_ms += reread * all.limits.reread_cost_ms_per_token;
     result.expected_ms +=
         interruption_cost(all, one, asked, result.expected_ms, now);
     return result;
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -40,6 +40,9 @@
     double fetch_ms_per_token = 0.002;
     /// Cost of one more copy of cached parts, for the memory that it takes.
     double copy_cost_ms = 30;
+    /// Cost of a shared token that is read away from the prompt's home: it
+    /// will be read there as well.
+    double reread_cost_ms_per_token = 0.03;
     /// Parts of our own sends count as cached for this long without word of
     /// the agent.
     std::chrono::milliseconds expected_parts_limit{1'200};
