Keep read parts in the platform's store of parts and fetch them there

Cause: engines drop a shared part after about ten seconds, since prompts' own parts fill them, and read it again for the next caller. Ruled out: placement (parts were read again at their home). Change: a shared part that is read from nothing under settled weights is saved; two gateways follow the stores' events and tell the others; the choice fetches from an engine or a store, whichever holds more.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -37,34 +37,60 @@
     return result;
 }
 
-/// Tokens of a prompt's shared parts that one engine holds, from the first
-/// part on: a part serves only if all before it are there.
-double cached_tokens(state const& all, upstream const& one, call const& asked,
-                     prompt_split const& split, std::uint64_t weights,
-                     mono_time now)
+/// Hashes of a prompt's shared parts under one version of the weights.
+std::vector<status::part_hash> hashes_of(call const& asked,
+                                         prompt_split const& split,
+                                         std::uint64_t weights)
 {
-    constexpr std::uint32_t block_tokens = 16;
     std::string const scope = cache_scope(asked.cache_owner, weights);
-    double tokens = 0;
+    std::vector<status::part_hash> result;
     for (auto const& part : split.shared)
+        result.push_back(status::hash_of(scope, part.id));
+    return result;
+}
+
+/// Tokens of the shared parts that are held, from the first part on: a part
+/// serves only if all before it are there.
+template <class TokensHeld>
+double held_in_order(prompt_split const& split,
+                     std::vector<status::part_hash> const& hashes,
+                     TokensHeld const& tokens_held)
+{
+    constexpr std::uint32_t block_tokens = 16;
+    double tokens = 0;
+    for (std::size_t at = 0; at < hashes.size(); ++at)
     {
-        auto const hash = status::hash_of(scope, part.id);
-        auto const expected = one.expected_parts.find(hash);
-        bool const is_expected =
-            expected != one.expected_parts.end() &&
-            now - expected->second < all.limits.expected_parts_limit;
-        auto const held = one.cache.parts.find(hash);
-        std::uint32_t has =
-            held == one.cache.parts.end() ? 0 : held->second;
-        if (is_expected)
-            has = part.tokens;
-        tokens += std::min(has, part.tokens);
-        if (has + block_tokens <= part.tokens)
+        std::uint32_t const size = split.shared[at].tokens;
+        std::uint32_t const has = tokens_held(hashes[at], size);
+        tokens += std::min(has, size);
+        if (has + block_tokens <= size)
             break;
     }
     return tokens;
 }
 
+std::uint32_t held_part(status::cache_copy const& cache, status::part_hash part)
+{
+    auto const held = cache.parts.find(part);
+    return held == cache.parts.end() ? 0 : held->second;
+}
+
+double cached_tokens(state const& all, upstream const& one, call const& asked,
+                     prompt_split const& split, std::uint64_t weights,
+                     mono_time now)
+{
+    return held_in_order(
+        split, hashes_of(asked, split, weights),
+        [&](status::part_hash part, std::uint32_t size)
+        {
+            auto const expected = one.expected_parts.find(part);
+            bool const is_expected =
+                expected != one.expected_parts.end() &&
+                now - expected->second < all.limits.expected_parts_limit;
+            return is_expected ? size : held_part(one.cache, part);
+        });
+}
+
 bool is_fresh(state const& all, upstream const& one, mono_time now)
 {
     return one.load && now - one.load->at <= all.limits.report_age_limit;
@@ -181,14 +207,29 @@
                     all.limits.interruption_cost_limit_ms);
 }
 
-/// The engine that holds most of a prompt's shared parts.
+/// An engine or a store that holds most of a prompt's shared parts.
 struct source
 {
-    upstream const* engine = nullptr;
     std::uint64_t weights = 0;
+    address where;
+    upstream_key engine = 0;
     double tokens = 0;
+    double ms_per_token = 0;
 };
 
+void offer(std::vector<source>& all, source const& candidate)
+{
+    auto const found = std::find_if(all.begin(), all.end(),
+                                    [&](source const& row)
+                                    {
+                                        return row.weights == candidate.weights;
+                                    });
+    if (found == all.end())
+        all.push_back(candidate);
+    else if (candidate.tokens > found->tokens)
+        *found = candidate;
+}
+
 // For each version of the weights, since parts of one serve no other.
 std::vector<source> find_sources(state const& all, call const& asked,
                                  prompt_split const& split, mono_time now)
@@ -199,20 +240,26 @@
         if (one.record.pool != asked.pool || !is_in_use(all, one, now))
             continue;
         auto const weights = weights_of(all, one, asked.asked->model, now);
-        double const tokens =
-            cached_tokens(all, one, asked, split, weights.version, now);
-        if (tokens <= 0)
-            continue;
-        auto const found = std::find_if(result.begin(), result.end(),
-                                        [&](source const& row)
-                                        {
-                                            return row.weights ==
-                                                   weights.version;
-                                        });
-        if (found == result.end())
-            result.push_back({&one, weights.version, tokens});
-        else if (tokens > found->tokens)
-            *found = {&one, weights.version, tokens};
+        offer(result, {weights.version, one.record.where, one.key,
+                       cached_tokens(all, one, asked, split, weights.version,
+                                     now),
+                       all.limits.fetch_ms_per_token});
+    }
+    for (auto& row : result)
+    {
+        auto const hashes = hashes_of(asked, split, row.weights);
+        for (auto const& store : all.stores)
+        {
+            double const tokens = held_in_order(
+                split, hashes,
+                [&](status::part_hash part, std::uint32_t)
+                {
+                    return held_part(store.cache, part);
+                });
+            if (store.is_alive && tokens > row.tokens)
+                row = {row.weights, store.where, 0, tokens,
+                       all.limits.store_fetch_ms_per_token};
+        }
     }
     return result;
 }
@@ -227,6 +274,22 @@
     return {};
 }
 
+// The store that should keep parts which nobody holds.
+std::optional<address> store_for(state const& all, call const& asked,
+                                 prompt_split const& split,
+                                 double read_tokens, mono_time now)
+{
+    auto const want = all.weights.find(asked.asked->model);
+    bool const is_settled =
+        want == all.weights.end() ||
+        now - want->second.since > all.limits.save_weights_age;
+    if (all.stores.empty() || !is_settled ||
+        read_tokens < all.limits.save_tokens_min)
+        return std::nullopt;
+    auto const& store = all.stores[split.home_part % all.stores.size()];
+    return store.is_alive ? std::optional(store.where) : std::nullopt;
+}
+
 std::optional<choice> weigh_engine(state const& all, upstream const& one,
                                    call const& asked, prompt_split const& split,
                                    std::vector<source> const& sources,
@@ -263,15 +326,17 @@
         return std::nullopt;
     result.expected_ms =
         backlog_ms + result.reading_tokens / all.limits.reading_tokens_per_ms +
-        fetched * all.limits.fetch_ms_per_token + running_cost(all, one, now) +
+        fetched * best.ms_per_token + running_cost(all, one, now) +
         weights.cost_ms + failure_cost(all, one, now);
     if (fetched > fetch_worth_tokens)
-        result.fetch_from = best.engine->record.where;
-    bool const is_copy = best.engine != nullptr ? fetched > fetch_worth_tokens
-                                                : &one != home;
+        result.fetch_from = best.where;
+    bool const is_copy = best.engine != 0 && best.tokens > fetch_worth_tokens
+                             ? fetched > fetch_worth_tokens
+                             : &one != home;
     if (is_copy)
         result.expected_ms += all.limits.copy_cost_ms;
     double const reread = split.shared_tokens - held - fetched;
+    result.save_to = store_for(all, asked, split, reread, now);
     if (&one != home)
         result.expected_ms += reread * all.limits.reread_cost_ms_per_token;
     result.expected_ms +=
--- a/jujubestand/dispatch/choice.hpp
+++ b/jujubestand/dispatch/choice.hpp
@@ -13,6 +13,7 @@
     upstream_key upstream = 0;
     std::optional<std::uint64_t> weights;
     std::optional<address> fetch_from;
+    std::optional<address> save_to;
     double expected_ms = 0;
     double cached_tokens = 0;
     double reading_tokens = 0;
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -71,6 +71,7 @@
     result.upstream = chosen.upstream;
     result.weights = chosen.weights;
     result.fetch_from = chosen.fetch_from;
+    result.save_to = chosen.save_to;
     result.expected_ms = chosen.expected_ms;
     return result;
 }
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -38,6 +38,13 @@
     double running_cost_ms = 0.7;
     /// Time to fetch a cached token from another engine.
     double fetch_ms_per_token = 0.002;
+    /// Time to fetch a token from a store of parts.
+    double store_fetch_ms_per_token = 0.01;
+    /// Shared tokens that are worth a place in a store.
+    double save_tokens_min = 1'000;
+    /// Parts are saved once weights are this old: newer ones may be replaced
+    /// before anybody asks for the parts again.
+    std::chrono::milliseconds save_weights_age{2'000};
     /// Cost of one more copy of cached parts, for the memory that it takes.
     double copy_cost_ms = 30;
     /// Cost of a shared token that is read away from the prompt's home: it
@@ -131,6 +138,8 @@
     std::optional<std::uint64_t> weights;
     /// For `send` to an engine: may hold parts of the prompt.
     std::optional<address> fetch_from;
+    /// For `send` to an engine: a store that should keep what is read.
+    std::optional<address> save_to;
     /// Tokens of the prompt that are believed cached there, for the log.
     double cached_tokens = 0;
     /// Expected time to the first output, for the log.
@@ -194,6 +203,15 @@
     mono_time avoid_until{};
 };
 
+/// \brief A store of cached parts, as this process knows it.
+struct part_store
+{
+    address where;
+    /// Its events can be read.
+    bool is_alive = false;
+    status::cache_copy cache;
+};
+
 /// \brief The weights that the operator wants of one model.
 struct wanted
 {
@@ -210,6 +228,7 @@
     std::unordered_map<call_key, open_send> sends;
     std::map<call_key, call> waiting;
     std::map<std::string, wanted> weights;
+    std::vector<part_store> stores;
     upstream_key last_key = 0;
     /// Gateways that share the upstreams, this one included.
     std::uint32_t gateways = 1;
--- a/jujubestand/gateway/beliefs.cpp
+++ b/jujubestand/gateway/beliefs.cpp
@@ -33,6 +33,24 @@
     self.callers->set_limits(limits);
 }
 
+// A store that stays keeps what is known of it.
+void apply_stores(gateway_state& self)
+{
+    std::vector<dispatch::part_store> next;
+    for (auto const& store : self.tables->part_stores)
+    {
+        dispatch::part_store row;
+        row.where = store.where;
+        for (auto const& known : self.dispatch.stores)
+        {
+            if (known.where == store.where)
+                row = known;
+        }
+        next.push_back(std::move(row));
+    }
+    self.dispatch.stores = std::move(next);
+}
+
 void apply_tables(gateway_state& self, follow::record const& row)
 {
     reason why;
@@ -46,6 +64,7 @@
         return;
     self.tables = std::move(*tables);
     apply_limits(self);
+    apply_stores(self);
     self.log->write(
         event_number::tables_applied, {},
         {{"version", static_cast<std::int64_t>(self.tables->version)},
--- /dev/null
+++ b/jujubestand/gateway/part_stores.cpp
@@ -0,0 +1,90 @@
+#include <jujubestand/gateway/part_stores.hpp>
+
+#include <memory>
+#include <platform/calls.hpp>
+#include <platform/documents.hpp>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds events_wait{1'000};
+constexpr std::chrono::milliseconds events_timeout{1'600};
+constexpr std::chrono::milliseconds pause_after_failure{400};
+
+void tell_dispatch(gateway_state& self, std::string const& name,
+                   watched_store const& watched)
+{
+    for (auto& store : self.dispatch.stores)
+    {
+        if (to_text(store.where) != name)
+            continue;
+        store.is_alive = watched.is_alive;
+        status::on_delta(store.cache, status::delta_since(
+                                          watched.cache,
+                                          store.cache.generation));
+    }
+}
+
+// Events that were lost leave parts unknown that are there; a list would hold
+// the store up, and the parts come back with their next use.
+void on_events(gateway_state& self, std::string const& name, bool is_complete,
+               std::string const& body)
+{
+    auto& watched = self.watched_stores[name];
+    watched.is_asking = false;
+    reason why;
+    auto const events = platform::decode_cache_events(body, why);
+    bool const was_alive = watched.is_alive;
+    watched.is_alive = is_complete && events;
+    if (watched.is_alive)
+        status::on_events(watched.cache, *events);
+    else
+        watched.next_at = mono_now() + pause_after_failure;
+    if (was_alive != watched.is_alive)
+        self.log->write(watched.is_alive ? event_number::engine_reachable
+                                         : event_number::engine_unreachable,
+                        {}, {{"part_store", name}, {"why", to_text(why)}});
+    tell_dispatch(self, name, watched);
+}
+
+void ask_events(gateway_state& self, address const& where)
+{
+    auto const name = to_text(where);
+    auto& watched = self.watched_stores[name];
+    if (watched.cache.generation == 1)
+        watched.cache.generation = static_cast<std::uint64_t>(
+            wall_now().time_since_epoch().count());
+    watched.is_asking = true;
+    auto request = platform::cache_events_request(where, watched.cache.next,
+                                                  events_wait);
+    request.timeout = events_timeout;
+    auto const body = std::make_shared<std::string>();
+    http1::call_events events;
+    events.on_head = [](http1::message_head const&) {};
+    events.on_body = [body](std::string_view bytes)
+    {
+        *body += bytes;
+    };
+    events.on_end = [&self, name, body](http1::call_end const& end)
+    {
+        on_events(self, name, end.is_complete, *body);
+    };
+    self.calls->start(std::move(request), std::move(events));
+}
+
+} // namespace
+
+void watch_stores(gateway_state& self, mono_time now)
+{
+    for (auto const& store : self.dispatch.stores)
+    {
+        auto const& watched = self.watched_stores[to_text(store.where)];
+        if (!watched.is_asking && now >= watched.next_at)
+            ask_events(self, store.where);
+    }
+}
+
+} // namespace jujubestand::gateway
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <jujubestand/core/bounded_unpack.hpp>
+#include <jujubestand/gateway/part_stores.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <memory>
 
@@ -63,6 +64,18 @@
         topic.vouch(standing.end, proven_at);
 }
 
+void take_stores(gateway_state& self, status::peer_answer const& from)
+{
+    for (auto& store : self.dispatch.stores)
+    {
+        auto const told = from.stores.find(to_text(store.where));
+        if (told == from.stores.end())
+            continue;
+        store.is_alive = told->second.is_alive;
+        status::on_delta(store.cache, told->second.cache);
+    }
+}
+
 void on_question(gateway_state& self, address const& from,
                  status::peer_question const& asked)
 {
@@ -71,6 +84,14 @@
     answer.asked_at_us = asked.asked_at_us;
     answer.operators = standing_of(*self.operator_topic, now);
     answer.upstreams = standing_of(*self.upstream_topic, now);
+    for (auto const& [where, generation] : asked.stores)
+    {
+        auto const watched = self.watched_stores.find(where);
+        if (watched != self.watched_stores.end() && is_reader(self))
+            answer.stores[where] = {
+                watched->second.is_alive,
+                status::delta_since(watched->second.cache, generation)};
+    }
     self.datagrams->send(from, status::to_datagram(answer));
 }
 
@@ -132,6 +153,10 @@
                                     is_lagging(*self.upstream_topic, now));
     status::peer_question question;
     question.asked_at_us = to_us(now);
+    for (auto const& store : self.dispatch.stores)
+        question.stores[to_text(store.where)] = store.cache.generation;
+    if (reads)
+        watch_stores(self, now);
     auto const bytes = status::to_datagram(question);
     for (std::size_t at = 0; at < std::min(readers, self.peers.size()); ++at)
     {
@@ -156,6 +181,8 @@
                   answer->operators, answer->asked_at_us);
     take_standing(self, from.host, *self.upstream_topic, upstream_records_path,
                   answer->upstreams, answer->asked_at_us);
+    if (!is_reader(self))
+        take_stores(self, *answer);
 }
 
 void on_records_request(gateway_state& self, http1::exchange_id exchange,
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -92,6 +92,7 @@
         dispatch::cache_scope(call.terms.cache_owner, *made.weights);
     terms.priority = std::min(call.terms.priority, urgency_limit);
     terms.fetch_from = made.fetch_from;
+    terms.save_to = made.save_to;
     return terms;
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -62,6 +62,16 @@
     bool is_repeatable_failure = false;
 };
 
+/// \brief A store of parts whose events this gateway reads.
+struct watched_store
+{
+    status::cache_view cache;
+    bool is_asking = false;
+    bool is_alive = false;
+    unsigned failures = 0;
+    mono_time next_at{};
+};
+
 /// \brief One gateway process.
 struct gateway_state
 {
@@ -92,6 +102,8 @@
     std::mt19937_64 draw;
     bool is_fresh = false;
     bool is_stopping = false;
+    /// By address.
+    std::map<std::string, watched_store> watched_stores;
     /// Paths of the records that are being fetched.
     std::set<std::string> fetching;
     /// IP numbers of all gateways, sorted; empty until agents tell.
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -83,8 +83,19 @@
 {
     std::uint32_t format = format_number;
     std::int64_t asked_at_us = 0;
+    /// Generation of each store of parts that the asker knows, by address.
+    std::map<std::string, std::uint64_t> stores;
 
-    MSGPACK_DEFINE_ARRAY(format, asked_at_us)
+    MSGPACK_DEFINE_ARRAY(format, asked_at_us, stores)
+};
+
+/// \brief What a gateway knows of a store of parts.
+struct store_standing
+{
+    bool is_alive = false;
+    cache_delta cache;
+
+    MSGPACK_DEFINE_ARRAY(is_alive, cache)
 };
 
 /// \brief How far a gateway knows one topic of the store.
@@ -104,8 +115,10 @@
     std::int64_t asked_at_us = 0;
     topic_standing operators;
     topic_standing upstreams;
+    /// Stores of parts whose events the answering gateway reads.
+    std::map<std::string, store_standing> stores;
 
-    MSGPACK_DEFINE_ARRAY(format, asked_at_us, operators, upstreams)
+    MSGPACK_DEFINE_ARRAY(format, asked_at_us, operators, upstreams, stores)
 };
 
 /// \brief Kinds of messages, told by their first byte.
--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -50,6 +50,8 @@
     std::optional<std::uint8_t> priority;
     /// Another upstream that may hold parts of the prompt.
     std::optional<address> fetch_from;
+    /// A store that the parts are to be kept in as well.
+    std::optional<address> save_to;
     /// The stream goes on after this event.
     std::string last_event;
 };
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -82,6 +82,14 @@
     std::optional<engine_traits> engine;
 };
 
+/// \brief A store of cached parts of prompts, beside the engines.
+struct part_store
+{
+    std::string name;
+    address where;
+    std::string data_center;
+};
+
 /// \brief A customer's team.
 struct team
 {
@@ -107,6 +115,7 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::map<std::string, pool, std::less<>> pools;
+    std::vector<part_store> part_stores;
     std::vector<team> teams;
     /// Index into `teams` by key.
     std::unordered_map<std::string, std::size_t> keys;
