Know replaced upstreams, and list anew after deleted records

A reader that got 410 asked its peers, which lacked the same records, took that for a list, and got 410 again; removals found by a list kept their old offset and never reached peers; of two records with one address an old one could be taken for the engine. Change: deleted records are followed by a list at once; removals found by a list are as new as the list; peers compare the number of keys; the upstream that started last has its address, and a 421 that names another one ends the old.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -435,6 +435,11 @@
         self.log->write(event_number::log_unreachable, {},
                         {{"topic", "operator"}, {"why", to_text(why)}});
     };
+    events.on_expired = [&self](reason const& why)
+    {
+        self.log->write(event_number::log_gap, {},
+                        {{"topic", "operator"}, {"why", to_text(why)}});
+    };
     events.on_reachable = [&self]
     {
         self.log->write(event_number::log_reachable, {},
--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -98,7 +98,7 @@
 
 bool is_in_use(state const& all, upstream const& one, mono_time now)
 {
-    if (one.record.is_leaving || one.avoid_until > now)
+    if (one.record.is_leaving || one.is_replaced || one.avoid_until > now)
         return false;
     return !is_fresh(all, one, now) || !one.load->is_down;
 }
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -187,6 +187,8 @@
 {
     upstream_key key = 0;
     traffic::upstream_record record;
+    /// Another upstream has its address now.
+    bool is_replaced = false;
     std::uint64_t name_hash = 0;
     std::optional<engine_load> load;
     /// Parts of prompts that it has cached, by its agent.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -75,6 +75,19 @@
     }
 }
 
+// Two upstreams can't have one address: the one that started later has it.
+void replace_others(state& all, upstream& newcomer,
+                    traffic::upstream_record const& record)
+{
+    for (auto& [key, other] : all.upstreams)
+    {
+        if (key == newcomer.key || other.record.where != record.where)
+            continue;
+        bool const is_older = other.record.born_ms <= record.born_ms;
+        (is_older ? other : newcomer).is_replaced = true;
+    }
+}
+
 } // namespace
 
 bool on_record(state& all, traffic::upstream_record const& record)
@@ -97,8 +110,11 @@
         one.cache = {};
         one.expected_parts.clear();
         one.failures = 0;
+        one.is_replaced = false;
         one.avoid_until = mono_time{};
     }
+    if (is_new)
+        replace_others(all, one, record);
     // An upstream that leaves does not come back in the same life.
     bool const was_leaving = one.record.is_leaving && !is_restarted;
     one.record = record;
@@ -117,6 +133,13 @@
     all.by_id.erase(known);
 }
 
+void on_misdirected(state& all, upstream_key of)
+{
+    upstream* const one = find(all, of);
+    if (one != nullptr)
+        one->is_replaced = true;
+}
+
 void on_load(state& all, upstream_key of, engine_load const& load)
 {
     upstream* const one = find(all, of);
@@ -177,7 +200,9 @@
     for (auto const& [key, one] : all.upstreams)
     {
         // The newest one, if an older one at that host still lingers.
-        if (one.record.where.host == host)
+        bool const is_newer =
+            result == nullptr || result->is_replaced || !one.is_replaced;
+        if (one.record.where.host == host && is_newer)
             result = &one;
     }
     return result;
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -14,6 +14,9 @@
 /// \brief An upstream is gone.
 void on_removed(state& all, std::string const& id);
 
+/// \brief An upstream refused a call that was meant for another one.
+void on_misdirected(state& all, upstream_key of);
+
 /// \brief Takes in an engine's report.
 void on_load(state& all, upstream_key of, engine_load const& load);
 
--- a/jujubestand/follow/follower.cpp
+++ b/jujubestand/follow/follower.cpp
@@ -27,6 +27,9 @@
     mono_time asked_at{};
     mono_time refreshed_at{};
     http1::call_id call;
+    /// Records were deleted unread; what peers tell is no remedy, since they
+    /// may lack them too.
+    bool needs_list = false;
     bool is_active = false;
     bool is_reading = false;
     std::chrono::milliseconds failure_pause{0};
@@ -62,7 +65,7 @@
 {
     this->asked_at = mono_now();
     this->is_reading = true;
-    if (!this->known.is_listed)
+    if (this->needs_list || !this->known.is_listed)
     {
         this->gathered = listing{};
         this->list_part({});
@@ -109,6 +112,7 @@
         this->list_part(rows.records.back().key);
         return;
     }
+    this->needs_list = false;
     this->tell(on_listing(this->known, this->gathered, this->asked_at));
     this->succeed();
 }
@@ -116,14 +120,18 @@
 void follower::state::on_read(platform::read_end const& end)
 {
     if (end.is_expired)
-        this->known.is_listed = false;
-    if (!end.page && !end.is_expired)
+    {
+        this->events.on_expired(end.why);
+        this->needs_list = true;
+        this->step();
+        return;
+    }
+    if (!end.page)
     {
         this->fail(end.why);
         return;
     }
-    if (end.page)
-        this->tell(on_page(this->known, *end.page, this->asked_at));
+    this->tell(on_page(this->known, *end.page, this->asked_at));
     this->succeed();
 }
 
@@ -191,7 +199,7 @@
     mine.next.stop();
     mine.asked_at = now;
     mine.is_reading = true;
-    if (mine.known.is_listed)
+    if (mine.known.is_listed && !mine.needs_list)
         mine.read(std::chrono::milliseconds{0});
     else
         mine.step();
--- a/jujubestand/follow/follower.hpp
+++ b/jujubestand/follow/follower.hpp
@@ -35,6 +35,8 @@
     std::function<void(std::vector<record> const&)> on_changes;
     std::function<void(reason const&)> on_unreachable;
     std::function<void()> on_reachable;
+    /// Records were deleted unread; a list follows.
+    std::function<void(reason const&)> on_expired;
 };
 
 /// \brief Keeps up with one keyed topic of the platform's store: lists it
--- a/jujubestand/follow/topic.cpp
+++ b/jujubestand/follow/topic.cpp
@@ -35,7 +35,10 @@
         if (known.value.empty() || known.offset >= from.end ||
             listed.contains(key))
             continue;
+        // As new as the list, so that processes that ask for changes since an
+        // earlier offset hear of it.
         known.value.clear();
+        known.offset = from.end - 1;
         removed.push_back(known);
     }
     return removed;
@@ -86,6 +89,16 @@
         prove(state, proven_at);
 }
 
+std::size_t live_keys(topic const& state)
+{
+    return static_cast<std::size_t>(
+        std::count_if(state.newest.begin(), state.newest.end(),
+                      [](auto const& row)
+                      {
+                          return !row.second.value.empty();
+                      }));
+}
+
 listing changes_since(topic const& state, std::uint64_t since)
 {
     listing result;
--- a/jujubestand/follow/topic.hpp
+++ b/jujubestand/follow/topic.hpp
@@ -71,6 +71,9 @@
 /// was written from `end` on.
 void on_vouched(topic& state, std::uint64_t end, mono_time proven_at);
 
+/// \brief Number of keys that are not removed.
+[[nodiscard]] std::size_t live_keys(topic const& state);
+
 /// \brief The newest records from an offset on, removed keys with an empty
 /// value, for a process that knows all before that offset.
 [[nodiscard]] listing changes_since(topic const& state, std::uint64_t since);
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -46,7 +46,7 @@
     auto const& known = self.operator_topic->known();
     if (!known.is_listed || from.operator_end > known.next)
         fetch_records(self, host, *self.operator_topic, operator_records_path,
-                      proven_at);
+                      known.is_listed ? known.next : 0, proven_at);
     else
         self.operator_topic->vouch(from.operator_end, proven_at);
 }
@@ -68,10 +68,12 @@
     for (auto const& [id, key] : self.dispatch.by_id)
     {
         auto const& one = self.dispatch.upstreams.at(key);
-        if (one.versions.empty())
+        auto const& host = one.record.where.host;
+        if (one.versions.empty() || one.is_replaced ||
+            dispatch::find_by_host(self.dispatch, host) != &one)
             continue;
         auto& count = pools[one.record.pool];
-        hosts[one.record.where.host] = {id, one.cache.generation, count, 1};
+        hosts[host] = {id, one.cache.generation, count, 1};
         if (!one.record.is_leaving)
             ++count;
     }
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -52,6 +52,11 @@
     {
         log_store(self, topic, &why);
     };
+    events.on_expired = [&self, topic](reason const& why)
+    {
+        self.log->write(event_number::log_gap, {},
+                        {{"topic", topic}, {"why", to_text(why)}});
+    };
     events.on_reachable = [&self, topic]
     {
         log_store(self, topic, nullptr);
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -43,6 +43,7 @@
 {
     status::topic_standing result;
     result.end = topic.known().next;
+    result.live_keys = follow::live_keys(topic.known());
     if (auto const age = follow::age(topic.known(), now))
         result.proof_age_us = age->count();
     return result;
@@ -58,8 +59,13 @@
     mono_time const proven_at{
         microseconds{asked_at_us - standing.proof_age_us}};
     auto const& known = topic.known();
-    if (!known.is_listed || standing.end > known.next)
-        fetch_records(self, host, topic, path, proven_at);
+    bool const lacks_removals = standing.end == known.next &&
+                                standing.live_keys != follow::live_keys(known);
+    if (lacks_removals)
+        fetch_records(self, host, topic, path, 0, proven_at);
+    else if (!known.is_listed || standing.end > known.next)
+        fetch_records(self, host, topic, path, known.is_listed ? known.next : 0,
+                      proven_at);
     else
         topic.vouch(standing.end, proven_at);
 }
@@ -115,12 +121,10 @@
 
 void fetch_records(gateway_state& self, std::string const& host,
                    follow::follower& topic, std::string const& path,
-                   mono_time proven_at)
+                   std::uint64_t since, mono_time proven_at)
 {
     if (!self.fetching.insert(path).second)
         return;
-    auto const& known = topic.known();
-    std::uint64_t const since = known.is_listed ? known.next : 0;
     http1::client_request request;
     request.server = address{host, self.settings.internal_port};
     request.target = path + "?since=" + std::to_string(since);
--- a/jujubestand/gateway/peers.hpp
+++ b/jujubestand/gateway/peers.hpp
@@ -20,10 +20,11 @@
 void on_records_request(gateway_state& self, http1::exchange_id exchange,
                         http1::server_request const& request);
 
-/// \brief Gets the operator's records from a gateway or an agent.
+/// \brief Gets records from a gateway or an agent.
+/// \param since offset of the first record that is asked for
 void fetch_records(gateway_state& self, std::string const& host,
                    follow::follower& topic, std::string const& path,
-                   mono_time proven_at);
+                   std::uint64_t since, mono_time proven_at);
 
 inline constexpr char const* operator_records_path = "/records/operator";
 inline constexpr char const* upstream_records_path = "/records/upstreams";
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -151,6 +151,9 @@
         send != self.dispatch.sends.end())
         dispatch::on_weights_seen(self.dispatch, send->second.upstream,
                                   call->terms.asked->model, *answer.weights);
+    if (!answer.other_upstream.empty() &&
+        answer.other_upstream != call->upstream)
+        dispatch::on_misdirected(self.dispatch, call->upstream_key);
     bool const is_usable =
         answer.is_signed && !answer.is_encoded && !answer.is_not_run;
     call->is_ignored = !is_usable || (call->is_begun &&
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -104,8 +104,11 @@
     std::uint64_t end = 0;
     /// Age of the proof of that; -1: never proven.
     std::int64_t proof_age_us = -1;
+    /// Keys that are not removed: a list may remove some and end where the
+    /// reading was.
+    std::uint64_t live_keys = 0;
 
-    MSGPACK_DEFINE_ARRAY(end, proof_age_us)
+    MSGPACK_DEFINE_ARRAY(end, proof_age_us, live_keys)
 };
 
 /// \brief What a gateway answers to another one.
--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -65,6 +65,8 @@
     bool is_signed = false;
     /// The upstream states that it did not run the call, and won't.
     bool is_not_run = false;
+    /// Id of the upstream that answered instead of the one that was meant.
+    std::string other_upstream;
     /// Its bytes are not those that the upstream made.
     bool is_encoded = false;
     /// Version of the weights it ran on, if told.
