Keep part of the retry budget for answers that have begun

Change: a fifth of the reserve is for calls whose answer has begun; a gateway that stops moves nothing; sources formatted.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -87,20 +87,19 @@
 // every later life gets a higher one.
 void take_fence(agent_state& self)
 {
-    self.store->append(
-        fence_topic, self.settings.name,
-        [&self](platform::append_end const& end)
-        {
-            if (!end.offset)
-            {
-                self.fence_timer->start(fence_retry_pause);
-                return;
-            }
-            self.weights.fence = *end.offset + 1;
-            self.log->write(
-                event_number::fence_taken, {},
-                {{"fence", static_cast<std::int64_t>(*end.offset + 1)}});
-        });
+    self.store->append(fence_topic, self.settings.name,
+                       [&self](platform::append_end const& end)
+                       {
+                           if (!end.offset)
+                           {
+                               self.fence_timer->start(fence_retry_pause);
+                               return;
+                           }
+                           self.weights.fence = *end.offset + 1;
+                           self.log->write(event_number::fence_taken, {},
+                                           {{"fence", static_cast<std::int64_t>(
+                                                          *end.offset + 1)}});
+                       });
 }
 
 void take_wanted(agent_state& self, std::string const& model,
@@ -149,17 +148,16 @@
 {
     auto const answer = answer_of(status);
     on_order_answer(self.weights, answer, mono_now());
-    self.log->write(answer == order_answer::accepted
-                        ? event_number::order_given
-                        : event_number::order_refused,
-                    {},
-                    {{"model", given.model},
-                     {"version", static_cast<std::int64_t>(given.version)},
-                     {"fence", static_cast<std::int64_t>(given.fence)},
-                     {"expect", static_cast<std::int64_t>(
-                                    given.orders_accepted)},
-                     {"status", status},
-                     {"answer", to_name(order_answer_names, answer)}});
+    self.log->write(
+        answer == order_answer::accepted ? event_number::order_given
+                                         : event_number::order_refused,
+        {},
+        {{"model", given.model},
+         {"version", static_cast<std::int64_t>(given.version)},
+         {"fence", static_cast<std::int64_t>(given.fence)},
+         {"expect", static_cast<std::int64_t>(given.orders_accepted)},
+         {"status", status},
+         {"answer", to_name(order_answer_names, answer)}});
     if (!self.weights.fence)
         take_fence(self);
 }
@@ -206,12 +204,10 @@
     for (auto const& [model, version] : next.versions)
     {
         auto const before = self.report->versions.find(model);
-        if (before != self.report->versions.end() &&
-            before->second != version)
-            self.log->write(
-                event_number::weights_loaded, {},
-                {{"model", model},
-                 {"version", static_cast<std::int64_t>(version)}});
+        if (before != self.report->versions.end() && before->second != version)
+            self.log->write(event_number::weights_loaded, {},
+                            {{"model", model},
+                             {"version", static_cast<std::int64_t>(version)}});
     }
 }
 
@@ -283,7 +279,8 @@
         [&self](std::optional<std::string> const& body)
         {
             reason why;
-            auto const list = platform::decode_cache_list(body.value_or(""), why);
+            auto const list =
+                platform::decode_cache_list(body.value_or(""), why);
             if (list)
                 status::on_list(self.cache, *list);
             self.cache_timer->start(cache_retry_pause);
@@ -311,8 +308,8 @@
 
 void ask_cache_events(agent_state& self)
 {
-    auto request = platform::cache_events_request(
-        *self.settings.upstream, self.cache.next, cache_wait);
+    auto request = platform::cache_events_request(*self.settings.upstream,
+                                                  self.cache.next, cache_wait);
     request.timeout = 2 * cache_wait;
     ask(self, std::move(request),
         [&self](std::optional<std::string> const& body)
@@ -458,8 +455,8 @@
             on_question(self, from, bytes);
         });
     http1::server_events served;
-    served.on_request = [&self](http1::exchange_id exchange,
-                                http1::server_request const&)
+    served.on_request =
+        [&self](http1::exchange_id exchange, http1::server_request const&)
     {
         self.records->respond(exchange, ok, {},
                               status::to_bytes(follow::changes_since(
@@ -508,17 +505,16 @@
         log.write(event_number::settings_refused, {}, {{"why", to_text(why)}});
         return process::exit_code::failed;
     }
-    loop::signals const signals(base, {{SIGTERM,
-                                        [base]
-                                        {
-                                            event_base_loopbreak(base);
-                                        }},
-                                       {SIGHUP, [&log]
-                                        {
-                                            log.write(
-                                                event_number::settings_reloaded,
-                                                {}, {});
-                                        }}});
+    loop::signals const signals(
+        base, {{SIGTERM,
+                [base]
+                {
+                    event_base_loopbreak(base);
+                }},
+               {SIGHUP, [&log]
+                {
+                    log.write(event_number::settings_reloaded, {}, {});
+                }}});
     log.write(event_number::process_started, {},
               {{"role", "agent"}, {"name", self.settings.name}});
     self.report_timer->start_every(report_interval);
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -112,23 +112,22 @@
 bool is_preparing(rollout const& state, status::engine_report const& report,
                   mono_time now)
 {
-    return std::any_of(
-        state.wanted.begin(), state.wanted.end(),
-        [&](auto const& row)
-        {
-            auto const& want = row.second;
-            auto const has = version_of(report, row.first);
-            return state.fence && has > 0 && has < want.version &&
-                   want.since &&
-                   now + state.limits.notice >= turn_at(state, want) &&
-                   (want.is_begun ||
-                    !is_waiting_for_long_runs(state, want, now));
-        });
+    return std::any_of(state.wanted.begin(), state.wanted.end(),
+                       [&](auto const& row)
+                       {
+                           auto const& want = row.second;
+                           auto const has = version_of(report, row.first);
+                           return state.fence && has > 0 &&
+                                  has < want.version && want.since &&
+                                  now + state.limits.notice >=
+                                      turn_at(state, want) &&
+                                  (want.is_begun ||
+                                   !is_waiting_for_long_runs(state, want, now));
+                       });
 }
 
-std::optional<order> next_order(rollout& state,
-                                status::engine_report const& report,
-                                mono_time now)
+std::optional<order>
+next_order(rollout& state, status::engine_report const& report, mono_time now)
 {
     if (!state.fence || report.is_busy)
         return std::nullopt;
@@ -146,8 +145,8 @@
         if (has == 0)
             continue;
         bool const is_pending =
-            state.ordered_at && now - *state.ordered_at <
-                                    state.limits.order_patience;
+            state.ordered_at &&
+            now - *state.ordered_at < state.limits.order_patience;
         if (!want.since || now < turn_at(state, want) || is_pending)
             continue;
         if (!want.is_begun && is_waiting_for_long_runs(state, want, now))
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -120,9 +120,8 @@
 
 /// \brief The order that is due now, if there is one; it counts as given.
 /// \param report a report that is fresh
-[[nodiscard]] std::optional<order> next_order(rollout& state,
-                                              status::engine_report const& report,
-                                              mono_time now);
+[[nodiscard]] std::optional<order>
+next_order(rollout& state, status::engine_report const& report, mono_time now);
 
 /// \brief How the engine answered the last order.
 void on_order_answer(rollout& state, order_answer answer, mono_time now);
--- a/jujubestand/core/time.hpp
+++ b/jujubestand/core/time.hpp
@@ -28,10 +28,9 @@
 {
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return mono_time{
-        std::chrono::duration_cast<microseconds>(
-            std::chrono::seconds{now.tv_sec} +
-            std::chrono::nanoseconds{now.tv_nsec})};
+    return mono_time{std::chrono::duration_cast<microseconds>(
+        std::chrono::seconds{now.tv_sec} +
+        std::chrono::nanoseconds{now.tv_nsec})};
 }
 
 /// \brief Reads the wall clock; for shells and programs only.
--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -32,15 +32,14 @@
     for (auto const& part : result.shared)
         result.shared_tokens += part.tokens;
     result.own_tokens = asked.parts.back().tokens;
-    result.home_part = result.shared.empty() ? asked.parts.back().id
-                                             : result.shared.back().id;
+    result.home_part =
+        result.shared.empty() ? asked.parts.back().id : result.shared.back().id;
     return result;
 }
 
 /// Hashes of a prompt's shared parts under one version of the weights.
-std::vector<status::part_hash> hashes_of(call const& asked,
-                                         prompt_split const& split,
-                                         std::uint64_t weights)
+std::vector<status::part_hash>
+hashes_of(call const& asked, prompt_split const& split, std::uint64_t weights)
 {
     std::string const scope = cache_scope(asked.cache_owner, weights);
     std::vector<status::part_hash> result;
@@ -121,13 +120,13 @@
     if (!one.load || one.load->report.memory_total == 0)
         return true;
     auto const& report = one.load->report;
-    double const taken = static_cast<double>(report.memory_used) +
-                         unreported_memory(all, one);
+    double const taken =
+        static_cast<double>(report.memory_used) + unreported_memory(all, one);
     // An idle engine makes room for any call that it can hold at all.
     if (taken == 0)
         return true;
-    return taken + tokens <= all.limits.memory_share *
-                                 static_cast<double>(report.memory_total);
+    return taken + tokens <=
+           all.limits.memory_share * static_cast<double>(report.memory_total);
 }
 
 /// Whether a call may begin on an engine's weights, and at what cost.
@@ -198,8 +197,8 @@
         return 0;
     using milliseconds = std::chrono::duration<double, std::milli>;
     double const left_ms = milliseconds(*one.load->load_due_at - now).count();
-    double const output_ms = asked.asked->output_tokens_expected *
-                             all.limits.output_ms_per_token;
+    double const output_ms =
+        asked.asked->output_tokens_expected * all.limits.output_ms_per_token;
     double const duration_ms = expected_ms + output_ms;
     if (duration_ms <= left_ms)
         return 0;
@@ -240,22 +239,22 @@
         if (one.record.pool != asked.pool || !is_in_use(all, one, now))
             continue;
         auto const weights = weights_of(all, one, asked.asked->model, now);
-        offer(result, {weights.version, one.record.where, one.key,
-                       cached_tokens(all, one, asked, split, weights.version,
-                                     now),
-                       all.limits.fetch_ms_per_token});
+        offer(result,
+              {weights.version, one.record.where, one.key,
+               cached_tokens(all, one, asked, split, weights.version, now),
+               all.limits.fetch_ms_per_token});
     }
     for (auto& row : result)
     {
         auto const hashes = hashes_of(asked, split, row.weights);
         for (auto const& store : all.stores)
         {
-            double const tokens = held_in_order(
-                split, hashes,
-                [&](status::part_hash part, std::uint32_t)
-                {
-                    return held_part(store.cache, part);
-                });
+            double const tokens =
+                held_in_order(split, hashes,
+                              [&](status::part_hash part, std::uint32_t)
+                              {
+                                  return held_part(store.cache, part);
+                              });
             if (store.is_alive && tokens > row.tokens)
                 row = {row.weights, store.where, 0, tokens,
                        all.limits.store_fetch_ms_per_token};
@@ -276,8 +275,8 @@
 
 // The store that should keep parts which nobody holds.
 std::optional<address> store_for(state const& all, call const& asked,
-                                 prompt_split const& split,
-                                 double read_tokens, mono_time now)
+                                 prompt_split const& split, double read_tokens,
+                                 mono_time now)
 {
     auto const want = all.weights.find(asked.asked->model);
     bool const is_settled =
@@ -315,8 +314,7 @@
     result.cached_tokens = held;
     result.reading_tokens =
         split.own_tokens + split.shared_tokens - held - fetched;
-    result.memory_tokens = split.own_tokens +
-                           asked.asked->output_tokens_limit +
+    result.memory_tokens = split.own_tokens + asked.asked->output_tokens_limit +
                            split.shared_tokens - held;
     if (!has_memory(all, one, result.memory_tokens))
         return std::nullopt;
@@ -438,9 +436,9 @@
             !is_in_use(all, one, now))
             continue;
         auto const candidate =
-            asked.asked ? weigh_engine(all, one, asked, split, sources, home,
-                                       now)
-                        : weigh_plain(all, one, now);
+            asked.asked
+                ? weigh_engine(all, one, asked, split, sources, home, now)
+                : weigh_plain(all, one, now);
         if (candidate && (!best || candidate->expected_ms < best->expected_ms))
             best = candidate;
     }
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -110,10 +110,9 @@
                           ? other.asked->input_tokens
                           : other.asked->parts.back().tokens;
     }
-    double const engines =
-        static_cast<double>(std::max<std::size_t>(
-            1, usable(all, asked.pool, now))) /
-        all.gateways;
+    double const engines = static_cast<double>(std::max<std::size_t>(
+                               1, usable(all, asked.pool, now))) /
+                           all.gateways;
     return tokens / (all.limits.reading_tokens_per_ms * engines);
 }
 
@@ -130,8 +129,8 @@
             asked, reason{reason_code::queue_full, "too many calls wait", {}},
             nothing_usable_pause);
     double const wait_ms = expected_wait_ms(all, asked, now);
-    auto const wait = std::chrono::milliseconds{
-        static_cast<std::int64_t>(wait_ms)};
+    auto const wait =
+        std::chrono::milliseconds{static_cast<std::int64_t>(wait_ms)};
     if (now + wait + all.limits.service_time_min >= asked.deadline)
         return refuse(asked, no_time(asked), wait / 2);
     all.waiting[asked.key] = asked;
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -65,11 +65,10 @@
     }
     if (outcome == send_outcome::unreachable || outcome == send_outcome::cut)
     {
-        auto const pause =
-            std::chrono::duration_cast<microseconds>(
-                std::chrono::duration<double, std::milli>(
-                    static_cast<double>(all.limits.avoid_base.count()) *
-                    std::exp2(one.failures - 1)));
+        auto const pause = std::chrono::duration_cast<microseconds>(
+            std::chrono::duration<double, std::milli>(
+                static_cast<double>(all.limits.avoid_base.count()) *
+                std::exp2(one.failures - 1)));
         one.avoid_until =
             now + std::min<microseconds>(pause, all.limits.avoid_limit);
     }
--- a/jujubestand/follow/follower.cpp
+++ b/jujubestand/follow/follower.cpp
@@ -76,21 +76,20 @@
 
 void follower::state::read(std::chrono::milliseconds wait)
 {
-    this->call =
-        this->from.read(this->how.topic, this->known.next, wait,
-                        [this](platform::read_end const& end)
-                        {
-                            this->on_read(end);
-                        });
+    this->call = this->from.read(this->how.topic, this->known.next, wait,
+                                 [this](platform::read_end const& end)
+                                 {
+                                     this->on_read(end);
+                                 });
 }
 
 void follower::state::list_part(std::string const& after)
 {
     this->call = this->from.list(this->how.topic, after,
-                    [this](platform::listing_end const& end)
-                    {
-                        this->on_listed(end);
-                    });
+                                 [this](platform::listing_end const& end)
+                                 {
+                                     this->on_listed(end);
+                                 });
 }
 
 // Parts of a list are no snapshot: the end of the first part is where
--- a/jujubestand/gateway/answers.cpp
+++ b/jujubestand/gateway/answers.cpp
@@ -25,16 +25,16 @@
 {
     auto fields = platform::refusal_fields(request_id, what.retry_after);
     fields.push_back({"Content-Type", "application/problem+json"});
-    self.log->write(
-        what.outcome == verdict::not_run ? event_number::request_refused
-                                         : event_number::request_failed,
-        request_id,
-        {{"status", what.status},
-         {"verdict", to_name(verdict_names, what.outcome)},
-         {"reason", to_name(what.why.code)},
-         {"why", what.why.text},
-         {"retry_after_ms",
-          what.retry_after ? what.retry_after->count() : -1}});
+    self.log->write(what.outcome == verdict::not_run
+                        ? event_number::request_refused
+                        : event_number::request_failed,
+                    request_id,
+                    {{"status", what.status},
+                     {"verdict", to_name(verdict_names, what.outcome)},
+                     {"reason", to_name(what.why.code)},
+                     {"why", what.why.text},
+                     {"retry_after_ms",
+                      what.retry_after ? what.retry_after->count() : -1}});
     self.callers->respond(exchange, what.status, fields, body_of(what));
 }
 
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -37,7 +37,8 @@
 {
     problem what;
     what.why = reason{reason_code::tables_stale,
-                      "keys and routes are not proven current", {}};
+                      "keys and routes are not proven current",
+                      {}};
     what.retry_after = not_fresh_pause;
     return what;
 }
@@ -67,7 +68,8 @@
     terms.pool = pool;
     if (call.route.has_prompts)
         terms.asked = call.asked.asked;
-    terms.cache_owner = call.team.is_isolated ? "team " + call.team.name : "all";
+    terms.cache_owner =
+        call.team.is_isolated ? "team " + call.team.name : "all";
     terms.priority = call.team.priority.value_or(call.route.priority);
     terms.arrived_at = call.arrived_at;
     terms.deadline = call.deadline;
@@ -104,15 +106,17 @@
     auto const key = ++self.last_call;
     auto const pool = traffic::choose_pool(call.route, self.draw());
     call.terms = terms_of(call, key, pool);
-    retries::take_request(self.budgets[call.terms.pool],
-                          retry_options_of(self), call.arrived_at);
-    self.log->write(event_number::request_accepted, call.asked.request_id,
-                    {{"route", call.route.name},
-                     {"team", call.team.name},
-                     {"left_ms",
-                      std::chrono::duration_cast<std::chrono::milliseconds>(
-                          call.deadline - call.arrived_at)
-                          .count()}});
+    retries::take_request(self.budgets[call.terms.pool], retry_options_of(self),
+                          call.arrived_at);
+    retries::take_request(self.rescues[call.terms.pool],
+                          rescue_options_of(self), call.arrived_at);
+    self.log->write(
+        event_number::request_accepted, call.asked.request_id,
+        {{"route", call.route.name},
+         {"team", call.team.name},
+         {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         call.deadline - call.arrived_at)
+                         .count()}});
     if (!ends_before_stop(self, call))
     {
         refuse_request(self, call.exchange, call.asked.request_id, stopping());
@@ -135,8 +139,8 @@
     if (platform::is_readiness_question(request.head))
     {
         bool const ready = is_ready(self, mono_now());
-        self.callers->respond(
-            exchange, ready ? 200 : status_unavailable, {}, {});
+        self.callers->respond(exchange, ready ? 200 : status_unavailable, {},
+                              {});
         return;
     }
     live_call call;
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -37,10 +37,9 @@
         self.log->write(event_number::log_reachable, {}, {{"topic", topic}});
 }
 
-follow::follower_events
-follower_events_of(gateway_state& self, char const* topic,
-                   void (*apply)(gateway_state&,
-                                 std::vector<follow::record> const&))
+follow::follower_events follower_events_of(
+    gateway_state& self, char const* topic,
+    void (*apply)(gateway_state&, std::vector<follow::record> const&))
 {
     follow::follower_events events;
     events.on_changes = [&self, apply](std::vector<follow::record> const& rows)
@@ -103,8 +102,8 @@
     };
     self.callers = std::make_unique<http1::server>(self.base, events);
     http1::server_events ready;
-    ready.on_request = [&self](http1::exchange_id exchange,
-                               http1::server_request const&)
+    ready.on_request =
+        [&self](http1::exchange_id exchange, http1::server_request const&)
     {
         constexpr int ok = 200;
         constexpr int unavailable = 503;
@@ -128,8 +127,8 @@
     auto const& settings = self.settings;
     if (!settings.callers)
     {
-        why = reason{reason_code::settings_invalid,
-                     "no address for callers", {}};
+        why =
+            reason{reason_code::settings_invalid, "no address for callers", {}};
         return false;
     }
     address const own{settings.ip, settings.internal_port};
@@ -177,10 +176,10 @@
 void start_timers(gateway_state& self)
 {
     self.tick_timer.emplace(self.base,
-                             [&self]
-                             {
-                                 on_tick(self);
-                             });
+                            [&self]
+                            {
+                                on_tick(self);
+                            });
     self.tick_timer->start_every(tick_interval);
     self.review_timer.emplace(self.base,
                               [&self]
@@ -218,24 +217,22 @@
         return process::exit_code::failed;
     }
     loop::signals const signals(
-        base,
-        {{SIGTERM,
-          [&self]
-          {
-              begin_stop(self);
-          }},
-         {SIGHUP, [&log]
-          {
-              log.write(event_number::settings_reloaded, {}, {});
-          }}});
+        base, {{SIGTERM,
+                [&self]
+                {
+                    begin_stop(self);
+                }},
+               {SIGHUP, [&log]
+                {
+                    log.write(event_number::settings_reloaded, {}, {});
+                }}});
     start_timers(self);
     log.write(event_number::process_started, {},
               {{"role", "gateway"}, {"name", self.settings.name}});
     ask_peers(self);
     event_base_dispatch(base);
     auto const cut = static_cast<std::int64_t>(self.live.size());
-    log.write(cut == 0 ? event_number::drain_finished
-                       : event_number::drain_cut,
+    log.write(cut == 0 ? event_number::drain_finished : event_number::drain_cut,
               {}, {{"open_calls", cut}});
     return cut == 0 ? process::exit_code::stopped
                     : process::exit_code::drain_cut;
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -27,8 +27,8 @@
 
 bool is_reader(gateway_state const& self)
 {
-    auto const found = std::find(self.peers.begin(), self.peers.end(),
-                                 self.settings.ip);
+    auto const found =
+        std::find(self.peers.begin(), self.peers.end(), self.settings.ip);
     return found == self.peers.end() ||
            static_cast<std::size_t>(found - self.peers.begin()) < readers;
 }
@@ -137,8 +137,8 @@
     {
         *body += bytes;
     };
-    events.on_end =
-        [&self, &topic, body, path, since, proven_at](http1::call_end const& end)
+    events.on_end = [&self, &topic, body, path, since,
+                     proven_at](http1::call_end const& end)
     {
         self.fetching.erase(path);
         if (end.is_complete)
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -103,8 +103,8 @@
     auto const& limits = self.settings.limits;
     // Other gateways spend from the same reserve; a part stays unused for
     // those that are not known yet.
-    constexpr double ratio_share = 0.9;
-    constexpr double reserve_share = 0.75;
+    constexpr double ratio_share = 0.85;
+    constexpr double reserve_share = 0.65;
     retries::retry_options options;
     options.attempts_limit = sends_limit;
     options.budget_ratio = limits.retry_ratio * ratio_share;
@@ -116,6 +116,19 @@
     return options;
 }
 
+retries::retry_options rescue_options_of(gateway_state const& self)
+{
+    auto const& limits = self.settings.limits;
+    constexpr double ratio_share = 0.05;
+    constexpr double reserve_share = 0.2;
+    auto options = retry_options_of(self);
+    options.budget_ratio = limits.retry_ratio * ratio_share;
+    options.budget_limit =
+        std::max(1.0, limits.retry_reserve * reserve_share /
+                          static_cast<double>(self.dispatch.gateways));
+    return options;
+}
+
 namespace
 {
 
@@ -127,10 +140,9 @@
         event_number::request_finished, call->asked.request_id,
         {{"status", call->answer.status},
          {"upstream", call->upstream},
-         {"took_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              mono_now() - call->arrived_at)
-              .count()}});
+         {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         mono_now() - call->arrived_at)
+                         .count()}});
     if (call->is_begun)
         self.callers->finish(call->exchange);
     else
@@ -156,8 +168,8 @@
         dispatch::on_misdirected(self.dispatch, call->upstream_key);
     bool const is_usable =
         answer.is_signed && !answer.is_encoded && !answer.is_not_run;
-    call->is_ignored = !is_usable || (call->is_begun &&
-                                      !is_success(answer.status));
+    call->is_ignored =
+        !is_usable || (call->is_begun && !is_success(answer.status));
     call->is_repeatable_failure =
         answer.status >= first_server_error && may_repeat(*call);
     if (!call->is_begun)
@@ -250,9 +262,14 @@
     retries::attempt_failure failure;
     failure.outcome = verdict_of(outcome);
     failure.has_alternative = true;
-    auto const made = retries::decide(self.budgets[call.terms.pool],
-                                      retry_options_of(self), progress,
-                                      failure, now, self.draw());
+    auto made =
+        retries::decide(self.budgets[call.terms.pool], retry_options_of(self),
+                        progress, failure, now, self.draw());
+    // An answer that has begun is lost if it can't go on.
+    if (made.why == reason_code::retry_budget_spent && call.is_begun)
+        made = retries::decide(self.rescues[call.terms.pool],
+                               rescue_options_of(self), progress, failure, now,
+                               self.draw());
     return made.is_retry ? reason_code::none : made.why;
 }
 
@@ -328,11 +345,10 @@
 {
     live_call* const call = find(self, key);
     auto const now = mono_now();
-    bool const is_movable = call != nullptr &&
+    bool const is_movable = call != nullptr && !self.is_stopping &&
                             call->route.kind == traffic::call_kind::stream &&
                             may_repeat(*call);
-    if (!is_movable ||
-        call->runs + 1 >= call->route.attempts_limit ||
+    if (!is_movable || call->runs + 1 >= call->route.attempts_limit ||
         !can_afford_move(self, *call) ||
         why_not_again(self, *call, dispatch::send_outcome::cancelled, now) !=
             reason_code::none)
@@ -386,8 +402,8 @@
         platform::upstream_fields(call->asked, terms_of(*call, made, now));
     request.body = call->asked.body;
     request.connect_timeout = connect_timeout;
-    request.timeout = std::max(time_left(*call, now),
-                               std::chrono::milliseconds{1});
+    request.timeout =
+        std::max(time_left(*call, now), std::chrono::milliseconds{1});
     request.idle_limit = may_repeat(*call) ? idle_limit : once_idle_limit;
     self.log->write(
         event_number::upstream_chosen, call->asked.request_id,
@@ -414,11 +430,10 @@
     }
     if (made.what == dispatch::action::hold)
     {
-        self.log->write(
-            event_number::request_waits, call->asked.request_id,
-            {{"pool", call->terms.pool},
-             {"waiting",
-              static_cast<std::int64_t>(self.dispatch.waiting.size())}});
+        self.log->write(event_number::request_waits, call->asked.request_id,
+                        {{"pool", call->terms.pool},
+                         {"waiting", static_cast<std::int64_t>(
+                                         self.dispatch.waiting.size())}});
         return;
     }
     problem what;
--- a/jujubestand/gateway/sends.hpp
+++ b/jujubestand/gateway/sends.hpp
@@ -12,6 +12,10 @@
 [[nodiscard]] retries::retry_options
 retry_options_of(gateway_state const& self);
 
+/// \brief What is kept of it for answers that have begun.
+[[nodiscard]] retries::retry_options
+rescue_options_of(gateway_state const& self);
+
 /// \brief Carries out a decision on a call.
 void apply(gateway_state& self, dispatch::decision const& made);
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -95,7 +95,10 @@
     follow::lapses lapses;
     std::optional<traffic::tables> tables;
     dispatch::state dispatch;
+    /// Repeated sends that are left, by pool.
     std::map<std::string, retries::retry_budget> budgets;
+    /// The same for answers that have begun, when the others are spent.
+    std::map<std::string, retries::retry_budget> rescues;
     std::unordered_map<dispatch::call_key, live_call> live;
     std::map<http1::exchange_id, dispatch::call_key> by_exchange;
     dispatch::call_key last_call = 0;
--- a/jujubestand/http1/client.cpp
+++ b/jujubestand/http1/client.cpp
@@ -195,9 +195,8 @@
     auto held = std::make_unique<context>();
     held->owner = this;
     context* const argument = held.get();
-    auto* const stream =
-        bufferevent_socket_new(this->base, -1, BEV_OPT_CLOSE_ON_FREE |
-                                                   BEV_OPT_DEFER_CALLBACKS);
+    auto* const stream = bufferevent_socket_new(
+        this->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     reader_limits limits;
     limits.body_bytes = request.answer_limit_bytes;
     argument->id = this->connections.insert(
@@ -227,10 +226,10 @@
     auto const& request = started.request;
     bool const has_body = !request.body.empty() || request.method == "POST" ||
                           request.method == "PUT";
-    std::string const head = request_head(
-        request.method, request.target, request.fields,
-        has_body ? body_framing::length : body_framing::none,
-        request.body.size());
+    std::string const head =
+        request_head(request.method, request.target, request.fields,
+                     has_body ? body_framing::length : body_framing::none,
+                     request.body.size());
     bufferevent_write(open.stream.get(), head.data(), head.size());
     bufferevent_write(open.stream.get(), request.body.data(),
                       request.body.size());
@@ -292,8 +291,8 @@
     if (found->is_skipping && ++found->foreign < foreign_limit)
     {
         open->input.reset();
-        return evbuffer_get_length(
-                   bufferevent_get_input(open->stream.get())) > 0;
+        return evbuffer_get_length(bufferevent_get_input(open->stream.get())) >
+               0;
     }
     call_end end;
     end.is_complete = !found->is_skipping;
@@ -385,12 +384,10 @@
     auto const kept = all.take_idle(request);
     auto const connection = kept ? *kept : all.connect(request);
     auto const timeout = request.timeout;
-    auto const id = all.calls.insert(
-        state::call{std::make_unique<std::pair<state*, call_id>>(),
-                    std::move(request),
-                    std::make_shared<call_events>(std::move(events)),
-                    connection, nullptr,
-                    false, false, 0, false});
+    auto const id = all.calls.insert(state::call{
+        std::make_unique<std::pair<state*, call_id>>(), std::move(request),
+        std::make_shared<call_events>(std::move(events)), connection, nullptr,
+        false, false, 0, false});
     state::call* const made = all.calls.find(id);
     *made->held = {&all, id};
     if (timeout.count() > 0)
--- a/jujubestand/http1/head.cpp
+++ b/jujubestand/http1/head.cpp
@@ -59,8 +59,8 @@
     bool has_host = false;
 };
 
-bool check_framing(std::string_view name, std::string_view value,
-                   framing& seen, reason& why)
+bool check_framing(std::string_view name, std::string_view value, framing& seen,
+                   reason& why)
 {
     if (http::same_name(name, "Content-Length"))
     {
--- a/jujubestand/http1/reader.cpp
+++ b/jujubestand/http1/reader.cpp
@@ -142,8 +142,8 @@
 
 std::optional<reason> reader::state::take_head(evbuffer* input)
 {
-    auto const found = evbuffer_search(input, head_end.data(),
-                                       head_end.size(), nullptr);
+    auto const found =
+        evbuffer_search(input, head_end.data(), head_end.size(), nullptr);
     std::size_t const available = evbuffer_get_length(input);
     if (found.pos < 0)
     {
@@ -164,9 +164,8 @@
         http_parser_execute(&this->parser, &callbacks(), bytes, size);
     auto const error = HTTP_PARSER_ERRNO(&this->parser);
     if (error != HPE_OK && error != HPE_PAUSED)
-        return reason{reason_code::malformed_request,
-                      http_errno_description(error),
-                      {}};
+        return reason{
+            reason_code::malformed_request, http_errno_description(error), {}};
     evbuffer_drain(input, error == HPE_PAUSED ? size : used);
     return std::nullopt;
 }
--- a/jujubestand/http1/server.cpp
+++ b/jujubestand/http1/server.cpp
@@ -126,8 +126,7 @@
                              void* argument)
 {
     auto const* held = static_cast<context*>(argument);
-    constexpr short ended =
-        BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
+    constexpr short ended = BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
     if ((what & ended) != 0)
         held->owner->on_closed(held->id);
 }
@@ -385,8 +384,7 @@
     auto* const open = this->self->find(exchange);
     if (open == nullptr)
         return;
-    bufferevent_write(open->stream.get(), last_chunk.data(),
-                      last_chunk.size());
+    bufferevent_write(open->stream.get(), last_chunk.data(), last_chunk.size());
     this->self->complete(*open);
 }
 
--- a/jujubestand/http1/writer.cpp
+++ b/jujubestand/http1/writer.cpp
@@ -57,8 +57,7 @@
         return {};
     constexpr int hexadecimal = 16;
     std::array<char, 2 * sizeof(std::size_t)> digits{};
-    auto const end = std::to_chars(digits.data(),
-                                   digits.data() + digits.size(),
+    auto const end = std::to_chars(digits.data(), digits.data() + digits.size(),
                                    bytes.size(), hexadecimal)
                          .ptr;
     std::string result(digits.data(), end);
--- a/jujubestand/logs/log.cpp
+++ b/jujubestand/logs/log.cpp
@@ -118,8 +118,7 @@
     pollfd ready{this->descriptor, POLLOUT, 0};
     bool const is_ready =
         poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
-    if (!is_ready ||
-        ::write(this->descriptor, line.data(), line.size()) < 0)
+    if (!is_ready || ::write(this->descriptor, line.data(), line.size()) < 0)
         ++this->rate.dropped;
 }
 
--- a/jujubestand/status/cache_view.cpp
+++ b/jujubestand/status/cache_view.cpp
@@ -14,8 +14,7 @@
 void change(cache_view& view, part_hash part, std::uint32_t tokens)
 {
     auto const known = view.parts.find(part);
-    std::uint32_t const before =
-        known == view.parts.end() ? 0 : known->second;
+    std::uint32_t const before = known == view.parts.end() ? 0 : known->second;
     if (before == tokens)
         return;
     if (tokens == 0)
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -12,8 +12,7 @@
         return std::nullopt;
     try
     {
-        auto message =
-            bounded_unpack(bytes.substr(1))->template as<Message>();
+        auto message = bounded_unpack(bytes.substr(1))->template as<Message>();
         if (message.format == format_number)
             return message;
     }
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -73,9 +73,10 @@
     cache_delta cache;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, agent, is_engine_reachable,
-                         is_preparing, load_due_us, is_busy, versions, queued, running,
-                         reading, memory_used, memory_total, report_age_ms,
-                         operator_end, proof_age_us, gateways, cache)
+                         is_preparing, load_due_us, is_busy, versions, queued,
+                         running, reading, memory_used, memory_total,
+                         report_age_ms, operator_end, proof_age_us, gateways,
+                         cache)
 };
 
 /// \brief A gateway asks another one how recent its knowledge is.
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -124,9 +124,8 @@
 
 /// \brief The route of a host whose prefix is the longest that begins
 /// `path`; null if none does.
-[[nodiscard]] route const* find_route(tables const& content,
-                                      std::string_view host,
-                                      std::string_view path);
+[[nodiscard]] route const*
+find_route(tables const& content, std::string_view host, std::string_view path);
 
 /// \brief The team that holds a key; null if none does.
 [[nodiscard]] team const* find_team(tables const& content,
