Take no prompt late in a stop

Ruled out: a better estimate (how long an engine takes can't be told). Change: 2.5 s after SIGTERM prompts are refused as not run; calls of plain services are taken until 3 s before the end.

--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -20,11 +20,8 @@
 /// Calls that come this soon after a stop began are taken whatever they are.
 constexpr std::chrono::milliseconds stop_free_time{2'500};
 
-/// Kept of the grace for calls to wait and be read.
-constexpr std::chrono::milliseconds stop_reserve{1'500};
-
-/// What engines take for a token when they are busy.
-constexpr std::chrono::milliseconds output_time_per_token{7};
+/// What a call of a plain service takes at the most.
+constexpr std::chrono::milliseconds plain_call_time{3'000};
 
 /// Calls that wait are decided on anew at least this often.
 constexpr std::chrono::milliseconds review_interval{15};
@@ -85,8 +82,9 @@
     return what;
 }
 
-// The balancer may go on sending callers until the process ends; what would
-// be cut by that is refused while it has not run.
+// The balancer may go on sending callers until the process ends; what could
+// be cut by that is refused while it has not run. How long a prompt waits at
+// an engine can't be told, so none is taken late.
 bool ends_before_stop(gateway_state const& self, live_call const& call)
 {
     if (!self.is_stopping)
@@ -94,11 +92,8 @@
     auto const since = call.arrived_at - self.stopping_since;
     if (since < stop_free_time)
         return true;
-    auto const left = self.settings.limits.stop_grace - stop_reserve - since;
-    auto const tokens =
-        call.terms.asked ? call.terms.asked->output_tokens_limit : 0;
-    return left > std::chrono::milliseconds{0} &&
-           left > tokens * output_time_per_token;
+    auto const left = self.settings.limits.stop_grace - since;
+    return !call.terms.asked && left > plain_call_time;
 }
 
 void take_in(gateway_state& self, live_call call)
