--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -6,7 +6,7 @@
 foreach(slice ${slices})
     list(APPEND test_folders jujubestand/${slice})
 endforeach()
-list(APPEND test_folders standins programs bench)
+list(APPEND test_folders standins programs bench platform)
 foreach(folder ${test_folders})
     file(GLOB test_sources CONFIGURE_DEPENDS
         ${PROJECT_SOURCE_DIR}/${folder}/test/*.cpp)
@@ -14,6 +14,10 @@
         continue()
     endif()
     get_filename_component(slice ${folder} NAME)
+    # The adapter at the root has a slice's name.
+    if(folder STREQUAL "platform")
+        set(slice adapter)
+    endif()
     add_executable(test_${slice} ${test_sources})
     target_link_libraries(test_${slice} PRIVATE jujubestand rapidcheck
         GTest::gmock GTest::gtest GTest::gtest_main)
@@ -33,7 +37,8 @@
 if(NOT JUJUBESTAND_SANITIZE)
     file(GLOB public_headers RELATIVE ${PROJECT_SOURCE_DIR} CONFIGURE_DEPENDS
         ${PROJECT_SOURCE_DIR}/jujubestand/*/*.hpp
-        ${PROJECT_SOURCE_DIR}/jujubestand/*.hpp)
+        ${PROJECT_SOURCE_DIR}/jujubestand/*.hpp
+        ${PROJECT_SOURCE_DIR}/platform/*.hpp)
     set(header_sources "")
     foreach(header ${public_headers})
         string(REPLACE "/" "_" name ${header})
--- /dev/null
+++ b/jujubestand/follow/test/follower_test.cpp
@@ -0,0 +1,89 @@
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <jujubestand/follow/follower.hpp>
+#include <jujubestand/http1/client.hpp>
+#include <jujubestand/http1/server.hpp>
+#include <jujubestand/http1/sockets.hpp>
+#include <memory>
+#include <platform/store.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace jujubestand::follow
+{
+
+namespace
+{
+
+address free_address()
+{
+    int const made = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in local = *http1::to_sockaddr({"127.0.0.1", 0});
+    socklen_t size = sizeof local;
+    EXPECT_EQ(bind(made, reinterpret_cast<sockaddr*>(&local), size), 0);
+    getsockname(made, reinterpret_cast<sockaddr*>(&local), &size);
+    close(made);
+    return {"127.0.0.1", ntohs(local.sin_port)};
+}
+
+} // namespace
+
+// Seen on days on which the store deletes records: peers that lacked them too
+// handed over what they had, which was taken for a list, and reading failed
+// again for ever.
+TEST(follower, deleted_records_lead_to_a_list_whatever_peers_tell)
+{
+    std::unique_ptr<event_base, decltype(&event_base_free)> const base(
+        event_base_new(), event_base_free);
+    int lists = 0;
+    int reads = 0;
+    std::unique_ptr<http1::server> store_server;
+    std::unique_ptr<follower> made;
+    http1::server_events served;
+    served.on_request =
+        [&](http1::exchange_id id, http1::server_request const& request)
+    {
+        if (request.head.target.starts_with("/log-newest"))
+        {
+            std::string const end = ++lists == 1 ? "5" : "9";
+            store_server->respond(
+                id, 200, {},
+                R"({"items":[{"key":"a","value":"Mg==","offset":)" +
+                    std::to_string(lists) + R"(}],"has-more":false,"end":)" +
+                    end + "}");
+            return;
+        }
+        ++reads;
+        made->take({{}, 6}, 5, mono_now());
+        store_server->respond(id, 410, {}, R"({"first":8})");
+    };
+    served.on_gone = [](http1::exchange_id) {};
+    store_server = std::make_unique<http1::server>(base.get(), served);
+    auto const where = free_address();
+    reason why;
+    ASSERT_TRUE(store_server->listen(where, why)) << why.text;
+    http1::client calls(base.get());
+    platform::store store(calls, where);
+    follower_events events;
+    events.on_changes = [&](std::vector<record> const&)
+    {
+        if (lists == 2)
+            event_base_loopbreak(base.get());
+    };
+    events.on_unreachable = [](reason const&) {};
+    events.on_reachable = [] {};
+    events.on_expired = [](reason const&) {};
+    made = std::make_unique<follower>(
+        base.get(), store, reading{"keyed.t", {}, std::chrono::milliseconds{1}},
+        events);
+    made->set_active(true);
+    timeval const limit{5, 0};
+    event_base_loopexit(base.get(), &limit);
+    event_base_dispatch(base.get());
+    EXPECT_EQ(lists, 2);
+    EXPECT_EQ(reads, 1);
+    EXPECT_EQ(made->known().next, 9U);
+}
+
+} // namespace jujubestand::follow
--- /dev/null
+++ b/jujubestand/follow/test/topic_test.cpp
@@ -0,0 +1,133 @@
+#include <gtest/gtest.h>
+#include <jujubestand/follow/lapses.hpp>
+#include <jujubestand/follow/topic.hpp>
+
+namespace jujubestand::follow
+{
+
+namespace
+{
+
+mono_time at(int ms)
+{
+    return mono_time{std::chrono::milliseconds{ms}};
+}
+
+topic listed()
+{
+    topic state;
+    on_listing(state, {{{"a", "1", 3}, {"b", "1", 4}}, 5}, at(100));
+    return state;
+}
+
+} // namespace
+
+TEST(topic, a_list_removes_the_keys_that_it_lacks)
+{
+    auto state = listed();
+    auto const changes = on_listing(state, {{{"a", "1", 3}}, 9}, at(200));
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes[0].key, "b");
+    EXPECT_TRUE(changes[0].value.empty());
+    EXPECT_EQ(live_keys(state), 1U);
+}
+
+// Seen on days on which the store deletes records: gateways that did not list
+// themselves never heard of the removal.
+TEST(topic, a_removal_found_by_a_list_reaches_others)
+{
+    auto reader = listed();
+    auto other = listed();
+    on_listing(reader, {{{"a", "1", 3}}, 9}, at(200));
+    auto const told = changes_since(reader, other.next);
+    auto const changes = on_shared(other, told, other.next, at(200));
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes[0].key, "b");
+    EXPECT_EQ(other.next, 9U);
+    EXPECT_EQ(live_keys(other), live_keys(reader));
+}
+
+TEST(topic, an_older_list_or_page_changes_nothing)
+{
+    auto state = listed();
+    EXPECT_TRUE(on_listing(state, {{}, 4}, at(900)).empty());
+    EXPECT_TRUE(on_page(state, {{{"a", "0", 1}}, 2}, at(900)).empty());
+    EXPECT_EQ(live_keys(state), 2U);
+    EXPECT_EQ(age(state, at(150)), microseconds{50'000});
+}
+
+TEST(topic, an_older_record_does_not_undo_a_newer_one)
+{
+    auto state = listed();
+    EXPECT_TRUE(on_page(state, {{{"a", "0", 2}}, 6}, at(200)).empty());
+    EXPECT_EQ(state.newest["a"].value, "1");
+}
+
+TEST(topic, only_the_last_page_proves)
+{
+    auto state = listed();
+    on_page(state, {{{"c", "1", 5}}, 9}, at(300));
+    EXPECT_EQ(state.proven_at, at(100));
+    on_page(state, {{{"d", "1", 6}, {"e", "1", 7}, {"f", "1", 8}}, 9}, at(400));
+    EXPECT_EQ(state.proven_at, at(400));
+}
+
+TEST(topic, a_peer_vouches_only_for_what_is_known_here)
+{
+    auto state = listed();
+    on_vouched(state, 6, at(500));
+    EXPECT_EQ(state.proven_at, at(100));
+    on_vouched(state, 5, at(500));
+    EXPECT_EQ(state.proven_at, at(500));
+    on_vouched(state, 5, at(50));
+    EXPECT_EQ(state.proven_at, at(500));
+    topic unlisted;
+    on_vouched(unlisted, 0, at(500));
+    EXPECT_FALSE(age(unlisted, at(600)));
+}
+
+TEST(topic, shared_records_must_join_on)
+{
+    auto state = listed();
+    EXPECT_TRUE(on_shared(state, {{{"c", "1", 8}}, 9}, 7, at(500)).empty());
+    EXPECT_EQ(state.next, 5U);
+    EXPECT_EQ(on_shared(state, {{{"c", "1", 8}}, 9}, 5, at(500)).size(), 1U);
+    EXPECT_EQ(state.next, 9U);
+    topic unlisted;
+    EXPECT_TRUE(on_shared(unlisted, {{}, 9}, 5, at(500)).empty());
+    EXPECT_FALSE(unlisted.is_listed);
+}
+
+TEST(lapses, a_record_that_vanishes_in_calm_is_gone)
+{
+    lapses state;
+    on_store_answer(state, at(100));
+    on_store_answer(state, at(600));
+    EXPECT_TRUE(on_vanished(state, "a", at(700)));
+}
+
+TEST(lapses, a_record_that_vanishes_in_an_outage_may_come_back)
+{
+    lapses state;
+    on_store_answer(state, at(0));
+    on_store_failure(state, at(3'000));
+    on_store_answer(state, at(3'600));
+    EXPECT_FALSE(on_vanished(state, "a", at(3'700)));
+    EXPECT_FALSE(on_vanished(state, "b", at(3'700)));
+    EXPECT_TRUE(take_gone(state, at(5'000)).empty());
+    on_present(state, "a");
+    EXPECT_EQ(take_gone(state, at(5'800)), std::vector<std::string>{"b"});
+    EXPECT_TRUE(take_gone(state, at(9'000)).empty());
+}
+
+TEST(lapses, nothing_is_gone_while_the_store_is_away)
+{
+    lapses state;
+    on_store_answer(state, at(0));
+    on_store_failure(state, at(2'000));
+    EXPECT_FALSE(on_vanished(state, "a", at(2'100)));
+    on_store_failure(state, at(9'000));
+    EXPECT_TRUE(take_gone(state, at(9'100)).empty());
+}
+
+} // namespace jujubestand::follow
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -184,6 +184,9 @@
            is_success(call.answer.status);
 }
 
+void on_send_end(gateway_state& self, dispatch::call_key key,
+                 http1::call_end const& end);
+
 void on_body(gateway_state& self, dispatch::call_key key,
              std::string_view bytes)
 {
@@ -196,6 +199,15 @@
         return;
     }
     std::string const events = on_bytes(call->events, bytes);
+    if (call->events.is_broken)
+    {
+        http1::call_end end;
+        end.may_have_sent = true;
+        end.why = reason{reason_code::answer_too_large, "endless event", {}};
+        self.upstreams->cancel(call->send);
+        on_send_end(self, key, end);
+        return;
+    }
     if (events.empty())
         return;
     dispatch::on_first_output(self.dispatch, key);
--- /dev/null
+++ b/jujubestand/gateway/test/event_stream_test.cpp
@@ -0,0 +1,43 @@
+#include <gtest/gtest.h>
+#include <jujubestand/gateway/event_stream.hpp>
+
+namespace jujubestand::gateway
+{
+
+TEST(event_stream, only_whole_events_are_passed_on)
+{
+    event_stream state;
+    EXPECT_EQ(on_bytes(state, "id: 1\ndata: a\n\nid: 2\nda"),
+              "id: 1\ndata: a\n\n");
+    EXPECT_EQ(on_bytes(state, "ta: b\n"), "");
+    EXPECT_EQ(on_bytes(state, "\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(state.last_id, 2U);
+}
+
+TEST(event_stream, a_continued_stream_repeats_nothing)
+{
+    event_stream state;
+    EXPECT_EQ(on_bytes(state, "id: 1\ndata: a\n\nid: 2\ndata: cut he"),
+              "id: 1\ndata: a\n\n");
+    on_continued(state);
+    EXPECT_EQ(on_bytes(state, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+              "id: 2\ndata: b\n\n");
+}
+
+TEST(event_stream, both_line_ends_are_read)
+{
+    event_stream state;
+    EXPECT_EQ(on_bytes(state, "id:7\r\ndata: a\r\n\r\n"),
+              "id:7\r\ndata: a\r\n\r\n");
+    EXPECT_EQ(state.last_id, 7U);
+}
+
+TEST(event_stream, an_event_without_an_end_is_no_stream)
+{
+    event_stream state;
+    std::string const endless(2U << 20U, 'x');
+    EXPECT_EQ(on_bytes(state, endless), "");
+    EXPECT_TRUE(state.is_broken);
+}
+
+} // namespace jujubestand::gateway
