Let the first turn of a load wait for long calls too, and longer

Cause: engines of the first turn moved their streams at once, which costs a send of the retry budget each; Qoyma's wait of 2.6 s was short of its streams. Change: all turns wait for long calls, until 2.6 s before the bound on old weights.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -32,7 +32,7 @@
 constexpr std::chrono::milliseconds cache_retry_pause{250};
 /// Kept of the time for new weights when a load waits for long calls: what
 /// still runs then has to end, and the load itself.
-constexpr std::chrono::milliseconds load_reserve{3'400};
+constexpr std::chrono::milliseconds load_reserve{2'600};
 constexpr std::chrono::milliseconds long_run_limit_min{1'000};
 constexpr std::chrono::milliseconds fence_retry_pause{400};
 constexpr std::chrono::milliseconds gateway_memory{3'000};
@@ -501,9 +501,8 @@
                   {{"why", "no upstream beside this agent"}});
         return process::exit_code::bad_settings;
     }
-    self.weights.limits.long_run_limit =
-        std::max(long_run_limit_min,
-                 self.settings.limits.weights_lag - load_reserve);
+    self.weights.limits.long_run_limit = std::max(
+        long_run_limit_min, self.settings.limits.weights_lag - load_reserve);
     make_parts(self);
     reason why;
     address const own{self.settings.ip, self.settings.internal_port};
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -46,12 +46,12 @@
                        });
 }
 
-// Engines of the first turn begin at once: their long calls move away. The
-// others give theirs time to end.
+// Long calls get time to end before the engine stops taking calls; those that
+// are left then move away, if they may.
 bool is_waiting_for_long_runs(rollout const& state, wanted_version const& want,
                               mono_time now)
 {
-    return turn_of(state) > 0 && has_long_run(state, now) &&
+    return has_long_run(state, now) &&
            now < want.since.value_or(now) + state.limits.long_run_limit;
 }
 
