Do not wait for long calls with weights of unknown age

Ruled out: lost orders (every one was accepted). Change: what is heard of in the first 3 s of a process counts as old: agents begin their turn at once, gateways give older weights 2.5 s; calls stop beginning on older weights 1.2 s (0.8) before the bound.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -33,6 +33,9 @@
 /// Kept of the time for new weights when a load waits for long calls: what
 /// still runs then has to end, and the load itself.
 constexpr std::chrono::milliseconds load_reserve{2'600};
+/// What is heard of weights in the first time of this process may have been
+/// named long before.
+constexpr std::chrono::milliseconds settled_after{3'000};
 constexpr std::chrono::milliseconds long_run_limit_min{1'000};
 constexpr std::chrono::milliseconds fence_retry_pause{400};
 constexpr std::chrono::milliseconds gateway_memory{3'000};
@@ -78,6 +81,7 @@
     status::cache_view cache;
     std::optional<loop::timer> cache_timer;
     std::map<std::string, known_gateway> gateways;
+    std::optional<mono_time> first_asked_at;
     /// What gateways were told last of whether to send.
     bool was_usable = false;
 };
@@ -109,7 +113,9 @@
 void take_wanted(agent_state& self, std::string const& model,
                  std::uint64_t version, mono_time now)
 {
-    if (on_wanted(self.weights, model, version, now))
+    bool const is_age_known =
+        self.first_asked_at && now - *self.first_asked_at > settled_after;
+    if (on_wanted(self.weights, model, version, now, is_age_known))
         self.log->write(event_number::weights_wanted, {},
                         {{"model", model},
                          {"version", static_cast<std::int64_t>(version)}});
@@ -414,6 +420,8 @@
     if (!asked)
         return;
     auto const now = mono_now();
+    if (!self.first_asked_at)
+        self.first_asked_at = now;
     take_news(self, *asked, now);
     self.gateways[asked->gateway] = known_gateway{from, now};
     self.questions->send(from,
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -51,7 +51,7 @@
 bool is_waiting_for_long_runs(rollout const& state, wanted_version const& want,
                               mono_time now)
 {
-    return has_long_run(state, now) &&
+    return want.is_age_known && has_long_run(state, now) &&
            now < want.since.value_or(now) + state.limits.long_run_limit;
 }
 
@@ -66,7 +66,7 @@
 } // namespace
 
 bool on_wanted(rollout& state, std::string const& model, std::uint64_t version,
-               mono_time now)
+               mono_time now, bool is_age_known)
 {
     auto& known = state.wanted[model];
     if (version <= known.version)
@@ -74,7 +74,10 @@
     known.version = version;
     // A turn that is pending serves the newer version as well.
     if (!known.since)
+    {
         known.since = now;
+        known.is_age_known = is_age_known;
+    }
     return true;
 }
 
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -45,6 +45,8 @@
     /// When the oldest version was named that the engine lacks; nothing once
     /// it has the newest one.
     std::optional<mono_time> since;
+    /// It is known that the version was named at `since` and not earlier.
+    bool is_age_known = true;
     /// Gateways were told to send nothing new, and when.
     bool is_begun = false;
     mono_time begun_at{};
@@ -98,9 +100,10 @@
 }};
 
 /// \brief The operator wants other weights; older wishes are forgotten.
+/// \param is_age_known false where the wish may be older than this process
 /// \returns whether it is news
 bool on_wanted(rollout& state, std::string const& model, std::uint64_t version,
-               mono_time now);
+               mono_time now, bool is_age_known = true);
 
 /// \brief Takes in what runs at the engine.
 void on_runs(rollout& state, std::vector<std::uint64_t> const& running,
--- a/jujubestand/agent/test/rollout_test.cpp
+++ b/jujubestand/agent/test/rollout_test.cpp
@@ -119,6 +119,16 @@
     EXPECT_LE(when, 1'000 + state.limits.long_run_limit.count() + 500);
 }
 
+// hunt-0742-19 of Quintela: agents that had been restarted waited for long
+// calls as if the weights had been named then.
+TEST(rollout, a_wish_of_unknown_age_is_not_held_back)
+{
+    auto state = ready(0, 9);
+    on_runs(state, {11}, at(0));
+    on_wanted(state, "m", 2, at(1'000), false);
+    EXPECT_LE(first_order(state, engine(1, 0), 1'000), 1'300);
+}
+
 TEST(rollout, calls_that_are_read_hold_an_order_back_briefly)
 {
     auto state = ready(0, 9);
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -165,11 +165,11 @@
 }
 
 void on_wanted_weights(state& all, std::string const& model,
-                       std::uint64_t version, mono_time now)
+                       std::uint64_t version, mono_time since)
 {
     auto& known = all.weights[model];
     if (version > known.version)
-        known = wanted{version, now};
+        known = wanted{version, since};
 }
 
 void on_first_output(state& all, call_key call)
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -28,8 +28,9 @@
                      std::uint64_t version);
 
 /// \brief The operator wants other weights.
+/// \param since when they were named, at the latest
 void on_wanted_weights(state& all, std::string const& model,
-                       std::uint64_t version, mono_time now);
+                       std::uint64_t version, mono_time since);
 
 /// \brief The first output of a send came.
 void on_first_output(state& all, call_key call);
--- a/jujubestand/gateway/beliefs.cpp
+++ b/jujubestand/gateway/beliefs.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/gateway/beliefs.hpp>
 
+#include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
@@ -11,6 +12,10 @@
 namespace
 {
 
+/// A gateway that has run for longer hears of news as they are made.
+constexpr std::chrono::milliseconds settled_after{3'000};
+constexpr std::chrono::milliseconds load_time_at_start{2'500};
+
 /// Kept of the bound on removed keys for the way to the upstream.
 constexpr std::chrono::milliseconds freshness_margin{300};
 
@@ -73,6 +78,17 @@
          {"teams", static_cast<std::int64_t>(self.tables->teams.size())}});
 }
 
+// Weights that a gateway hears of as it starts may have been named long
+// before: older ones are used only for as long as the engines take to load.
+mono_time named_since(gateway_state const& self, mono_time now)
+{
+    if (now - self.started_at > settled_after)
+        return now;
+    return now - std::max<microseconds>(self.dispatch.limits.weights_lag -
+                                            load_time_at_start,
+                                        microseconds{0});
+}
+
 void apply_weights(gateway_state& self, follow::record const& row)
 {
     reason why;
@@ -83,7 +99,7 @@
         return;
     }
     dispatch::on_wanted_weights(self.dispatch, wanted->model, wanted->version,
-                                mono_now());
+                                named_since(self, mono_now()));
     self.log->write(event_number::weights_wanted, {},
                     {{"model", wanted->model},
                      {"version", static_cast<std::int64_t>(wanted->version)},
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -204,9 +204,10 @@
     self.log = &log;
     self.settings = std::move(settings);
     self.dispatch.data_center = self.settings.data_center;
-    constexpr std::chrono::milliseconds weights_margin{800};
+    constexpr std::chrono::milliseconds weights_margin{1'200};
     self.dispatch.limits.weights_lag =
         self.settings.limits.weights_lag - weights_margin;
+    self.started_at = mono_now();
     self.draw.seed(std::random_device{}());
     make_clients(self);
     make_servers(self);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -111,6 +111,7 @@
     std::set<std::string> fetching;
     /// IP numbers of all gateways, sorted; empty until agents tell.
     std::vector<std::string> peers;
+    mono_time started_at{};
     mono_time stopping_since{};
 };
 
