Refuse letters beyond ASCII after a closed quote in settings

Cause: the fuzz target of settings reached undefined behaviour in toml++ with ' ""' followed by U+FEE9: the check before it took all after a first quote of a line for quoted text. Ruled out: the new code (the target reads the older settings).

--- a/jujubestand/settings/reader.cpp
+++ b/jujubestand/settings/reader.cpp
@@ -1,5 +1,7 @@
 #include <jujubestand/settings/reader.hpp>
 
+#include <jujubestand/settings/foreign_letter.hpp>
+
 namespace jujubestand::settings
 {
 
@@ -20,27 +22,6 @@
     return place;
 }
 
-// toml++ 3.3 has undefined behaviour on some letters beyond ASCII in a bare
-// key, where TOML allows none; so they are refused before it sees them.
-std::optional<toml::source_position> foreign_letter(std::string_view text)
-{
-    toml::source_position at{1, 1};
-    bool is_free = false; // within a text or a comment, up to the line's end
-    for (char const letter : text)
-    {
-        bool const is_ascii = static_cast<unsigned char>(letter) < 0x80U;
-        if (!is_free && !is_ascii)
-            return at;
-        is_free = is_free || letter == '#' || letter == '"' || letter == '\'';
-        ++at.column;
-        if (letter != '\n')
-            continue;
-        is_free = false;
-        at = {at.line + 1, 1};
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 std::optional<toml::table> read_document(std::string_view text,
@@ -49,9 +30,9 @@
 {
     if (auto const where = foreign_letter(text))
     {
-        problems.push_back(reason{reason_code::settings_invalid,
-                                  "expected ASCII letters in keys",
-                                  place_of(file, *where, {})});
+        problems.push_back(reason{
+            reason_code::settings_invalid, "expected ASCII letters in keys",
+            place_of(file, {where->line, where->column}, {})});
         return std::nullopt;
     }
     try
