Send the status of caches in pages, from gateways with wide links

The gateway front-almaty-a-4 closed its connection to the engine at once when the caller left; the close reached the engine two seconds later, behind what lay on the gateway's own link of 10 Mbit/s.

Change: a delta holds 64 entries at most and says what it follows; a copy catches up page by page, also through removals meanwhile. One reader is followed at a time. A question is repeated only after its answer or 400 ms. Agents tell gateways with the widest links first (settings: link-mbps), and the list only when it differs from the asker's.

Tests: cache_view (one delta stays small; changes while a copy catches up; a later life; forgotten removals; a property with losses, late and repeated deltas), questions, askers.

Conclusion: a feedback of answers on narrow links, mended; the small sites have too few gateways to show it.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <event2/event.h>
+#include <jujubestand/agent/askers.hpp>
 #include <jujubestand/agent/rollout.hpp>
 #include <jujubestand/follow/follower.hpp>
 #include <jujubestand/http1/server.hpp>
@@ -38,7 +39,6 @@
 constexpr std::chrono::milliseconds settled_after{3'000};
 constexpr std::chrono::milliseconds long_run_limit_min{1'000};
 constexpr std::chrono::milliseconds fence_retry_pause{400};
-constexpr std::chrono::milliseconds gateway_memory{3'000};
 
 /// A gateway whose knowledge is older than this asks for a newer proof.
 constexpr std::chrono::milliseconds proof_age_limit{2'500};
@@ -51,13 +51,6 @@
 
 constexpr int ok = 200;
 
-/// \brief A gateway that asks for our status.
-struct known_gateway
-{
-    address where;
-    mono_time asked_at{};
-};
-
 struct agent_state
 {
     event_base* base = nullptr;
@@ -80,7 +73,7 @@
     std::string upstream;
     status::cache_view cache;
     std::optional<loop::timer> cache_timer;
-    std::map<std::string, known_gateway> gateways;
+    askers gateways;
     std::optional<mono_time> first_asked_at;
     /// What gateways were told last of whether to send.
     bool was_usable = false;
@@ -328,20 +321,6 @@
         });
 }
 
-std::vector<std::string> gateway_hosts(agent_state& self, mono_time now)
-{
-    std::erase_if(self.gateways,
-                  [now](auto const& row)
-                  {
-                      return now - row.second.asked_at > gateway_memory;
-                  });
-    std::vector<std::string> hosts;
-    for (auto const& [name, gateway] : self.gateways)
-        hosts.push_back(gateway.where.host);
-    std::sort(hosts.begin(), hosts.end());
-    return hosts;
-}
-
 status::answer answer_to(agent_state& self, status::question const& asked,
                          mono_time now)
 {
@@ -349,7 +328,10 @@
     answer.asked_at_us = asked.asked_at_us;
     answer.agent = self.settings.name;
     answer.is_engine_reachable = self.is_reachable;
-    answer.gateways = gateway_hosts(self, now);
+    forget_silent(self.gateways, now);
+    auto hosts = hosts_by_width(self.gateways);
+    if (status::hash_of(hosts) != asked.gateways_hash)
+        answer.gateways = std::move(hosts);
     auto const& known = self.operator_topic->known();
     answer.operator_end = known.next;
     if (auto const age = follow::age(known, now))
@@ -367,7 +349,7 @@
     answer.reading = report.reading;
     answer.memory_used = report.memory_used;
     answer.memory_total = report.memory_total;
-    answer.cache = status::delta_since(self.cache, asked.cache_generation);
+    answer.cache = status::delta_since(self.cache, asked.cache);
     answer.report_age_ms =
         static_cast<std::uint32_t>(to_ms(now - self.reported_at));
     return answer;
@@ -384,7 +366,7 @@
         return;
     self.was_usable = is_usable;
     status::question unasked;
-    unasked.cache_generation = self.cache.generation;
+    unasked.cache = {self.cache.generation, self.cache.generation};
     auto const bytes = status::to_datagram(answer_to(self, unasked, now));
     for (auto const& [name, gateway] : self.gateways)
         self.questions->send(gateway.where, bytes);
@@ -423,7 +405,7 @@
     if (!self.first_asked_at)
         self.first_asked_at = now;
     take_news(self, *asked, now);
-    self.gateways[asked->gateway] = known_gateway{from, now};
+    self.gateways[asked->gateway] = known_gateway{from, asked->link_mbps, now};
     self.questions->send(from,
                          status::to_datagram(answer_to(self, *asked, now)));
     refresh_for(self, *asked, now);
@@ -532,8 +514,8 @@
     log.write(event_number::process_started, {},
               {{"role", "agent"}, {"name", self.settings.name}});
     self.report_timer->start_every(report_interval);
-    self.cache.generation =
-        static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
+    status::begin(self.cache, static_cast<std::uint64_t>(
+                                  wall_now().time_since_epoch().count()));
     ask_cache_events(self);
     take_fence(self);
     event_base_dispatch(base);
--- /dev/null
+++ b/jujubestand/agent/test/askers_test.cpp
@@ -0,0 +1,43 @@
+#include <gtest/gtest.h>
+#include <jujubestand/agent/askers.hpp>
+
+namespace jujubestand::agent
+{
+
+namespace
+{
+
+mono_time at(int ms)
+{
+    return mono_time{std::chrono::milliseconds{ms}};
+}
+
+known_gateway gateway(char const* host, double link_mbps, int asked_at_ms)
+{
+    return {{host, 7'000}, link_mbps, at(asked_at_ms)};
+}
+
+} // namespace
+
+// The first two read for all the others. On a link of 10 Mbit/s their answers
+// took the place of the callers' requests.
+TEST(askers, gateways_with_wide_links_come_first)
+{
+    askers const all = {{"a", gateway("10.0.0.1", 10, 0)},
+                        {"b", gateway("10.0.0.9", 200, 0)},
+                        {"c", gateway("10.0.0.5", 200, 0)},
+                        {"d", gateway("10.0.0.2", 10, 0)}};
+    std::vector<std::string> const expected = {"10.0.0.5", "10.0.0.9",
+                                               "10.0.0.1", "10.0.0.2"};
+    EXPECT_EQ(hosts_by_width(all), expected);
+}
+
+TEST(askers, a_gateway_that_asks_no_more_is_forgotten)
+{
+    askers all = {{"a", gateway("10.0.0.1", 10, 0)},
+                  {"b", gateway("10.0.0.2", 10, 2'900)}};
+    forget_silent(all, at(3'100));
+    EXPECT_EQ(hosts_by_width(all), std::vector<std::string>{"10.0.0.2"});
+}
+
+} // namespace jujubestand::agent
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -55,7 +55,7 @@
 struct engine_place
 {
     std::string id;
-    std::uint64_t cache_generation = 0;
+    status::cache_mark cache;
     std::uint32_t place = 0;
     std::uint32_t engines = 1;
 };
@@ -73,7 +73,7 @@
             dispatch::find_by_host(self.dispatch, host) != &one)
             continue;
         auto& count = pools[one.record.pool];
-        hosts[host] = {id, one.cache.generation, count, 1};
+        hosts[host] = {id, one.cache.mark, count, 1};
         if (!one.record.is_leaving)
             ++count;
     }
@@ -100,9 +100,13 @@
     if (auto const age = follow::age(known, now))
         question.proof_age_us = age->count();
     question.gateway = self.settings.name;
+    question.link_mbps = self.settings.link_mbps;
+    question.gateways_hash = status::hash_of(self.peers);
     for (auto const& [host, engine] : engines_by_host(self))
     {
-        question.cache_generation = engine.cache_generation;
+        if (!may_ask(self.questions, host, now))
+            continue;
+        question.cache = engine.cache;
         question.upstream = engine.id;
         question.place = engine.place;
         question.engines = engine.engines;
@@ -118,6 +122,8 @@
     if (!answer)
         return;
     auto const now = mono_now();
+    if (answer->asked_at_us != 0)
+        on_answered(self.questions, from.host);
     auto const* const one = dispatch::find_by_host(self.dispatch, from.host);
     if (one != nullptr)
     {
--- a/jujubestand/gateway/part_stores.cpp
+++ b/jujubestand/gateway/part_stores.cpp
@@ -22,9 +22,8 @@
         if (to_text(store.where) != name)
             continue;
         store.is_alive = watched.is_alive;
-        status::on_delta(
-            store.cache,
-            status::delta_since(watched.cache, store.cache.generation));
+        status::on_delta(store.cache,
+                         status::delta_since(watched.cache, store.cache.mark));
     }
 }
 
@@ -54,9 +53,10 @@
 {
     auto const name = to_text(where);
     auto& watched = self.watched_stores[name];
-    if (watched.cache.generation == 1)
-        watched.cache.generation =
-            static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
+    if (watched.cache.generation == 0)
+        status::begin(
+            watched.cache,
+            static_cast<std::uint64_t>(wall_now().time_since_epoch().count()));
     watched.is_asking = true;
     auto request =
         platform::cache_events_request(where, watched.cache.next, events_wait);
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -25,12 +25,20 @@
     return at.time_since_epoch().count();
 }
 
+// The gateways that read, by IP number.
+std::vector<std::string> readers_of(gateway_state const& self)
+{
+    auto const count = std::min(readers, self.peers.size());
+    return {self.peers.begin(),
+            self.peers.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
 bool is_reader(gateway_state const& self)
 {
-    auto const found =
-        std::find(self.peers.begin(), self.peers.end(), self.settings.ip);
+    auto const begin = self.peers.begin();
+    auto const found = std::find(begin, self.peers.end(), self.settings.ip);
     return found == self.peers.end() ||
-           static_cast<std::size_t>(found - self.peers.begin()) < readers;
+           static_cast<std::size_t>(found - begin) < readers;
 }
 
 bool is_lagging(follow::follower const& topic, mono_time now)
@@ -70,8 +78,12 @@
         topic.vouch(standing.end, proven_at);
 }
 
-void take_stores(gateway_state& self, status::peer_answer const& from)
+void take_stores(gateway_state& self, std::string const& host,
+                 status::peer_answer const& from)
 {
+    if (is_reader(self) || host != self.stores_from.host)
+        return;
+    self.stores_from.heard_at = mono_now();
     for (auto& store : self.dispatch.stores)
     {
         auto const told = from.stores.find(to_text(store.where));
@@ -82,6 +94,15 @@
     }
 }
 
+std::map<std::string, status::cache_mark>
+known_stores(gateway_state const& self)
+{
+    std::map<std::string, status::cache_mark> known;
+    for (auto const& store : self.dispatch.stores)
+        known[to_text(store.where)] = store.cache.mark;
+    return known;
+}
+
 void on_question(gateway_state& self, address const& from,
                  status::peer_question const& asked)
 {
@@ -90,13 +111,13 @@
     answer.asked_at_us = asked.asked_at_us;
     answer.operators = standing_of(*self.operator_topic, now);
     answer.upstreams = standing_of(*self.upstream_topic, now);
-    for (auto const& [where, generation] : asked.stores)
+    for (auto const& [where, known] : asked.stores)
     {
         auto const watched = self.watched_stores.find(where);
         if (watched != self.watched_stores.end() && is_reader(self))
             answer.stores[where] = {
                 watched->second.is_alive,
-                status::delta_since(watched->second.cache, generation)};
+                status::delta_since(watched->second.cache, known)};
     }
     self.datagrams->send(from, status::to_datagram(answer));
 }
@@ -157,16 +178,19 @@
                                     is_lagging(*self.upstream_topic, now));
     status::peer_question question;
     question.asked_at_us = to_us(now);
-    for (auto const& store : self.dispatch.stores)
-        question.stores[to_text(store.where)] = store.cache.generation;
     if (reads)
         watch_stores(self, now);
-    auto const bytes = status::to_datagram(question);
-    for (std::size_t at = 0; at < std::min(readers, self.peers.size()); ++at)
+    else
+        follow_reader(self.stores_from, readers_of(self), now);
+    for (auto const& host : readers_of(self))
     {
-        if (self.peers[at] != self.settings.ip)
-            self.datagrams->send(
-                address{self.peers[at], self.settings.internal_port}, bytes);
+        if (host == self.settings.ip || !may_ask(self.questions, host, now))
+            continue;
+        question.stores = reads || host != self.stores_from.host
+                              ? std::map<std::string, status::cache_mark>{}
+                              : known_stores(self);
+        self.datagrams->send(address{host, self.settings.internal_port},
+                             status::to_datagram(question));
     }
 }
 
@@ -181,12 +205,12 @@
     auto const answer = status::from_datagram<status::peer_answer>(bytes);
     if (!answer)
         return;
+    on_answered(self.questions, from.host);
     take_standing(self, from.host, *self.operator_topic, operator_records_path,
                   answer->operators, answer->asked_at_us);
     take_standing(self, from.host, *self.upstream_topic, upstream_records_path,
                   answer->upstreams, answer->asked_at_us);
-    if (!is_reader(self))
-        take_stores(self, *answer);
+    take_stores(self, from.host, *answer);
 }
 
 void on_records_request(gateway_state& self, http1::exchange_id exchange,
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -7,6 +7,7 @@
 #include <jujubestand/follow/follower.hpp>
 #include <jujubestand/follow/lapses.hpp>
 #include <jujubestand/gateway/event_stream.hpp>
+#include <jujubestand/gateway/questions.hpp>
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <jujubestand/logs/log.hpp>
@@ -109,7 +110,10 @@
     std::map<std::string, watched_store> watched_stores;
     /// Paths of the records that are being fetched.
     std::set<std::string> fetching;
-    /// IP numbers of all gateways, sorted; empty until agents tell.
+    gateway::questions questions;
+    followed_reader stores_from;
+    /// IP numbers of all gateways, those with the widest links first; empty
+    /// until agents tell.
     std::vector<std::string> peers;
     mono_time started_at{};
     mono_time stopping_since{};
--- /dev/null
+++ b/jujubestand/gateway/test/questions_test.cpp
@@ -0,0 +1,84 @@
+#include <gtest/gtest.h>
+#include <jujubestand/gateway/questions.hpp>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+mono_time at(int ms)
+{
+    return mono_time{std::chrono::milliseconds{ms}};
+}
+
+} // namespace
+
+// A gateway whose link was full asked ten times a second for answers that were
+// still in the queue, and got each of them ten times.
+TEST(questions, an_open_question_is_not_repeated_at_each_tick)
+{
+    questions sent;
+    int asked = 0;
+    for (int ms = 0; ms < 2'000; ms += 100)
+    {
+        if (may_ask(sent, "10.0.0.1", at(ms)))
+            ++asked;
+    }
+    EXPECT_EQ(asked, 5);
+}
+
+TEST(questions, an_answered_question_is_followed_by_the_next)
+{
+    questions sent;
+    for (int ms = 0; ms < 1'000; ms += 100)
+    {
+        EXPECT_TRUE(may_ask(sent, "10.0.0.1", at(ms)));
+        EXPECT_EQ(may_ask(sent, "10.0.0.2", at(ms)), ms % 400 == 0);
+        on_answered(sent, "10.0.0.1");
+    }
+}
+
+TEST(questions, an_answer_nobody_asked_for_counts_for_nothing)
+{
+    questions sent;
+    on_answered(sent, "10.0.0.1");
+    EXPECT_TRUE(sent.empty());
+}
+
+// Two readers count changes each on its own: a gateway that took from both in
+// turn got all parts of all stores with every answer.
+TEST(questions, one_reader_is_followed_while_it_answers)
+{
+    std::vector<std::string> const readers = {"10.0.0.1", "10.0.0.2"};
+    followed_reader followed;
+    for (int ms = 0; ms < 5'000; ms += 100)
+    {
+        follow_reader(followed, readers, at(ms));
+        EXPECT_EQ(followed.host, "10.0.0.1");
+        followed.heard_at = at(ms);
+    }
+}
+
+TEST(questions, a_silent_reader_is_left_for_the_next_and_back)
+{
+    std::vector<std::string> const readers = {"10.0.0.1", "10.0.0.2"};
+    followed_reader followed;
+    follow_reader(followed, readers, at(0));
+    follow_reader(followed, readers, at(1'100));
+    EXPECT_EQ(followed.host, "10.0.0.2");
+    follow_reader(followed, readers, at(2'200));
+    EXPECT_EQ(followed.host, "10.0.0.1");
+}
+
+TEST(questions, a_gateway_that_reads_no_more_is_left_at_once)
+{
+    followed_reader followed;
+    follow_reader(followed, {"10.0.0.1"}, at(0));
+    follow_reader(followed, {"10.0.0.5", "10.0.0.6"}, at(10));
+    EXPECT_EQ(followed.host, "10.0.0.5");
+    follow_reader(followed, {}, at(20));
+    EXPECT_EQ(followed.host, "10.0.0.5");
+}
+
+} // namespace jujubestand::gateway
--- a/jujubestand/node/settings.hpp
+++ b/jujubestand/node/settings.hpp
@@ -49,6 +49,8 @@
     std::string upstream_pool;
     /// The platform's store.
     address store;
+    /// Width of the instance's link, in Mbit/s; 0: not told.
+    double link_mbps = 0;
     /// Interval at which upstreams renew their records.
     std::chrono::milliseconds heartbeat{1'200};
     bounds limits;
--- a/jujubestand/status/cache_view.cpp
+++ b/jujubestand/status/cache_view.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/status/cache_view.hpp>
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace jujubestand::status
@@ -8,23 +9,42 @@
 namespace
 {
 
-/// Changes that are kept for gateways that lag; others get all parts.
-constexpr std::size_t recent_limit = 256;
+/// Removals that are kept for gateways that lag; later ones start anew.
+constexpr std::size_t removals_limit = 1'024;
+
+/// Changes in one delta. A gateway on a narrow link gets many of them at once,
+/// one of each engine, and what is left over with its next question.
+constexpr std::size_t delta_limit = 64;
+
+void forget_oldest_removal(cache_view& view)
+{
+    auto const oldest = view.removals.front();
+    view.removals.pop_front();
+    view.horizon = oldest;
+    auto const found = view.changes.find(oldest);
+    // A part that came back has a later change in its place.
+    if (found == view.changes.end())
+        return;
+    view.parts.erase(found->second);
+    view.changes.erase(found);
+}
 
 void change(cache_view& view, part_hash part, std::uint32_t tokens)
 {
     auto const known = view.parts.find(part);
-    std::uint32_t const before = known == view.parts.end() ? 0 : known->second;
-    if (before == tokens)
+    bool const is_known = known != view.parts.end();
+    if ((is_known ? known->second.tokens : 0U) == tokens)
         return;
-    if (tokens == 0)
-        view.parts.erase(part);
-    else
-        view.parts[part] = tokens;
+    if (is_known)
+        view.changes.erase(known->second.generation);
     ++view.generation;
-    view.recent.push_back({part, tokens});
-    if (view.recent.size() > recent_limit)
-        view.recent.pop_front();
+    view.parts[part] = {tokens, view.generation};
+    view.changes[view.generation] = part;
+    if (tokens != 0)
+        return;
+    view.removals.push_back(view.generation);
+    if (view.removals.size() > removals_limit)
+        forget_oldest_removal(view);
 }
 
 } // namespace
@@ -35,6 +55,12 @@
         XXH3_64bits_withSeed(scope.data(), scope.size(), part));
 }
 
+void begin(cache_view& view, std::uint64_t generation)
+{
+    view.generation = generation;
+    view.horizon = generation;
+}
+
 bool on_events(cache_view& view, cache_events const& events)
 {
     bool const is_restart = view.epoch != events.epoch;
@@ -56,29 +82,37 @@
         change(view, one.part, one.tokens);
 }
 
-// A generation skip of the whole ring makes every gateway ask for all.
+// The horizon passes what every copy knows: all of them start anew.
 void clear(cache_view& view)
 {
     view.parts.clear();
-    view.recent.clear();
+    view.changes.clear();
+    view.removals.clear();
     ++view.generation;
+    view.horizon = view.generation;
 }
 
-cache_delta delta_since(cache_view const& view, std::uint64_t generation)
+cache_delta delta_since(cache_view const& view, cache_mark const& known)
 {
     cache_delta delta;
-    delta.generation = view.generation;
-    if (generation > view.generation ||
-        view.generation - generation > view.recent.size())
+    delta.is_whole = known.generation > view.generation ||
+                     std::max(known.base, known.generation) < view.horizon;
+    delta.after = delta.is_whole ? 0 : known.generation;
+    delta.mark.base = delta.is_whole ? view.generation : known.base;
+    delta.mark.generation = view.generation;
+    for (auto at = view.changes.upper_bound(delta.after);
+         at != view.changes.end(); ++at)
     {
-        delta.is_whole = true;
-        for (auto const& [part, tokens] : view.parts)
-            delta.entries.push_back({part, tokens});
-        return delta;
+        auto const tokens = view.parts.at(at->second).tokens;
+        // Nothing to remove from an empty copy.
+        if (delta.is_whole && tokens == 0)
+            continue;
+        if (delta.entries.size() == delta_limit)
+            return delta;
+        delta.entries.push_back({at->second, tokens});
+        delta.mark.generation = at->first;
     }
-    auto const missing =
-        static_cast<std::ptrdiff_t>(view.generation - generation);
-    delta.entries.assign(view.recent.end() - missing, view.recent.end());
+    delta.mark.generation = view.generation;
     return delta;
 }
 
@@ -86,7 +120,8 @@
 {
     if (delta.is_whole)
         copy.parts.clear();
-    else if (delta.generation < copy.generation || delta.entries.empty())
+    else if (delta.after != copy.mark.generation ||
+             delta.mark.base != copy.mark.base)
         return;
     for (auto const& entry : delta.entries)
     {
@@ -95,7 +130,7 @@
         else
             copy.parts[entry.part] = entry.tokens;
     }
-    copy.generation = delta.generation;
+    copy.mark = delta.mark;
 }
 
 } // namespace jujubestand::status
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -1,10 +1,19 @@
 #include <jujubestand/status/messages.hpp>
 
 #include <jujubestand/core/bounded_unpack.hpp>
+#include <xxhash.h>
 
 namespace jujubestand::status
 {
 
+std::uint64_t hash_of(std::vector<std::string> const& gateways) noexcept
+{
+    std::uint64_t hash = 0;
+    for (auto const& host : gateways)
+        hash = XXH3_64bits_withSeed(host.data(), host.size(), hash);
+    return hash;
+}
+
 template <class Message>
 std::optional<Message> from_datagram(std::string_view bytes)
 {
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -14,7 +14,7 @@
 {
 
 /// \brief Number of the messages' format; others are ignored.
-inline constexpr std::uint32_t format_number = 1;
+inline constexpr std::uint32_t format_number = 2;
 
 /// \brief A gateway asks an agent for its status.
 struct question
@@ -27,8 +27,8 @@
     std::uint64_t operator_end = 0;
     /// Age of the gateway's proof of that; -1: never proven.
     std::int64_t proof_age_us = -1;
-    /// Generation of the engine's cache that the gateway knows.
-    std::uint64_t cache_generation = 0;
+    /// What the gateway knows of the engine's cache.
+    cache_mark cache;
     /// Weights that the operator wants, by model.
     std::map<std::string, std::uint64_t> wanted;
     /// Id of the engine beside the agent, as it is registered.
@@ -36,10 +36,14 @@
     /// Place of that engine among those of its pool, and their number.
     std::uint32_t place = 0;
     std::uint32_t engines = 1;
+    /// Width of the gateway's link; gateways with wide ones read the store.
+    double link_mbps = 0;
+    /// Of the list of gateways that the asker knows.
+    std::uint64_t gateways_hash = 0;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, gateway, operator_end,
-                         proof_age_us, cache_generation, wanted, upstream,
-                         place, engines)
+                         proof_age_us, cache, wanted, upstream, place, engines,
+                         link_mbps, gateways_hash)
 };
 
 /// \brief What an agent knows of its engine and of the store.
@@ -67,9 +71,10 @@
     std::uint64_t operator_end = 0;
     /// Age of the proof of that; -1: never proven.
     std::int64_t proof_age_us = -1;
-    /// IP numbers of the gateways that asked lately, sorted.
+    /// IP numbers of the gateways that asked lately, those with the widest
+    /// links first; empty if the asker knows this list.
     std::vector<std::string> gateways;
-    /// What changed in the engine's cache since the asked generation.
+    /// What changed in the engine's cache since the asked mark.
     cache_delta cache;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, agent, is_engine_reachable,
@@ -84,8 +89,9 @@
 {
     std::uint32_t format = format_number;
     std::int64_t asked_at_us = 0;
-    /// Generation of each store of parts that the asker knows, by address.
-    std::map<std::string, std::uint64_t> stores;
+    /// What the asker knows of each store of parts, by address; empty for
+    /// gateways that it does not follow in this.
+    std::map<std::string, cache_mark> stores;
 
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, stores)
 };
@@ -125,6 +131,10 @@
     MSGPACK_DEFINE_ARRAY(format, asked_at_us, operators, upstreams, stores)
 };
 
+/// \brief Hash of a list of gateways, in its order.
+[[nodiscard]] std::uint64_t
+hash_of(std::vector<std::string> const& gateways) noexcept;
+
 /// \brief Kinds of messages, told by their first byte.
 enum class message_kind : char
 {
--- a/jujubestand/status/test/cache_view_test.cpp
+++ b/jujubestand/status/test/cache_view_test.cpp
@@ -6,29 +6,146 @@
 namespace jujubestand::status
 {
 
+namespace
+{
+
+using live_parts = std::unordered_map<part_hash, std::uint32_t>;
+
+live_parts live(cache_view const& view)
+{
+    live_parts result;
+    for (auto const& [part, known] : view.parts)
+    {
+        if (known.tokens != 0)
+            result[part] = known.tokens;
+    }
+    return result;
+}
+
+void fill(cache_view& view, part_hash first, std::size_t count)
+{
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        auto const part = static_cast<part_hash>(first + at);
+        on_events(view,
+                  {view.epoch, view.next + 1, false, {{part, 50, false}}});
+    }
+}
+
+// \returns the deltas that it took
+std::size_t catch_up(cache_copy& copy, cache_view const& view)
+{
+    constexpr std::size_t enough = 200;
+    std::size_t taken = 0;
+    while (copy.mark.generation != view.generation && taken < enough)
+    {
+        on_delta(copy, delta_since(view, copy.mark));
+        ++taken;
+    }
+    return taken;
+}
+
+} // namespace
+
 TEST(cache_view, a_gap_or_a_restart_is_told)
 {
     cache_view view;
     EXPECT_TRUE(on_events(view, {7, 2, false, {{1, 100, false}}}));
     EXPECT_FALSE(on_events(view, {7, 9, true, {}}));
-    EXPECT_EQ(view.parts.size(), 1U);
+    EXPECT_EQ(live(view).size(), 1U);
     on_events(view, {8, 1, false, {}});
-    EXPECT_TRUE(view.parts.empty());
+    EXPECT_TRUE(live(view).empty());
+}
+
+// A gateway that starts beside a large store would fill a narrow link with
+// one answer, and again with the next one before that has arrived.
+TEST(cache_view, one_delta_stays_small_however_much_is_lacking)
+{
+    constexpr std::size_t many = 5'000;
+    constexpr std::size_t datagram_bytes = 1'400;
+    cache_view view;
+    begin(view, 1'000);
+    fill(view, 1, many);
+    cache_copy copy;
+    while (copy.mark.generation != view.generation)
+    {
+        answer from;
+        from.cache = delta_since(view, copy.mark);
+        ASSERT_LT(to_datagram(from).size(), datagram_bytes);
+        ASSERT_FALSE(from.cache.entries.empty());
+        on_delta(copy, from.cache);
+    }
+    EXPECT_EQ(copy.parts, live(view));
+}
+
+TEST(cache_view, what_changes_while_a_copy_catches_up_is_not_lost)
+{
+    cache_view view;
+    begin(view, 1'000);
+    fill(view, 1, 300);
+    cache_copy copy;
+    on_delta(copy, delta_since(view, copy.mark));
+    ASSERT_NE(copy.mark.generation, view.generation);
+    // One that the copy has, one that it lacks, and one that comes back.
+    for (part_hash const part : {2U, 290U, 3U})
+        on_events(view, {0, view.next + 1, false, {{part, 0, true}}});
+    fill(view, 3, 1);
+    catch_up(copy, view);
+    EXPECT_EQ(copy.parts, live(view));
+}
+
+// A later life of the process begins at a higher generation, so a copy of the
+// earlier one is never taken for a copy that lags.
+TEST(cache_view, a_copy_of_an_earlier_life_starts_anew)
+{
+    cache_view before;
+    begin(before, 1'000);
+    fill(before, 1, 20);
+    cache_copy copy;
+    catch_up(copy, before);
+    cache_view after;
+    begin(after, 2'000);
+    fill(after, 500, 1'500);
+    catch_up(copy, after);
+    EXPECT_EQ(copy.parts, live(after));
+    catch_up(copy, before);
+    EXPECT_EQ(copy.parts, live(before));
+}
+
+TEST(cache_view, a_copy_that_lags_behind_forgotten_removals_starts_anew)
+{
+    constexpr std::size_t many = 3'000;
+    cache_view view;
+    begin(view, 1'000);
+    fill(view, 1, 10);
+    cache_copy copy;
+    catch_up(copy, view);
+    fill(view, 100, many);
+    for (std::size_t at = 0; at < many; ++at)
+        on_events(view, {0,
+                         view.next + 1,
+                         false,
+                         {{static_cast<part_hash>(100 + at), 0, true}}});
+    on_events(view, {0, view.next + 1, false, {{5, 0, true}}});
+    catch_up(copy, view);
+    EXPECT_EQ(copy.parts, live(view));
+    EXPECT_LT(view.parts.size(), many);
 }
 
-// A copy that follows by deltas, some of them lost or late, is the same as the
-// view whenever it has the same generation.
+// A copy that follows by deltas, some of them lost, late or twice, is the same
+// as the view whenever it knows its last change.
 RC_GTEST_PROP(cache_view, a_copy_follows_through_losses, ())
 {
     cache_view view;
-    view.generation = 1'000;
+    begin(view, 1'000);
+    fill(view, 0, *rc::gen::inRange<std::size_t>(0, 300));
     cache_copy copy;
     std::vector<cache_delta> late;
     auto const steps = *rc::gen::inRange(1, 400);
     for (int step = 0; step < steps; ++step)
     {
-        auto const what = *rc::gen::inRange(0, 20);
-        auto const part = *rc::gen::inRange<part_hash>(0, 40);
+        auto const what = *rc::gen::inRange(0, 80);
+        auto const part = *rc::gen::inRange<part_hash>(0, 400);
         if (what == 0)
             clear(view);
         else
@@ -36,20 +153,20 @@
                       {view.epoch,
                        view.next + 1,
                        false,
-                       {{part, static_cast<std::uint32_t>(what), what < 6}}});
-        auto const delta = delta_since(view, copy.generation);
+                       {{part, static_cast<std::uint32_t>(what), what < 30}}});
+        auto const delta = delta_since(view, copy.mark);
         auto const fate = *rc::gen::inRange(0, 4);
         if (fate == 0)
             late.push_back(delta);
         else if (fate != 1)
             on_delta(copy, delta);
-        if (fate == 3 && !late.empty() && !late.back().is_whole)
+        if (fate == 3 && !late.empty())
             on_delta(copy, late.back());
-        if (copy.generation == view.generation)
-            RC_ASSERT(copy.parts == view.parts);
+        if (copy.mark.generation == view.generation)
+            RC_ASSERT(copy.parts == live(view));
     }
-    on_delta(copy, delta_since(view, copy.generation));
-    RC_ASSERT(copy.parts == view.parts);
+    catch_up(copy, view);
+    RC_ASSERT(copy.parts == live(view));
 }
 
 TEST(messages, datagrams_come_back_as_they_were_sent)
