Answer requests that the kernel holds when a stop begins

Ruled out: a full backlog (the connection was accepted); the caller (it waited). Change: drain() asks the kernel for unread bytes, leaves new connections open for their first request, and a process ends only when two checks in a row found nothing to answer; unwritten answers count as open. Tests: two in exchange_test, both failed before.

--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -169,7 +169,11 @@
 {
     auto const since = mono_now() - self.stopping_since;
     bool const is_idle = self.callers->busy() == 0 && since >= stop_notice;
-    if (is_idle || since >= self.settings.limits.stop_grace - stop_margin)
+    // The second check in a row has seen the callers that the listener still
+    // held at the first.
+    bool const is_done = is_idle && self.was_idle;
+    self.was_idle = is_idle;
+    if (is_done || since >= self.settings.limits.stop_grace - stop_margin)
         event_base_loopbreak(self.base);
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -106,6 +106,8 @@
     std::mt19937_64 draw;
     bool is_fresh = false;
     bool is_stopping = false;
+    /// No call was open at the last check of a stop.
+    bool was_idle = false;
     /// By address.
     std::map<std::string, watched_store> watched_stores;
     /// Paths of the records that are being fetched.
--- a/jujubestand/http1/server.cpp
+++ b/jujubestand/http1/server.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <jujubestand/http1/sockets.hpp>
 #include <jujubestand/http1/writer.hpp>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -91,6 +92,7 @@
     void on_closed(peer_id id);
     void drop(peer_id id);
     void watch_reading(connection& open) const;
+    [[nodiscard]] static bool has_input(connection const& open);
     connection* find(exchange_id exchange);
     [[nodiscard]] std::vector<http::field>
     with_connection(std::vector<http::field> fields,
@@ -155,6 +157,19 @@
     bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
+// Bytes of a request that were read, or that the kernel still holds: a process
+// that runs late has not seen those.
+bool server::state::has_input(connection const& open)
+{
+    auto* const stream = open.stream.get();
+    if (open.input.is_within_message() ||
+        evbuffer_get_length(bufferevent_get_input(stream)) > 0)
+        return true;
+    int unread = 0;
+    return ioctl(bufferevent_getfd(stream), FIONREAD, &unread) == 0 &&
+           unread > 0;
+}
+
 void server::state::watch_reading(connection& open) const
 {
     bool const is_idle =
@@ -407,9 +422,9 @@
     for (auto const id : this->self->connections.ids())
     {
         auto* const open = this->self->connections.find(id);
-        bool const is_idle =
-            open->now == phase::reading && !open->input.is_within_message() &&
-            evbuffer_get_length(bufferevent_get_input(open->stream.get())) == 0;
+        // A caller that has just connected is about to send its request.
+        bool const is_idle = open->now == phase::reading &&
+                             open->exchanges > 0 && !state::has_input(*open);
         if (is_idle)
             this->self->close_after_write(*open);
     }
@@ -421,11 +436,10 @@
     for (auto const id : this->self->connections.ids())
     {
         auto* const open = this->self->connections.find(id);
-        bool const is_partial =
-            open->input.is_within_message() ||
-            evbuffer_get_length(bufferevent_get_input(open->stream.get())) > 0;
-        if (open->now == phase::answering ||
-            (open->now == phase::reading && is_partial))
+        bool const is_unwritten =
+            evbuffer_get_length(bufferevent_get_output(open->stream.get())) > 0;
+        if (open->now == phase::answering || is_unwritten ||
+            (open->now == phase::reading && state::has_input(*open)))
             ++count;
     }
     return count;
--- a/jujubestand/http1/server.hpp
+++ b/jujubestand/http1/server.hpp
@@ -92,12 +92,12 @@
     /// \brief Closes the connection so that the answer can't look complete.
     void abort(exchange_id exchange);
 
-    /// \brief From now on connections close after the answer under way, and
-    /// idle ones at once.
+    /// \brief From now on connections close after the answer under way, those
+    /// that idle after an answer at once, and new ones after their first.
     void drain();
 
-    /// \brief Requests that wait for the end of their answer, or that are
-    /// being read.
+    /// \brief Requests that wait for the end of their answer, that are being
+    /// read, or that the kernel holds for us.
     [[nodiscard]] std::size_t busy() const;
 
     /// \brief Connections that are open.
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -88,6 +88,49 @@
     bool is_ended = false;
 };
 
+/// A caller on a plain socket.
+class raw_caller
+{
+public:
+    explicit raw_caller(address const& where)
+    {
+        this->socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in const peer = *to_sockaddr(where);
+        EXPECT_EQ(connect(this->socket,
+                          reinterpret_cast<sockaddr const*>(&peer),
+                          sizeof peer),
+                  0);
+    }
+    ~raw_caller()
+    {
+        close(this->socket);
+    }
+    raw_caller(raw_caller const&) = delete;
+    raw_caller& operator=(raw_caller const&) = delete;
+
+    void send(std::string_view bytes) const
+    {
+        EXPECT_EQ(::send(this->socket, bytes.data(), bytes.size(), 0),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Runs the loop until there is something to read, or the end.
+    [[nodiscard]] std::string read_with(event_base* base) const
+    {
+        char bytes[4096];
+        ssize_t got = -1;
+        while (got < 0)
+        {
+            event_base_loop(base, EVLOOP_NONBLOCK);
+            got = recv(this->socket, bytes, sizeof bytes, MSG_DONTWAIT);
+        }
+        return {bytes, static_cast<std::size_t>(got)};
+    }
+
+private:
+    int socket = -1;
+};
+
 class exchange : public testing::Test
 {
 protected:
@@ -226,6 +269,64 @@
     EXPECT_EQ(seen.end.why.code, reason_code::upstream_unreachable);
 }
 
+// A process that runs late learns of its stop before it has read what callers
+// sent: the kernel already holds their requests.
+TEST_F(exchange, a_request_that_came_before_a_stop_is_answered)
+{
+    address const where = free_address();
+    server_events events;
+    std::unique_ptr<server> under_test;
+    events.on_request = [&](exchange_id id, server_request const&)
+    {
+        under_test->respond(id, 200, {}, "ok");
+    };
+    events.on_gone = [](exchange_id) {};
+    under_test = std::make_unique<server>(this->base.get(), events);
+    reason why;
+    ASSERT_TRUE(under_test->listen(where, why)) << to_text(why);
+    raw_caller const kept(where);
+    raw_caller const fresh(where);
+    kept.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_NE(kept.read_with(this->base.get()).find("200 OK"),
+              std::string::npos);
+
+    kept.send("GET /two HTTP/1.1\r\nHost: a\r\n\r\n");
+    fresh.send("GET /three HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(under_test->busy(), 2U);
+    under_test->drain();
+    for (raw_caller const* caller : {&kept, &fresh})
+    {
+        auto const answer = caller->read_with(this->base.get());
+        EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    }
+    EXPECT_EQ(under_test->busy(), 0U);
+}
+
+// A caller that has just connected sends its request a moment later.
+TEST_F(exchange, a_new_connection_may_still_send_its_request_in_a_stop)
+{
+    address const where = free_address();
+    server_events events;
+    std::unique_ptr<server> under_test;
+    events.on_request = [&](exchange_id id, server_request const&)
+    {
+        under_test->respond(id, 503, {}, "");
+    };
+    events.on_gone = [](exchange_id) {};
+    under_test = std::make_unique<server>(this->base.get(), events);
+    reason why;
+    ASSERT_TRUE(under_test->listen(where, why)) << to_text(why);
+    raw_caller const caller(where);
+    while (under_test->connections() == 0)
+        event_base_loop(this->base.get(), EVLOOP_ONCE);
+    under_test->drain();
+    event_base_loop(this->base.get(), EVLOOP_NONBLOCK);
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_NE(caller.read_with(this->base.get()).find("503"),
+              std::string::npos);
+}
+
 TEST_F(exchange, a_smuggled_request_is_not_read)
 {
     int served = 0;
