Count a call's timeout from its start, not from the loop's turn

Change: the client updates the loop's cached time before it sets timeouts. Test: exchange.a_call_begun_late_in_a_turn_has_its_whole_time; it ended at once before.

--- a/jujubestand/http1/client.cpp
+++ b/jujubestand/http1/client.cpp
@@ -381,6 +381,8 @@
 call_id client::start(client_request request, call_events events)
 {
     state& all = *this->self;
+    // Timeouts count from now, not from the beginning of the loop's turn.
+    event_base_update_cache_time(all.base);
     auto const kept = all.take_idle(request);
     auto const connection = kept ? *kept : all.connect(request);
     auto const timeout = request.timeout;
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -327,6 +327,45 @@
               std::string::npos);
 }
 
+// The loop counts timeouts from the time at which its turn began; a process
+// that runs late would give its upstreams less time than it promised.
+TEST_F(exchange, a_call_begun_late_in_a_turn_has_its_whole_time)
+{
+    address where;
+    int const silent = listen_anywhere(where);
+    listen(silent, 4);
+    client from(this->base.get());
+    mono_time started_at{};
+    mono_time ended_at{};
+    constexpr std::chrono::milliseconds lateness{60};
+    constexpr std::chrono::milliseconds timeout{30};
+    call_events events;
+    events.on_head = [](message_head const&) {};
+    events.on_body = [](std::string_view) {};
+    events.on_end = [&](call_end const&)
+    {
+        ended_at = mono_now();
+        event_base_loopbreak(this->base.get());
+    };
+    loop::timer late(this->base.get(),
+                     [&]
+                     {
+                         auto const begun_at = mono_now();
+                         while (mono_now() - begun_at < lateness)
+                         {
+                         }
+                         auto request = to(where);
+                         request.timeout = timeout;
+                         started_at = mono_now();
+                         from.start(std::move(request), events);
+                     });
+    late.start(std::chrono::milliseconds{1});
+    event_base_dispatch(this->base.get());
+    // The loop's clock counts whole milliseconds.
+    EXPECT_GE(ended_at - started_at, timeout - std::chrono::milliseconds{1});
+    close(silent);
+}
+
 TEST_F(exchange, a_smuggled_request_is_not_read)
 {
     int served = 0;
