Keep answers that have begun until they can go on

Other streams were moved into the gateway's own queue while all engines loaded. Change: a begun answer waits for the budget until its time is over; a send that never connected costs no budget, since nothing arrived anywhere; a stream moves only if another engine takes it at once.

--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -162,6 +162,14 @@
     return result;
 }
 
+bool has_alternative(state const& all, call const& asked, upstream_key besides,
+                     mono_time now)
+{
+    call elsewhere = asked;
+    elsewhere.tried.push_back(besides);
+    return choose(all, elsewhere, now).has_value();
+}
+
 void forget(state& all, call_key call)
 {
     all.waiting.erase(call);
--- a/jujubestand/dispatch/dispatch.hpp
+++ b/jujubestand/dispatch/dispatch.hpp
@@ -16,6 +16,11 @@
 /// changed or time went by. Calls that go on waiting are not listed.
 [[nodiscard]] std::vector<decision> review(state& all, mono_time now);
 
+/// \brief Whether a call that runs at an upstream could go to another one at
+/// once.
+[[nodiscard]] bool has_alternative(state const& all, call const& asked,
+                                   upstream_key besides, mono_time now);
+
 /// \brief A waiting call's caller left.
 void forget(state& all, call_key call);
 
--- a/jujubestand/dispatch/test/dispatch_test.cpp
+++ b/jujubestand/dispatch/test/dispatch_test.cpp
@@ -1,88 +1,12 @@
 #include <gtest/gtest.h>
-#include <jujubestand/dispatch/choice.hpp>
 #include <jujubestand/dispatch/dispatch.hpp>
-#include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/dispatch/test/fleet.hpp>
 #include <set>
 
 // Each test names the pattern of load that the decision answers.
 namespace jujubestand::dispatch
 {
 
-namespace
-{
-
-mono_time at(int ms)
-{
-    return mono_time{std::chrono::milliseconds{100'000 + ms}};
-}
-
-constexpr std::uint64_t engine_memory = 96'000;
-
-traffic::upstream_record engine_record(int number)
-{
-    traffic::upstream_record record;
-    record.id = "e" + std::to_string(number);
-    record.pool = "engines";
-    record.where = {"10.0.0." + std::to_string(number), 80};
-    record.slots = 64;
-    record.born_ms = 1;
-    record.versions["m"] = 1;
-    return record;
-}
-
-engine_load idle_load(int ms)
-{
-    engine_load load;
-    load.at = at(ms);
-    load.report.memory_total = engine_memory;
-    load.report.versions["m"] = 1;
-    return load;
-}
-
-state fleet(int engines)
-{
-    state all;
-    for (int number = 1; number <= engines; ++number)
-    {
-        on_record(all, engine_record(number));
-        on_load(all, all.last_key, idle_load(0));
-    }
-    return all;
-}
-
-upstream& engine(state& all, int number)
-{
-    return all.upstreams.at(all.by_id.at("e" + std::to_string(number)));
-}
-
-call prompt_call(call_key key, std::uint64_t annex, int ms = 0)
-{
-    call asked;
-    asked.key = key;
-    asked.pool = "engines";
-    asked.cache_owner = "all";
-    asked.priority = 1;
-    asked.arrived_at = at(ms);
-    asked.deadline = at(ms + 5'000);
-    asked.target_latency = std::chrono::milliseconds{600};
-    asked.asked =
-        traffic::prompt{"m",
-                        {{1, 2'520}, {annex, 3'780}, {key + 1'000'000, 2'890}},
-                        9'190,
-                        60,
-                        30};
-    return asked;
-}
-
-void hold_parts(upstream& one, std::uint64_t annex)
-{
-    auto const scope = cache_scope("all", 1);
-    one.cache.parts[status::hash_of(scope, 1)] = 2'520;
-    one.cache.parts[status::hash_of(scope, annex)] = 3'780;
-}
-
-} // namespace
-
 TEST(dispatch, cold_prompts_with_one_annex_meet_at_one_engine)
 {
     std::set<upstream_key> used;
@@ -349,75 +273,6 @@
     EXPECT_EQ(engine(all, 1).failures, 0);
 }
 
-TEST(dispatch, engines_that_fail_are_avoided_for_longer_each_time)
-{
-    auto all = fleet(2);
-    auto& bad = engine(all, 1);
-    microseconds last{0};
-    for (call_key key = 1; key <= 3; ++key)
-    {
-        bad.avoid_until = mono_time{};
-        all.sends[key] = open_send{bad.key, at(10), 0, 0, true};
-        ++bad.open_calls;
-        on_send_end(all, key, send_outcome::cut, at(20));
-        auto const pause = bad.avoid_until - at(20);
-        EXPECT_GT(pause, last);
-        last = pause;
-    }
-    EXPECT_EQ(choose(all, prompt_call(9, 77), at(30))->upstream,
-              engine(all, 2).key);
-    EXPECT_LT(recent_failures(all, bad, at(20'000)), 0.1);
-}
-
-// Seen on a day on which engines restarted: the older of two records of one
-// address was taken for the engine, and all orders and calls missed it.
-TEST(dispatch, the_upstream_that_started_last_has_the_address)
-{
-    auto all = fleet(2);
-    auto next = engine_record(1);
-    next.id = "a-later-one";
-    next.born_ms = 2;
-    on_record(all, next);
-    EXPECT_TRUE(engine(all, 1).is_replaced);
-    EXPECT_EQ(find_by_host(all, "10.0.0.1")->record.id, "a-later-one");
-    auto stale = engine_record(1);
-    stale.id = "an-old-one";
-    stale.born_ms = 0;
-    on_record(all, stale);
-    EXPECT_EQ(find_by_host(all, "10.0.0.1")->record.id, "a-later-one");
-}
-
-TEST(dispatch, an_upstream_that_is_another_one_gets_nothing_more)
-{
-    auto all = fleet(1);
-    on_misdirected(all, engine(all, 1).key);
-    EXPECT_EQ(usable(all, "engines", at(10)), 0U);
-}
-
-TEST(dispatch, a_restart_under_the_same_id_forgets_the_life_before)
-{
-    auto all = fleet(1);
-    hold_parts(engine(all, 1), 77);
-    auto leaving = engine_record(1);
-    leaving.is_leaving = true;
-    on_record(all, leaving);
-    on_record(all, engine_record(1));
-    EXPECT_TRUE(engine(all, 1).record.is_leaving);
-    auto reborn = engine_record(1);
-    reborn.born_ms = 2;
-    on_record(all, reborn);
-    EXPECT_FALSE(engine(all, 1).record.is_leaving);
-    EXPECT_TRUE(engine(all, 1).cache.parts.empty());
-}
-
-TEST(dispatch, a_tried_upstream_is_not_tried_again)
-{
-    auto all = fleet(1);
-    auto again = prompt_call(1, 77);
-    again.tried.push_back(engine(all, 1).key);
-    EXPECT_EQ(submit(all, again, at(10)).what, action::hold);
-}
-
 TEST(dispatch, plain_calls_go_where_least_is_open)
 {
     state all;
--- /dev/null
+++ b/jujubestand/dispatch/test/fleet.hpp
@@ -0,0 +1,84 @@
+#ifndef JUJUBESTAND_DISPATCH_TEST_FLEET_HPP
+#define JUJUBESTAND_DISPATCH_TEST_FLEET_HPP
+
+#include <jujubestand/dispatch/choice.hpp>
+#include <jujubestand/dispatch/upstreams.hpp>
+#include <string>
+
+/// \brief Engines and calls for the tests of this folder.
+namespace jujubestand::dispatch
+{
+
+inline mono_time at(int ms)
+{
+    return mono_time{std::chrono::milliseconds{100'000 + ms}};
+}
+
+inline constexpr std::uint64_t engine_memory = 96'000;
+
+inline traffic::upstream_record engine_record(int number)
+{
+    traffic::upstream_record record;
+    record.id = "e" + std::to_string(number);
+    record.pool = "engines";
+    record.where = {"10.0.0." + std::to_string(number), 80};
+    record.slots = 64;
+    record.born_ms = 1;
+    record.versions["m"] = 1;
+    return record;
+}
+
+inline engine_load idle_load(int ms)
+{
+    engine_load load;
+    load.at = at(ms);
+    load.report.memory_total = engine_memory;
+    load.report.versions["m"] = 1;
+    return load;
+}
+
+inline state fleet(int engines)
+{
+    state all;
+    for (int number = 1; number <= engines; ++number)
+    {
+        on_record(all, engine_record(number));
+        on_load(all, all.last_key, idle_load(0));
+    }
+    return all;
+}
+
+inline upstream& engine(state& all, int number)
+{
+    return all.upstreams.at(all.by_id.at("e" + std::to_string(number)));
+}
+
+inline call prompt_call(call_key key, std::uint64_t annex, int ms = 0)
+{
+    call asked;
+    asked.key = key;
+    asked.pool = "engines";
+    asked.cache_owner = "all";
+    asked.priority = 1;
+    asked.arrived_at = at(ms);
+    asked.deadline = at(ms + 5'000);
+    asked.target_latency = std::chrono::milliseconds{600};
+    asked.asked =
+        traffic::prompt{"m",
+                        {{1, 2'520}, {annex, 3'780}, {key + 1'000'000, 2'890}},
+                        9'190,
+                        60,
+                        30};
+    return asked;
+}
+
+inline void hold_parts(upstream& one, std::uint64_t annex)
+{
+    auto const scope = cache_scope("all", 1);
+    one.cache.parts[status::hash_of(scope, 1)] = 2'520;
+    one.cache.parts[status::hash_of(scope, annex)] = 3'780;
+}
+
+} // namespace jujubestand::dispatch
+
+#endif
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -2,8 +2,8 @@
 
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/moves.hpp>
 #include <jujubestand/gateway/peers.hpp>
-#include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <map>
 
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/beliefs.hpp>
+#include <jujubestand/gateway/repeats.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <platform/calls.hpp>
 
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <jujubestand/gateway/beliefs.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/peers.hpp>
+#include <jujubestand/gateway/repeats.hpp>
 #include <jujubestand/loop/signals.hpp>
 #include <platform/names.hpp>
 #include <unistd.h>
@@ -148,6 +149,7 @@
     else
         follow::on_store_failure(self.lapses, now);
     drop_lapsed(self);
+    review_suspended(self);
     ask_agents(self);
     ask_peers(self);
 }
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/dispatch/choice.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/repeats.hpp>
 #include <platform/calls.hpp>
 
 namespace jujubestand::gateway
@@ -20,19 +21,10 @@
 constexpr std::chrono::milliseconds idle_limit{4'000};
 constexpr std::chrono::milliseconds connect_timeout{600};
 
-/// Sends of one call, those included that did not run.
-constexpr std::uint32_t sends_limit = 6;
-
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
 
-live_call* find(gateway_state& self, dispatch::call_key key)
-{
-    auto const found = self.live.find(key);
-    return found == self.live.end() ? nullptr : &found->second;
-}
-
 bool is_success(int status)
 {
     return status >= first_success && status < first_redirect;
@@ -49,20 +41,6 @@
            status == status_unavailable;
 }
 
-bool may_repeat(live_call const& call)
-{
-    return call.route.kind == traffic::call_kind::idempotent ||
-           (call.route.kind == traffic::call_kind::stream &&
-            call.route.is_resumable);
-}
-
-// The route's limit counts upstreams that may have run the call.
-void count_run(live_call& call)
-{
-    ++call.runs;
-    call.terms.tried.push_back(call.upstream_key);
-}
-
 std::chrono::milliseconds time_left(live_call const& call, mono_time now)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline -
@@ -96,45 +74,9 @@
     return terms;
 }
 
-} // namespace
-
-retries::retry_options retry_options_of(gateway_state const& self)
-{
-    auto const& limits = self.settings.limits;
-    // Other gateways spend from the same reserve; a part stays unused for
-    // those that are not known yet.
-    constexpr double ratio_share = 0.85;
-    constexpr double reserve_share = 0.65;
-    retries::retry_options options;
-    options.attempts_limit = sends_limit;
-    options.budget_ratio = limits.retry_ratio * ratio_share;
-    options.budget_limit =
-        std::max(2.0, limits.retry_reserve * reserve_share /
-                          static_cast<double>(self.dispatch.gateways));
-    options.budget_per_second = 0;
-    options.backoff_base = std::chrono::milliseconds{0};
-    return options;
-}
-
-retries::retry_options rescue_options_of(gateway_state const& self)
-{
-    auto const& limits = self.settings.limits;
-    constexpr double ratio_share = 0.05;
-    constexpr double reserve_share = 0.2;
-    auto options = retry_options_of(self);
-    options.budget_ratio = limits.retry_ratio * ratio_share;
-    options.budget_limit =
-        std::max(1.0, limits.retry_reserve * reserve_share /
-                          static_cast<double>(self.dispatch.gateways));
-    return options;
-}
-
-namespace
-{
-
 void answer_whole(gateway_state& self, dispatch::call_key key)
 {
-    live_call* const call = find(self, key);
+    live_call* const call = find_call(self, key);
     auto fields = call->answer.passed;
     self.log->write(
         event_number::request_finished, call->asked.request_id,
@@ -154,7 +96,7 @@
 void on_head(gateway_state& self, dispatch::call_key key,
              http1::message_head const& head)
 {
-    live_call* const call = find(self, key);
+    live_call* const call = find_call(self, key);
     if (call == nullptr)
         return;
     auto answer = platform::read_answer(head);
@@ -190,7 +132,7 @@
 void on_body(gateway_state& self, dispatch::call_key key,
              std::string_view bytes)
 {
-    live_call* const call = find(self, key);
+    live_call* const call = find_call(self, key);
     if (call == nullptr || call->is_ignored)
         return;
     if (!is_stream_answer(*call))
@@ -237,17 +179,6 @@
                                                     : send_outcome::served;
 }
 
-verdict verdict_of(dispatch::send_outcome outcome)
-{
-    using dispatch::send_outcome;
-    if (outcome == send_outcome::unreachable ||
-        outcome == send_outcome::refused)
-        return verdict::not_run;
-    return outcome == send_outcome::served || outcome == send_outcome::failed
-               ? verdict::ran
-               : verdict::may_have_run;
-}
-
 // A whole answer that can go to the caller; a failure of the upstream's own
 // only if nothing better can be had.
 bool is_final(live_call const& call, dispatch::send_outcome outcome)
@@ -256,52 +187,10 @@
            !promises_not_run(call.answer.status);
 }
 
-// \returns `none` if the call may be sent once more, or why it may not
-reason_code why_not_again(gateway_state& self, live_call const& call,
-                          dispatch::send_outcome outcome, mono_time now)
-{
-    bool const is_repeatable =
-        verdict_of(outcome) == verdict::not_run || may_repeat(call);
-    if (!is_repeatable)
-        return reason_code::upstream_read_cut;
-    if (call.runs >= call.route.attempts_limit)
-        return reason_code::attempts_spent;
-    retries::request_progress progress;
-    progress.attempts = call.sends;
-    progress.worst = may_repeat(call) ? verdict::not_run : call.outcome;
-    progress.is_idempotent = may_repeat(call);
-    progress.deadline = call.deadline;
-    retries::attempt_failure failure;
-    failure.outcome = verdict_of(outcome);
-    failure.has_alternative = true;
-    auto made =
-        retries::decide(self.budgets[call.terms.pool], retry_options_of(self),
-                        progress, failure, now, self.draw());
-    // An answer that has begun is lost if it can't go on.
-    if (made.why == reason_code::retry_budget_spent && call.is_begun)
-        made = retries::decide(self.rescues[call.terms.pool],
-                               rescue_options_of(self), progress, failure, now,
-                               self.draw());
-    return made.is_retry ? reason_code::none : made.why;
-}
-
-void send_again(gateway_state& self, dispatch::call_key key)
-{
-    live_call* const call = find(self, key);
-    on_continued(call->events);
-    call->body.clear();
-    call->is_ignored = false;
-    call->is_repeatable_failure = false;
-    auto const made = dispatch::submit(self.dispatch, call->terms, mono_now());
-    self.log->write(event_number::retry_scheduled, call->asked.request_id,
-                    {{"sends", static_cast<std::int64_t>(call->sends)}});
-    apply(self, made);
-}
-
 void on_send_end(gateway_state& self, dispatch::call_key key,
                  http1::call_end const& end)
 {
-    live_call* const call = find(self, key);
+    live_call* const call = find_call(self, key);
     if (call == nullptr)
         return;
     auto const now = mono_now();
@@ -329,6 +218,11 @@
         send_again(self, key);
         return;
     }
+    if (why_not == reason_code::retry_budget_spent && call->is_begun)
+    {
+        suspend(self, key, outcome);
+        return;
+    }
     if (outcome == dispatch::send_outcome::failed && !call->is_begun &&
         !promises_not_run(call->answer.status))
     {
@@ -346,34 +240,6 @@
     fail_call(self, key, what);
 }
 
-// Moves leave half of the budget to sends that failed.
-bool can_afford_move(gateway_state& self, live_call const& call)
-{
-    return self.budgets[call.terms.pool].saved >=
-           retry_options_of(self).budget_limit / 2;
-}
-
-void move_stream(gateway_state& self, dispatch::call_key key)
-{
-    live_call* const call = find(self, key);
-    auto const now = mono_now();
-    bool const is_movable = call != nullptr && !self.is_stopping &&
-                            call->route.kind == traffic::call_kind::stream &&
-                            may_repeat(*call);
-    if (!is_movable || call->runs + 1 >= call->route.attempts_limit ||
-        !can_afford_move(self, *call) ||
-        why_not_again(self, *call, dispatch::send_outcome::cancelled, now) !=
-            reason_code::none)
-        return;
-    self.upstreams->cancel(call->send);
-    call->send = http1::call_id{};
-    call->outcome = worst(call->outcome, verdict::may_have_run);
-    count_run(*call);
-    dispatch::on_send_end(self.dispatch, key, dispatch::send_outcome::cancelled,
-                          now);
-    send_again(self, key);
-}
-
 http1::call_events events_of(gateway_state& self, dispatch::call_key key,
                              std::string const& request_id)
 {
@@ -400,7 +266,7 @@
 
 void send(gateway_state& self, dispatch::decision const& made)
 {
-    live_call* const call = find(self, made.call);
+    live_call* const call = find_call(self, made.call);
     auto const& one = self.dispatch.upstreams.at(made.upstream);
     auto const now = mono_now();
     call->upstream = one.record.id;
@@ -430,9 +296,15 @@
 
 } // namespace
 
+live_call* find_call(gateway_state& self, dispatch::call_key key)
+{
+    auto const found = self.live.find(key);
+    return found == self.live.end() ? nullptr : &found->second;
+}
+
 void apply(gateway_state& self, dispatch::decision const& made)
 {
-    live_call* const call = find(self, made.call);
+    live_call* const call = find_call(self, made.call);
     if (call == nullptr)
         return;
     if (made.what == dispatch::action::send)
@@ -457,21 +329,22 @@
     fail_call(self, made.call, what);
 }
 
-void move_streams(gateway_state& self, dispatch::upstream_key from)
+void send_again(gateway_state& self, dispatch::call_key key)
 {
-    std::vector<dispatch::call_key> moved;
-    for (auto const& [key, sent] : self.dispatch.sends)
-    {
-        if (sent.upstream == from)
-            moved.push_back(key);
-    }
-    for (auto const key : moved)
-        move_stream(self, key);
+    live_call* const call = find_call(self, key);
+    on_continued(call->events);
+    call->body.clear();
+    call->is_ignored = false;
+    call->is_repeatable_failure = false;
+    auto const made = dispatch::submit(self.dispatch, call->terms, mono_now());
+    self.log->write(event_number::retry_scheduled, call->asked.request_id,
+                    {{"sends", static_cast<std::int64_t>(call->sends)}});
+    apply(self, made);
 }
 
 void fail_call(gateway_state& self, dispatch::call_key key, problem const& what)
 {
-    live_call* const call = find(self, key);
+    live_call const* const call = find_call(self, key);
     if (call == nullptr)
         return;
     if (call->is_begun)
@@ -489,7 +362,7 @@
 
 void end_call(gateway_state& self, dispatch::call_key key)
 {
-    live_call const* const call = find(self, key);
+    live_call const* const call = find_call(self, key);
     if (call == nullptr)
         return;
     self.by_exchange.erase(call->exchange);
--- a/jujubestand/gateway/sends.hpp
+++ b/jujubestand/gateway/sends.hpp
@@ -8,20 +8,14 @@
 namespace jujubestand::gateway
 {
 
-/// \brief This gateway's share of the repeated sends that all may make.
-[[nodiscard]] retries::retry_options
-retry_options_of(gateway_state const& self);
-
-/// \brief What is kept of it for answers that have begun.
-[[nodiscard]] retries::retry_options
-rescue_options_of(gateway_state const& self);
+/// \brief A call by its key; null if it has ended.
+[[nodiscard]] live_call* find_call(gateway_state& self, dispatch::call_key key);
 
 /// \brief Carries out a decision on a call.
 void apply(gateway_state& self, dispatch::decision const& made);
 
-/// \brief An engine is about to load weights: streams that may go on
-/// elsewhere do so, since the load waits for every call that runs there.
-void move_streams(gateway_state& self, dispatch::upstream_key from);
+/// \brief Sends a call once more, from where its answer has got to.
+void send_again(gateway_state& self, dispatch::call_key key);
 
 /// \brief Ends a call with a failure of our own.
 void fail_call(gateway_state& self, dispatch::call_key key,
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -110,6 +110,9 @@
     bool was_idle = false;
     /// By address.
     std::map<std::string, watched_store> watched_stores;
+    /// Answers that have begun and wait for the retry budget, with how their
+    /// last send ended.
+    std::map<dispatch::call_key, dispatch::send_outcome> suspended;
     /// Paths of the records that are being fetched.
     std::set<std::string> fetching;
     gateway::questions questions;
