Give the agent and the dispatch small files, and calls for text one function

Change: agent/{state,engine,weights,answers,askers}, dispatch/{parts,standing}, http1/text_call. Nothing is decided otherwise.

--- /dev/null
+++ b/jujubestand/agent/state.hpp
@@ -0,0 +1,50 @@
+#ifndef JUJUBESTAND_AGENT_STATE_HPP
+#define JUJUBESTAND_AGENT_STATE_HPP
+
+#include <jujubestand/agent/askers.hpp>
+#include <jujubestand/agent/rollout.hpp>
+#include <jujubestand/follow/follower.hpp>
+#include <jujubestand/http1/server.hpp>
+#include <jujubestand/logs/log.hpp>
+#include <jujubestand/loop/datagrams.hpp>
+#include <jujubestand/loop/timer.hpp>
+#include <jujubestand/node/settings.hpp>
+#include <jujubestand/status/messages.hpp>
+#include <memory>
+#include <platform/store.hpp>
+
+namespace jujubestand::agent
+{
+
+/// \brief One agent process.
+struct agent_state
+{
+    event_base* base = nullptr;
+    node::settings settings;
+    logs::log* log = nullptr;
+    std::unique_ptr<http1::client> calls;
+    std::unique_ptr<platform::store> store;
+    std::unique_ptr<follow::follower> operator_topic;
+    std::unique_ptr<loop::datagrams> questions;
+    std::unique_ptr<http1::server> records;
+    std::optional<loop::timer> report_timer;
+    std::optional<loop::timer> fence_timer;
+    std::optional<status::engine_report> report;
+    mono_time report_asked_at{};
+    mono_time reported_at{};
+    bool is_reporting = false;
+    bool is_reachable = false;
+    unsigned report_failures = 0;
+    rollout weights;
+    std::string upstream;
+    status::cache_view cache;
+    std::optional<loop::timer> cache_timer;
+    askers gateways;
+    std::optional<mono_time> first_asked_at;
+    /// What gateways were told last of whether to send.
+    bool was_usable = false;
+};
+
+} // namespace jujubestand::agent
+
+#endif
--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -1,6 +1,8 @@
 #include <jujubestand/dispatch/choice.hpp>
 
 #include <algorithm>
+#include <jujubestand/dispatch/parts.hpp>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/placement/rendezvous.hpp>
 
@@ -10,98 +12,6 @@
 namespace
 {
 
-/// A prompt's parts that others share, and those that are its own.
-struct prompt_split
-{
-    std::vector<traffic::prompt_part> shared;
-    double shared_tokens = 0;
-    double own_tokens = 0;
-    /// Part that decides which engine is the prompt's home.
-    std::uint64_t home_part = 0;
-};
-
-prompt_split split_of(traffic::prompt const& asked)
-{
-    prompt_split result;
-    if (asked.parts.empty())
-    {
-        result.own_tokens = asked.input_tokens;
-        return result;
-    }
-    result.shared.assign(asked.parts.begin(), asked.parts.end() - 1);
-    for (auto const& part : result.shared)
-        result.shared_tokens += part.tokens;
-    result.own_tokens = asked.parts.back().tokens;
-    result.home_part =
-        result.shared.empty() ? asked.parts.back().id : result.shared.back().id;
-    return result;
-}
-
-/// Hashes of a prompt's shared parts under one version of the weights.
-std::vector<status::part_hash>
-hashes_of(call const& asked, prompt_split const& split, std::uint64_t weights)
-{
-    std::string const scope = cache_scope(asked.cache_owner, weights);
-    std::vector<status::part_hash> result;
-    for (auto const& part : split.shared)
-        result.push_back(status::hash_of(scope, part.id));
-    return result;
-}
-
-/// Tokens of the shared parts that are held, from the first part on: a part
-/// serves only if all before it are there.
-template <class TokensHeld>
-double held_in_order(prompt_split const& split,
-                     std::vector<status::part_hash> const& hashes,
-                     TokensHeld const& tokens_held)
-{
-    constexpr std::uint32_t block_tokens = 16;
-    double tokens = 0;
-    for (std::size_t at = 0; at < hashes.size(); ++at)
-    {
-        std::uint32_t const size = split.shared[at].tokens;
-        std::uint32_t const has = tokens_held(hashes[at], size);
-        tokens += std::min(has, size);
-        if (has + block_tokens <= size)
-            break;
-    }
-    return tokens;
-}
-
-std::uint32_t held_part(status::cache_copy const& cache, status::part_hash part)
-{
-    auto const held = cache.parts.find(part);
-    return held == cache.parts.end() ? 0 : held->second;
-}
-
-double cached_tokens(state const& all, upstream const& one, call const& asked,
-                     prompt_split const& split, std::uint64_t weights,
-                     mono_time now)
-{
-    return held_in_order(
-        split, hashes_of(asked, split, weights),
-        [&](status::part_hash part, std::uint32_t size)
-        {
-            auto const expected = one.expected_parts.find(part);
-            bool const is_expected =
-                expected != one.expected_parts.end() &&
-                now - expected->second < all.limits.expected_parts_limit;
-            return is_expected ? size : held_part(one.cache, part);
-        });
-}
-
-bool is_fresh(state const& all, upstream const& one, mono_time now)
-{
-    return one.load && now - one.load->at <= all.limits.report_age_limit;
-}
-
-bool is_in_use(state const& all, upstream const& one, mono_time now)
-{
-    if (one.record.is_leaving || one.is_replaced || one.avoid_until > now)
-        return false;
-    return !is_fresh(all, one, now) || !one.load->is_down;
-}
-
 // Memory that sends of this process took since the engine's report.
 double unreported_memory(state const& all, upstream const& one)
 {
@@ -129,33 +39,6 @@
            all.limits.memory_share * static_cast<double>(report.memory_total);
 }
 
-/// Whether a call may begin on an engine's weights, and at what cost.
-struct weights_standing
-{
-    bool is_allowed = false;
-    std::uint64_t version = 0;
-    double cost_ms = 0;
-};
-
-weights_standing weights_of(state const& all, upstream const& one,
-                            std::string const& model, mono_time now)
-{
-    weights_standing result;
-    auto const known = one.versions.find(model);
-    if (known == one.versions.end())
-        return result;
-    result.version = known->second;
-    result.is_allowed = true;
-    auto const want = all.weights.find(model);
-    if (want == all.weights.end() || known->second >= want->second.version)
-        return result;
-    auto const lag = now - want->second.since;
-    result.is_allowed = lag < all.limits.weights_lag;
-    if (lag > all.limits.weights_grace)
-        result.cost_ms = all.limits.old_weights_cost_ms;
-    return result;
-}
-
 upstream const* home_of(state const& all, std::string const& pool,
                         std::uint64_t part, mono_time now)
 {
@@ -206,89 +89,6 @@
                     all.limits.interruption_cost_limit_ms);
 }
 
-/// An engine or a store that holds most of a prompt's shared parts.
-struct source
-{
-    std::uint64_t weights = 0;
-    address where;
-    upstream_key engine = 0;
-    double tokens = 0;
-    double ms_per_token = 0;
-};
-
-void offer(std::vector<source>& all, source const& candidate)
-{
-    auto const found = std::find_if(all.begin(), all.end(),
-                                    [&](source const& row)
-                                    {
-                                        return row.weights == candidate.weights;
-                                    });
-    if (found == all.end())
-        all.push_back(candidate);
-    else if (candidate.tokens > found->tokens)
-        *found = candidate;
-}
-
-// For each version of the weights, since parts of one serve no other.
-std::vector<source> find_sources(state const& all, call const& asked,
-                                 prompt_split const& split, mono_time now)
-{
-    std::vector<source> result;
-    for (auto const& [key, one] : all.upstreams)
-    {
-        if (one.record.pool != asked.pool || !is_in_use(all, one, now))
-            continue;
-        auto const weights = weights_of(all, one, asked.asked->model, now);
-        offer(result,
-              {weights.version, one.record.where, one.key,
-               cached_tokens(all, one, asked, split, weights.version, now),
-               all.limits.fetch_ms_per_token});
-    }
-    for (auto& row : result)
-    {
-        auto const hashes = hashes_of(asked, split, row.weights);
-        for (auto const& store : all.stores)
-        {
-            double const tokens =
-                held_in_order(split, hashes,
-                              [&](status::part_hash part, std::uint32_t)
-                              {
-                                  return held_part(store.cache, part);
-                              });
-            if (store.is_alive && tokens > row.tokens)
-                row = {row.weights, store.where, 0, tokens,
-                       all.limits.store_fetch_ms_per_token};
-        }
-    }
-    return result;
-}
-
-source source_for(std::vector<source> const& all, std::uint64_t weights)
-{
-    for (auto const& row : all)
-    {
-        if (row.weights == weights)
-            return row;
-    }
-    return {};
-}
-
-// The store that should keep parts which nobody holds.
-std::optional<address> store_for(state const& all, call const& asked,
-                                 prompt_split const& split, double read_tokens,
-                                 mono_time now)
-{
-    auto const want = all.weights.find(asked.asked->model);
-    bool const is_settled =
-        want == all.weights.end() ||
-        now - want->second.since > all.limits.save_weights_age;
-    if (all.stores.empty() || !is_settled ||
-        read_tokens < all.limits.save_tokens_min)
-        return std::nullopt;
-    auto const& store = all.stores[split.home_part % all.stores.size()];
-    return store.is_alive ? std::optional(store.where) : std::nullopt;
-}
-
 std::optional<choice> weigh_engine(state const& all, upstream const& one,
                                    call const& asked, prompt_split const& split,
                                    std::vector<source> const& sources,
@@ -371,11 +171,6 @@
 
 } // namespace
 
-std::string cache_scope(std::string const& owner, std::uint64_t weights)
-{
-    return owner + "." + std::to_string(weights);
-}
-
 // An engine reports all gateways' calls; of what was sent since, a gateway
 // knows its own. Others do as it does, most of all when calls wait.
 double reading_backlog(state const& all, upstream const& one)
@@ -407,17 +202,6 @@
            unreported * (1.0 + others * likeness);
 }
 
-std::size_t usable(state const& all, std::string const& pool, mono_time now)
-{
-    return static_cast<std::size_t>(
-        std::count_if(all.upstreams.begin(), all.upstreams.end(),
-                      [&](auto const& row)
-                      {
-                          return row.second.record.pool == pool &&
-                                 is_in_use(all, row.second, now);
-                      }));
-}
-
 std::optional<choice> choose(state const& all, call const& asked, mono_time now)
 {
     prompt_split split;
--- a/jujubestand/dispatch/choice.hpp
+++ b/jujubestand/dispatch/choice.hpp
@@ -25,15 +25,6 @@
 [[nodiscard]] std::optional<choice> choose(state const& all, call const& asked,
                                            mono_time now);
 
-/// \brief Text that a call's parts are cached under: other weights, or an
-/// isolated team, never meet.
-[[nodiscard]] std::string cache_scope(std::string const& owner,
-                                      std::uint64_t weights);
-
-/// \brief Upstreams of a pool that take calls, whether they have room or not.
-[[nodiscard]] std::size_t usable(state const& all, std::string const& pool,
-                                 mono_time now);
-
 /// \brief Prompt tokens that an engine has yet to read.
 [[nodiscard]] double reading_backlog(state const& all, upstream const& one);
 
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <jujubestand/dispatch/choice.hpp>
+#include <jujubestand/dispatch/parts.hpp>
+#include <jujubestand/dispatch/standing.hpp>
 
 namespace jujubestand::dispatch
 {
--- a/jujubestand/dispatch/test/fleet.hpp
+++ b/jujubestand/dispatch/test/fleet.hpp
@@ -2,6 +2,8 @@
 #define JUJUBESTAND_DISPATCH_TEST_FLEET_HPP
 
 #include <jujubestand/dispatch/choice.hpp>
+#include <jujubestand/dispatch/parts.hpp>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <string>
 
--- a/jujubestand/gateway/part_stores.cpp
+++ b/jujubestand/gateway/part_stores.cpp
@@ -1,6 +1,6 @@
 #include <jujubestand/gateway/part_stores.hpp>
 
-#include <memory>
+#include <jujubestand/http1/text_call.hpp>
 #include <platform/calls.hpp>
 #include <platform/documents.hpp>
 
@@ -29,15 +29,15 @@
 
 // Events that were lost leave parts unknown that are there; a list would hold
 // the store up, and the parts come back with their next use.
-void on_events(gateway_state& self, std::string const& name, bool is_complete,
-               std::string const& body)
+void on_events(gateway_state& self, std::string const& name,
+               std::optional<std::string> const& body)
 {
     auto& watched = self.watched_stores[name];
     watched.is_asking = false;
     reason why;
-    auto const events = platform::decode_cache_events(body, why);
+    auto const events = platform::decode_cache_events(body.value_or(""), why);
     bool const was_alive = watched.is_alive;
-    watched.is_alive = is_complete && events;
+    watched.is_alive = events.has_value();
     if (watched.is_alive)
         status::on_events(watched.cache, *events);
     else
@@ -61,18 +61,11 @@
     auto request =
         platform::cache_events_request(where, watched.cache.next, events_wait);
     request.timeout = events_timeout;
-    auto const body = std::make_shared<std::string>();
-    http1::call_events events;
-    events.on_head = [](http1::message_head const&) {};
-    events.on_body = [body](std::string_view bytes)
-    {
-        *body += bytes;
-    };
-    events.on_end = [&self, name, body](http1::call_end const& end)
-    {
-        on_events(self, name, end.is_complete, *body);
-    };
-    self.calls->start(std::move(request), std::move(events));
+    http1::ask_for_text(*self.calls, std::move(request),
+                        [&self, name](std::optional<std::string> const& body)
+                        {
+                            on_events(self, name, body);
+                        });
 }
 
 } // namespace
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -4,8 +4,8 @@
 #include <charconv>
 #include <jujubestand/core/bounded_unpack.hpp>
 #include <jujubestand/gateway/part_stores.hpp>
+#include <jujubestand/http1/text_call.hpp>
 #include <jujubestand/status/messages.hpp>
-#include <memory>
 
 namespace jujubestand::gateway
 {
@@ -151,21 +151,15 @@
     request.target = path + "?since=" + std::to_string(since);
     request.fields = {{"Host", to_text(request.server)}};
     request.timeout = fetch_timeout;
-    auto const body = std::make_shared<std::string>();
-    http1::call_events events;
-    events.on_head = [](http1::message_head const&) {};
-    events.on_body = [body](std::string_view bytes)
-    {
-        *body += bytes;
-    };
-    events.on_end = [&self, &topic, body, path, since,
-                     proven_at](http1::call_end const& end)
-    {
-        self.fetching.erase(path);
-        if (end.is_complete)
-            take_records(self, topic, *body, since, proven_at);
-    };
-    self.calls->start(std::move(request), std::move(events));
+    http1::ask_for_text(*self.calls, std::move(request),
+                        [&self, &topic, path, since,
+                         proven_at](std::optional<std::string> const& body)
+                        {
+                            self.fetching.erase(path);
+                            if (body)
+                                take_records(self, topic, *body, since,
+                                             proven_at);
+                        });
 }
 
 void ask_peers(gateway_state& self)
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -1,7 +1,7 @@
 #include <jujubestand/gateway/sends.hpp>
 
 #include <algorithm>
-#include <jujubestand/dispatch/choice.hpp>
+#include <jujubestand/dispatch/parts.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/repeats.hpp>
 #include <platform/calls.hpp>
--- /dev/null
+++ b/jujubestand/http1/text_call.hpp
@@ -0,0 +1,21 @@
+#ifndef JUJUBESTAND_HTTP1_TEXT_CALL_HPP
+#define JUJUBESTAND_HTTP1_TEXT_CALL_HPP
+
+#include <functional>
+#include <jujubestand/http1/client.hpp>
+#include <optional>
+#include <string>
+
+namespace jujubestand::http1
+{
+
+/// \brief Takes the body of a complete answer, or nothing.
+using text_done = std::function<void(std::optional<std::string> const&)>;
+
+/// \brief Starts a call for a body that is of use only as a whole.
+/// \param done called once, from the loop
+call_id ask_for_text(client& from, client_request request, text_done done);
+
+} // namespace jujubestand::http1
+
+#endif
