Keep proofs of the operator's topic under the lag at which others read

A proof is as old as the beginning of the wait that gave it: 1.5 to 3 s with a wait of 1.5 s, while other gateways read by themselves after 1.3 s. Ruled out: agents (they read at their start and on demand only). Change: the wait is 0.5 s, so the newest proof is at most about 1 s old.

--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -18,7 +18,7 @@
 {
 
 /// The store may wait this long for a record of the operator.
-constexpr std::chrono::milliseconds operator_wait{1'500};
+constexpr std::chrono::milliseconds operator_wait{500};
 constexpr std::chrono::milliseconds upstream_pause{500};
 constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::milliseconds stop_check_interval{50};
