Read shared parts on new weights while weights change

While engines load in turn, calls went to engines with the old weights, which read again what others had read and dropped with their load; nobody asks for it afterwards. Change: a shared token that is read on old weights costs 0.06 ms. Test: dispatch.shared_parts_are_read_on_the_new_weights_of_a_busier_engine, failed with the cost at 0.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -135,6 +135,8 @@
         result.expected_ms += all.limits.copy_cost_ms;
     double const reread = split.shared_tokens - held - fetched;
     result.save_to = store_for(all, asked, split, reread, now);
+    if (weights.is_old)
+        result.expected_ms += reread * all.limits.old_reread_cost_ms_per_token;
     if (&one != home)
         result.expected_ms += reread * all.limits.reread_cost_ms_per_token;
     result.expected_ms +=
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -40,6 +40,7 @@
     auto const want = all.weights.find(model);
     if (want == all.weights.end() || known->second >= want->second.version)
         return result;
+    result.is_old = true;
     auto const lag = now - want->second.since;
     result.is_allowed = lag < all.limits.weights_lag;
     if (lag > all.limits.weights_grace)
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -23,6 +23,8 @@
 struct weights_standing
 {
     bool is_allowed = false;
+    /// Newer ones are wanted.
+    bool is_old = false;
     std::uint64_t version = 0;
     double cost_ms = 0;
 };
--- a/jujubestand/dispatch/test/dispatch_test.cpp
+++ b/jujubestand/dispatch/test/dispatch_test.cpp
@@ -150,6 +150,24 @@
               action::hold);
 }
 
+// After a change of weights, engines that had not loaded yet read again what
+// others of them had read and dropped with their load.
+TEST(dispatch, shared_parts_are_read_on_the_new_weights_of_a_busier_engine)
+{
+    auto all = fleet(2);
+    on_wanted_weights(all, "m", 2, at(0));
+    auto loaded = idle_load(0);
+    loaded.report.versions["m"] = 2;
+    loaded.report.running = 40;
+    on_load(all, engine(all, 2).key, loaded);
+    for (std::uint64_t annex = 100; annex < 120; ++annex)
+    {
+        auto const asked = prompt_call(annex, annex, 10);
+        EXPECT_EQ(choose(all, asked, at(10))->upstream, engine(all, 2).key)
+            << annex;
+    }
+}
+
 TEST(dispatch, a_long_reply_avoids_an_engine_that_loads_before_its_end)
 {
     auto all = fleet(2);
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -50,6 +50,9 @@
     /// Cost of a shared token that is read away from the prompt's home: it
     /// will be read there as well.
     double reread_cost_ms_per_token = 0.03;
+    /// Cost of a shared token that is read on weights which are about to be
+    /// replaced: some engine has read it before, and nobody asks for it again.
+    double old_reread_cost_ms_per_token = 0.06;
     /// Parts of our own sends count as cached for this long without word of
     /// the agent.
     std::chrono::milliseconds expected_parts_limit{1'200};
