Ask the kernel whether a caller has left before each send

Ruled out: a wrong deadline (the sends were within the one that was told). Change: http1::server::has_left peeks at the socket; a call whose caller has left ends instead of being sent. Test: exchange.a_caller_that_left_is_seen_before_the_loop_tells.

--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/dispatch/parts.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/repeats.hpp>
 #include <platform/calls.hpp>
 
@@ -309,7 +310,10 @@
         return;
     if (made.what == dispatch::action::send)
     {
-        send(self, made);
+        if (self.callers->has_left(call->exchange))
+            on_caller_gone(self, call->exchange);
+        else
+            send(self, made);
         return;
     }
     if (made.what == dispatch::action::hold)
--- a/jujubestand/http1/server.cpp
+++ b/jujubestand/http1/server.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/http1/server.hpp>
 
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -416,6 +417,17 @@
         this->self->drop(exchange.peer);
 }
 
+bool server::has_left(exchange_id exchange) const
+{
+    auto const* const open = this->self->find(exchange);
+    if (open == nullptr)
+        return true;
+    char first = 0;
+    auto const got = recv(bufferevent_getfd(open->stream.get()), &first,
+                          sizeof first, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void server::drain()
 {
     this->self->is_draining = true;
--- a/jujubestand/http1/server.hpp
+++ b/jujubestand/http1/server.hpp
@@ -92,6 +92,10 @@
     /// \brief Closes the connection so that the answer can't look complete.
     void abort(exchange_id exchange);
 
+    /// \brief Whether the caller of an open request has closed its side, by
+    /// what the kernel holds: a process that runs late has not been told yet.
+    [[nodiscard]] bool has_left(exchange_id exchange) const;
+
     /// \brief From now on connections close after the answer under way, those
     /// that idle after an answer at once, and new ones after their first.
     void drain();
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -303,6 +303,30 @@
     EXPECT_EQ(under_test->busy(), 0U);
 }
 
+// A process that runs late sent calls on whose callers had left: the kernel
+// knew, the loop had not told yet.
+TEST_F(exchange, a_caller_that_left_is_seen_before_the_loop_tells)
+{
+    address const where = free_address();
+    std::optional<exchange_id> asked;
+    server_events events;
+    events.on_request = [&](exchange_id id, server_request const&)
+    {
+        asked = id;
+    };
+    events.on_gone = [](exchange_id) {};
+    server under_test(this->base.get(), events);
+    reason why;
+    ASSERT_TRUE(under_test.listen(where, why)) << to_text(why);
+    auto caller = std::make_unique<raw_caller>(where);
+    caller->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    while (!asked)
+        event_base_loop(this->base.get(), EVLOOP_ONCE);
+    EXPECT_FALSE(under_test.has_left(*asked));
+    caller.reset();
+    EXPECT_TRUE(under_test.has_left(*asked));
+}
+
 // A caller that has just connected sends its request a moment later.
 TEST_F(exchange, a_new_connection_may_still_send_its_request_in_a_stop)
 {
