Review waiting calls by a timer and count open sends once

With 25 calls waiting, each of 520 agents' answers a second had all of them weighed against 52 engines, and for each engine all open sends were counted. Ruled out: the log (as many lines with and without waiting calls).

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/placement/rendezvous.hpp>
+#include <unordered_map>
 
 namespace jujubestand::dispatch
 {
@@ -12,26 +13,60 @@
 namespace
 {
 
-// Memory that sends of this process took since the engine's report.
-double unreported_memory(state const& all, upstream const& one)
+/// What this process has sent to one engine and is not done with.
+struct sent_tally
 {
-    double tokens = 0;
+    /// Memory of sends that the engine's report does not contain.
+    double unreported_memory = 0;
+    double unreported_tokens = 0;
+    double reported_tokens = 0;
+    double reported_calls = 0;
+};
+
+using tallies = std::unordered_map<upstream_key, sent_tally>;
+
+// One pass over the sends for all engines: a gateway with many open calls
+// would spend its time on counting them for each engine anew.
+tallies tally_sends(state const& all)
+{
+    tallies result;
     for (auto const& [key, send] : all.sends)
     {
-        bool const is_reported = one.load && send.at <= one.load->at;
-        if (send.upstream == one.key && !is_reported)
-            tokens += send.memory_tokens;
+        auto const found = all.upstreams.find(send.upstream);
+        if (found == all.upstreams.end())
+            continue;
+        auto const& load = found->second.load;
+        bool const is_reported = load && send.at <= load->at;
+        auto& tally = result[send.upstream];
+        if (!is_reported)
+            tally.unreported_memory += send.memory_tokens;
+        if (!send.is_reading)
+            continue;
+        if (is_reported)
+        {
+            ++tally.reported_calls;
+            tally.reported_tokens += send.reading_tokens;
+        }
+        else
+            tally.unreported_tokens += send.reading_tokens;
     }
-    return tokens;
+    return result;
 }
 
-bool has_memory(state const& all, upstream const& one, double tokens)
+sent_tally tally_of(tallies const& all, upstream_key key)
+{
+    auto const found = all.find(key);
+    return found == all.end() ? sent_tally{} : found->second;
+}
+
+bool has_memory(state const& all, upstream const& one, sent_tally const& sent,
+                double tokens)
 {
     if (!one.load || one.load->report.memory_total == 0)
         return true;
     auto const& report = one.load->report;
     double const taken =
-        static_cast<double>(report.memory_used) + unreported_memory(all, one);
+        static_cast<double>(report.memory_used) + sent.unreported_memory;
     // An idle engine makes room for any call that it can hold at all.
     if (taken == 0)
         return true;
@@ -89,10 +124,28 @@
                     all.limits.interruption_cost_limit_ms);
 }
 
+// Prompt tokens that an engine has yet to read. It reports all
+// gateways' calls; of what was sent since, a gateway knows its own. Others do
+// as it does, most of all when calls wait.
+double reading_backlog(state const& all, upstream const& one,
+                       sent_tally const& sent)
+{
+    constexpr double usual_likeness = 0.25;
+    double const reported =
+        one.load ? one.load->report.reading + one.load->report.queued : 0.0;
+    double const likeness = all.waiting.empty() ? usual_likeness : 1.0;
+    double const others = all.gateways - 1;
+    return sent.reported_tokens +
+           std::max(0.0, reported - sent.reported_calls) *
+               all.mean_reading_tokens +
+           sent.unreported_tokens * (1.0 + others * likeness);
+}
+
 std::optional<choice> weigh_engine(state const& all, upstream const& one,
                                    call const& asked, prompt_split const& split,
                                    std::vector<source> const& sources,
-                                   upstream const* home, mono_time now)
+                                   upstream const* home, sent_tally const& sent,
+                                   mono_time now)
 {
     constexpr double fetch_worth_tokens = 64;
     auto const weights = weights_of(all, one, asked.asked->model, now);
@@ -116,10 +169,10 @@
         split.own_tokens + split.shared_tokens - held - fetched;
     result.memory_tokens = split.own_tokens + asked.asked->output_tokens_limit +
                            split.shared_tokens - held;
-    if (!has_memory(all, one, result.memory_tokens))
+    if (!has_memory(all, one, sent, result.memory_tokens))
         return std::nullopt;
     double const backlog_ms =
-        reading_backlog(all, one) / all.limits.reading_tokens_per_ms;
+        reading_backlog(all, one, sent) / all.limits.reading_tokens_per_ms;
     if (backlog_ms > all.limits.reading_backlog_limit_ms)
         return std::nullopt;
     result.expected_ms =
@@ -173,42 +226,12 @@
 
 } // namespace
 
-// An engine reports all gateways' calls; of what was sent since, a gateway
-// knows its own. Others do as it does, most of all when calls wait.
-double reading_backlog(state const& all, upstream const& one)
-{
-    constexpr double usual_likeness = 0.25;
-    double reported = 0;
-    double own_reported_calls = 0;
-    double own_reported = 0;
-    double unreported = 0;
-    for (auto const& [key, send] : all.sends)
-    {
-        if (send.upstream != one.key || !send.is_reading)
-            continue;
-        if (one.load && send.at <= one.load->at)
-        {
-            ++own_reported_calls;
-            own_reported += send.reading_tokens;
-        }
-        else
-            unreported += send.reading_tokens;
-    }
-    if (one.load)
-        reported = one.load->report.reading + one.load->report.queued;
-    double const likeness = all.waiting.empty() ? usual_likeness : 1.0;
-    double const others = all.gateways - 1;
-    return own_reported +
-           std::max(0.0, reported - own_reported_calls) *
-               all.mean_reading_tokens +
-           unreported * (1.0 + others * likeness);
-}
-
 std::optional<choice> choose(state const& all, call const& asked, mono_time now)
 {
     prompt_split split;
     upstream const* home = nullptr;
     std::vector<source> sources;
+    auto const sent = tally_sends(all);
     if (asked.asked)
     {
         split = split_of(*asked.asked);
@@ -222,9 +245,9 @@
             !is_in_use(all, one, now))
             continue;
         auto const candidate =
-            asked.asked
-                ? weigh_engine(all, one, asked, split, sources, home, now)
-                : weigh_plain(all, one, now);
+            asked.asked ? weigh_engine(all, one, asked, split, sources, home,
+                                       tally_of(sent, key), now)
+                        : weigh_plain(all, one, now);
         if (candidate && (!best || candidate->expected_ms < best->expected_ms))
             best = candidate;
     }
--- a/jujubestand/dispatch/choice.hpp
+++ b/jujubestand/dispatch/choice.hpp
@@ -25,9 +25,6 @@
 [[nodiscard]] std::optional<choice> choose(state const& all, call const& asked,
                                            mono_time now);
 
-/// \brief Prompt tokens that an engine has yet to read.
-[[nodiscard]] double reading_backlog(state const& all, upstream const& one);
-
 } // namespace jujubestand::dispatch
 
 #endif
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -140,7 +140,7 @@
             static_cast<std::uint32_t>(answer->gateways.size());
     }
     take_proof(self, from.host, *answer);
-    review_waiting(self);
+    plan_review(self);
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -123,8 +123,7 @@
     self.live.emplace(key, std::move(call));
     auto const made = dispatch::submit(self.dispatch, terms, mono_now());
     apply(self, made);
-    if (made.what == dispatch::action::hold)
-        self.review_timer->start(review_interval);
+    plan_review(self);
 }
 
 } // namespace
@@ -198,14 +197,23 @@
     end_call(self, key);
 }
 
+// Agents answer hundreds of times a second; with each of them a review would
+// take all of a small gateway's processor time.
+void plan_review(gateway_state& self)
+{
+    if (self.is_review_planned || self.dispatch.waiting.empty())
+        return;
+    self.is_review_planned = true;
+    self.review_timer->start(review_interval);
+}
+
 void review_waiting(gateway_state& self)
 {
     if (self.dispatch.waiting.empty())
         return;
     for (auto const& made : dispatch::review(self.dispatch, mono_now()))
         apply(self, made);
-    if (!self.dispatch.waiting.empty())
-        self.review_timer->start(review_interval);
+    plan_review(self);
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/calls.hpp
+++ b/jujubestand/gateway/calls.hpp
@@ -14,6 +14,9 @@
 /// \brief A caller left before it had its whole answer.
 void on_caller_gone(gateway_state& self, http1::exchange_id exchange);
 
+/// \brief Has the waiting calls reviewed shortly; not at once.
+void plan_review(gateway_state& self);
+
 /// \brief Decides anew on the calls that wait.
 void review_waiting(gateway_state& self);
 
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -190,6 +190,7 @@
     self.review_timer.emplace(self.base,
                               [&self]
                               {
+                                  self.is_review_planned = false;
                                   review_waiting(self);
                               });
     self.stop_timer.emplace(self.base,
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -93,6 +93,8 @@
     std::optional<loop::timer> tick_timer;
     std::optional<loop::timer> review_timer;
     std::optional<loop::timer> stop_timer;
+    /// `review_timer` runs.
+    bool is_review_planned = false;
     follow::lapses lapses;
     std::optional<traffic::tables> tables;
     dispatch::state dispatch;
