--- a/jujubestand/agent/askers.cpp
+++ b/jujubestand/agent/askers.cpp
@@ -31,10 +31,12 @@
 std::vector<std::string> hosts_by_width(askers const& all)
 {
     std::vector<known_gateway> known;
+    known.reserve(all.size());
     for (auto const& [name, gateway] : all)
         known.push_back(gateway);
     std::sort(known.begin(), known.end(), goes_first);
     std::vector<std::string> hosts;
+    hosts.reserve(all.size());
     for (auto const& gateway : known)
         hosts.push_back(gateway.where.host);
     return hosts;
