Let the shared retry rule know what never arrived; test begun answers

Change: retries::attempt_failure::has_arrived; a static_assert holds the wait of the operator's topic under the lag at which others read; agent::hosts_unless_known. Tests: retry.what_never_arrived_costs_no_budget, suspended_answer (5), askers.the_list_goes_only_to_gateways_that_lack_it. Conclusion: one rule for repeated sends.

--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -26,9 +26,7 @@
     answer.agent = self.settings.name;
     answer.is_engine_reachable = self.is_reachable;
     forget_silent(self.gateways, now);
-    auto hosts = hosts_by_width(self.gateways);
-    if (status::hash_of(hosts) != asked.gateways_hash)
-        answer.gateways = std::move(hosts);
+    answer.gateways = hosts_unless_known(self.gateways, asked.gateways_hash);
     auto const& known = self.operator_topic->known();
     answer.operator_end = known.next;
     if (auto const age = follow::age(known, now))
--- a/jujubestand/agent/askers.cpp
+++ b/jujubestand/agent/askers.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/agent/askers.hpp>
 
 #include <algorithm>
+#include <jujubestand/status/messages.hpp>
 
 namespace jujubestand::agent
 {
@@ -42,4 +43,13 @@
     return hosts;
 }
 
+std::vector<std::string> hosts_unless_known(askers const& all,
+                                            std::uint64_t known_hash)
+{
+    auto hosts = hosts_by_width(all);
+    if (status::hash_of(hosts) == known_hash)
+        hosts.clear();
+    return hosts;
+}
+
 } // namespace jujubestand::agent
--- a/jujubestand/agent/askers.hpp
+++ b/jujubestand/agent/askers.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBESTAND_AGENT_ASKERS_HPP
 #define JUJUBESTAND_AGENT_ASKERS_HPP
 
+#include <cstdint>
 #include <jujubestand/core/address.hpp>
 #include <jujubestand/core/time.hpp>
 #include <map>
@@ -30,6 +31,11 @@
 /// these read the store for the others.
 [[nodiscard]] std::vector<std::string> hosts_by_width(askers const& all);
 
+/// \brief The same, or nothing for an asker that knows this list.
+/// \param known_hash `status::hash_of` of the list that the asker knows
+[[nodiscard]] std::vector<std::string>
+hosts_unless_known(askers const& all, std::uint64_t known_hash);
+
 } // namespace jujubestand::agent
 
 #endif
--- a/jujubestand/agent/test/askers_test.cpp
+++ b/jujubestand/agent/test/askers_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <jujubestand/agent/askers.hpp>
+#include <jujubestand/status/messages.hpp>
 
 namespace jujubestand::agent
 {
@@ -40,4 +41,14 @@
     EXPECT_EQ(hosts_by_width(all), std::vector<std::string>{"10.0.0.2"});
 }
 
+TEST(askers, the_list_goes_only_to_gateways_that_lack_it)
+{
+    askers all = {{"a", gateway("10.0.0.1", 10, 0)}};
+    auto const known = status::hash_of(hosts_unless_known(all, 0));
+    EXPECT_TRUE(hosts_unless_known(all, known).empty());
+    all["b"] = gateway("10.0.0.2", 200, 0);
+    std::vector<std::string> const both = {"10.0.0.2", "10.0.0.1"};
+    EXPECT_EQ(hosts_unless_known(all, known), both);
+}
+
 } // namespace jujubestand::agent
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -17,10 +17,7 @@
 namespace
 {
 
-/// The store may wait this long for a record of the operator.
-constexpr std::chrono::milliseconds operator_wait{500};
 constexpr std::chrono::milliseconds upstream_pause{500};
-constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::milliseconds stop_check_interval{50};
 
 /// After SIGTERM the balancer still sends callers until it has noticed.
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -18,6 +18,10 @@
 
 /// Knowledge that is older makes a gateway read by itself.
 constexpr std::chrono::milliseconds lag_limit{1'300};
+
+// A proof dates from the beginning of its wait, and holds until the next one
+// comes: a wait too long makes all gateways read.
+static_assert(2 * operator_wait + 2 * tick_interval < lag_limit);
 constexpr std::chrono::milliseconds fetch_timeout{800};
 
 std::int64_t to_us(mono_time at)
--- a/jujubestand/gateway/peers.hpp
+++ b/jujubestand/gateway/peers.hpp
@@ -9,6 +9,12 @@
 namespace jujubestand::gateway
 {
 
+/// \brief The store may wait this long for a record of the operator.
+inline constexpr std::chrono::milliseconds operator_wait{500};
+
+/// \brief How often gateways and agents are asked.
+inline constexpr std::chrono::milliseconds tick_interval{100};
+
 /// \brief Asks the gateways that read, and decides whether to read by itself.
 void ask_peers(gateway_state& self);
 
--- a/jujubestand/gateway/repeats.cpp
+++ b/jujubestand/gateway/repeats.cpp
@@ -81,10 +81,6 @@
         return reason_code::upstream_read_cut;
     if (call.runs >= call.route.attempts_limit)
         return reason_code::attempts_spent;
-    // Nothing arrived at an upstream: the next send is no repeated one.
-    if (outcome == dispatch::send_outcome::unreachable)
-        return call.sends < sends_limit ? reason_code::none
-                                        : reason_code::attempts_spent;
     retries::request_progress progress;
     progress.attempts = call.sends;
     progress.worst = may_repeat(call) ? verdict::not_run : call.outcome;
@@ -93,6 +89,7 @@
     retries::attempt_failure failure;
     failure.outcome = verdict_of(outcome);
     failure.has_alternative = true;
+    failure.has_arrived = outcome != dispatch::send_outcome::unreachable;
     auto made =
         retries::decide(self.budgets[call.terms.pool], retry_options_of(self),
                         progress, failure, now, self.draw());
--- a/jujubestand/gateway/test/repeats_test.cpp
+++ b/jujubestand/gateway/test/repeats_test.cpp
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 #include <jujubestand/gateway/repeats.hpp>
+#include <jujubestand/gateway/sends.hpp>
+#include <jujubestand/http1/test/sockets.hpp>
+#include <jujubestand/logs/log.hpp>
 
 namespace jujubestand::gateway
 {
@@ -49,8 +52,83 @@
               reason_code::retry_budget_spent);
 }
 
+/// A gateway with what a call needs to go on or to end; no socket is used.
+class suspended_answer : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        this->self.base = this->base.get();
+        this->self.log = &this->log;
+        this->self.upstreams =
+            std::make_unique<http1::client>(this->base.get());
+        this->self.callers = std::make_unique<http1::server>(
+            this->base.get(), http1::server_events{});
+        limit_repeats(this->self);
+        auto call = stream_call();
+        call.is_begun = true;
+        call.terms.key = key;
+        call.deadline = mono_now() + std::chrono::seconds{60};
+        call.terms.deadline = call.deadline;
+        this->self.live.emplace(key, call);
+        this->self.budgets["engines"].saved = 0;
+        this->self.rescues["engines"].saved = 0;
+        suspend(this->self, key, dispatch::send_outcome::refused);
+    }
+
+    static constexpr dispatch::call_key key = 7;
+    http1::loop_base base{event_base_new()};
+    logs::log log{-1};
+    gateway_state self;
+};
+
 } // namespace
 
+TEST_F(suspended_answer, waits_while_the_budget_is_spent)
+{
+    review_suspended(this->self);
+    EXPECT_TRUE(this->self.live.contains(key));
+    EXPECT_TRUE(this->self.suspended.contains(key));
+    EXPECT_TRUE(this->self.dispatch.waiting.empty());
+}
+
+TEST_F(suspended_answer, goes_on_as_soon_as_the_budget_allows)
+{
+    this->self.budgets["engines"].saved = 1;
+    review_suspended(this->self);
+    EXPECT_TRUE(this->self.live.contains(key));
+    EXPECT_TRUE(this->self.suspended.empty());
+    EXPECT_TRUE(this->self.dispatch.waiting.contains(key));
+}
+
+TEST_F(suspended_answer, ends_when_its_time_is_over)
+{
+    this->self.live.at(key).deadline = mono_now();
+    review_suspended(this->self);
+    EXPECT_FALSE(this->self.live.contains(key));
+    EXPECT_TRUE(this->self.suspended.empty());
+}
+
+TEST_F(suspended_answer, is_forgotten_when_its_caller_leaves)
+{
+    end_call(this->self, key);
+    review_suspended(this->self);
+    EXPECT_TRUE(this->self.suspended.empty());
+    EXPECT_TRUE(this->self.dispatch.waiting.empty());
+}
+
+// The caller's connection is unknown to the server here, as after its close.
+TEST_F(suspended_answer, is_not_sent_on_once_its_caller_has_left)
+{
+    this->self.by_exchange[this->self.live.at(key).exchange] = key;
+    dispatch::decision made;
+    made.call = key;
+    made.what = dispatch::action::send;
+    apply(this->self, made);
+    EXPECT_FALSE(this->self.live.contains(key));
+    EXPECT_TRUE(this->self.by_exchange.empty());
+}
+
 // Callers were refused for want of a budget that only sends which arrive at an
 // upstream have to spare.
 TEST(repeats, a_send_that_never_connected_costs_no_budget)
--- a/jujubestand/retries/retry.cpp
+++ b/jujubestand/retries/retry.cpp
@@ -119,7 +119,7 @@
         decision.why = reason_code::deadline_unreachable;
         return decision;
     }
-    if (!spend(budget, options, now))
+    if (failure.has_arrived && !spend(budget, options, now))
     {
         decision.why = reason_code::retry_budget_spent;
         return decision;
--- a/jujubestand/retries/retry.hpp
+++ b/jujubestand/retries/retry.hpp
@@ -58,6 +58,9 @@
     microseconds retry_after{0};
     /// Another upstream can be asked at once, whatever `retry_after` says.
     bool has_alternative = false;
+    /// Something of it reached an upstream. What did not is no load there, so
+    /// the next attempt costs no budget.
+    bool has_arrived = true;
 };
 
 /// \brief Whether to try again, and when.
--- a/jujubestand/retries/test/retry_test.cpp
+++ b/jujubestand/retries/test/retry_test.cpp
@@ -100,6 +100,21 @@
     EXPECT_GE(retried, 990U);
 }
 
+TEST(retry, what_never_arrived_costs_no_budget)
+{
+    retry_budget budget;
+    budget.saved = 0;
+    auto progress = progress_of(verdict::not_run, false);
+    auto failure = failure_of(verdict::not_run);
+    EXPECT_EQ(decide(budget, options, progress, failure, start, 0).why,
+              reason_code::retry_budget_spent);
+    failure.has_arrived = false;
+    EXPECT_TRUE(decide(budget, options, progress, failure, start, 0).is_retry);
+    progress.attempts = options.attempts_limit;
+    EXPECT_EQ(decide(budget, options, progress, failure, start, 0).why,
+              reason_code::attempts_spent);
+}
+
 TEST(retry, attempts_are_bounded)
 {
     request_progress progress = progress_of(verdict::not_run, true);
