--- a/bench/support/deployment.hpp
+++ b/bench/support/deployment.hpp
@@ -41,6 +41,9 @@
     std::chrono::milliseconds stop_limit{20'000};
 };
 
+/// \brief Name of one of several processes or upstreams of a kind.
+[[nodiscard]] std::string numbered(std::string const& name, std::size_t index);
+
 /// \brief One route for completions, and one, not idempotent, under
 /// `/bookings` where there are services.
 [[nodiscard]] config::tables default_tables(deployment_plan const& plan);
--- a/jujubestand/core/time.hpp
+++ b/jujubestand/core/time.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_CORE_TIME_HPP
 
 #include <chrono>
+#include <cstdint>
 #include <ctime>
 
 namespace jujubestand
@@ -40,6 +41,18 @@
         std::chrono::system_clock::now());
 }
 
+/// \brief A number of microseconds, less its fraction.
+[[nodiscard]] constexpr microseconds scaled(double microseconds_count) noexcept
+{
+    return microseconds(static_cast<std::int64_t>(microseconds_count));
+}
+
+/// \brief A moment as it travels: microseconds of the process's own clock.
+[[nodiscard]] constexpr std::int64_t to_us(mono_time at) noexcept
+{
+    return at.time_since_epoch().count();
+}
+
 } // namespace jujubestand
 
 #endif
--- a/jujubestand/ctl/table_commands.cpp
+++ b/jujubestand/ctl/table_commands.cpp
@@ -2,8 +2,8 @@
 #include <jujubestand/config/validation.hpp>
 #include <jujubestand/ctl/log_session.hpp>
 #include <jujubestand/ctl/rows.hpp>
+#include <jujubestand/ctl/table_edits.hpp>
 #include <ostream>
-#include <random>
 
 namespace jujubestand::ctl
 {
@@ -13,71 +13,6 @@
 
 using arguments = std::vector<std::string>;
 
-request_id fresh_nonce()
-{
-    std::random_device random;
-    auto const word = [&random]
-    {
-        return (std::uint64_t{random()} << 32U) | random();
-    };
-    return request_id{word(), word()};
-}
-
-exit_code usage(command_context const& context, std::string text)
-{
-    return fail(context, exit_code::usage,
-                {reason_code::settings_invalid, std::move(text), {}});
-}
-
-// Opens the log and reads it whole, then hands on.
-template <class Use>
-exit_code with_tables(command_context const& context, Use use)
-{
-    if (!context.log)
-        return usage(context, "--log IP:PORT is missing");
-    log_session session(*context.log, context.timeout);
-    reason why;
-    auto const code = session.read_to_end(why);
-    if (code != exit_code::done)
-        return fail(context, code, why);
-    return use(session);
-}
-
-void print(command_context const& context, json const& shown)
-{
-    *context.out << shown.dump(context.is_json ? -1 : 2) << '\n';
-}
-
-// Not the version in force: another edit may have followed in the same read.
-std::uint64_t version_of(log_session const& session, request_id nonce)
-{
-    for (auto const& one : session.history())
-    {
-        if (one.result.nonce == nonce)
-            return one.result.winner.value;
-    }
-    return 0;
-}
-
-exit_code publish(command_context const& context, log_session& session,
-                  std::vector<config::change> changes)
-{
-    config::edit const made{fresh_nonce(), session.known().content.version,
-                            context.author, std::move(changes)};
-    reason why;
-    if (!config::apply(session.known().content, made, why))
-        return fail(context, exit_code::refused, why);
-    auto const code = session.publish(config::pack(made), made.nonce, why);
-    if (code != exit_code::done)
-        return fail(context, code, why);
-    auto const version = version_of(session, made.nonce);
-    if (context.is_json)
-        print(context, json{{"version", version}});
-    else
-        *context.out << "accepted as version " << version << '\n';
-    return code;
-}
-
 // What differs between the two tables.
 struct route_table
 {
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -13,11 +13,6 @@
 namespace
 {
 
-std::int64_t to_us(mono_time at)
-{
-    return at.time_since_epoch().count();
-}
-
 dispatch::engine_load to_load(status::answer const& from, mono_time now)
 {
     dispatch::engine_load load;
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -24,11 +24,6 @@
 static_assert(2 * operator_wait + 2 * tick_interval < lag_limit);
 constexpr std::chrono::milliseconds fetch_timeout{800};
 
-std::int64_t to_us(mono_time at)
-{
-    return at.time_since_epoch().count();
-}
-
 // The gateways that read, by IP number.
 std::vector<std::string> readers_of(gateway_state const& self)
 {
