Log the wanted weights and the lag with each send

Change: check_weights also returns the wanted version and the lag; upstream_chosen has weights_wanted and weights_lag_ms. No decision changes.

test_dispatch and test_gateway pass.

--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -43,13 +43,15 @@
     result.version = known->second;
     result.is_allowed = true;
     auto const wanted_weights = dispatcher.weights.find(model);
-    if (wanted_weights == dispatcher.weights.end() ||
-        known->second >= wanted_weights->second.version)
+    if (wanted_weights == dispatcher.weights.end())
+        return result;
+    result.wanted_version = wanted_weights->second.version;
+    if (result.version >= result.wanted_version)
         return result;
     result.is_old = true;
-    auto const lag = now - wanted_weights->second.since;
-    result.is_allowed = lag < dispatcher.limits.weights_lag;
-    if (lag > dispatcher.limits.weights_grace)
+    result.lag = now - wanted_weights->second.since;
+    result.is_allowed = result.lag < dispatcher.limits.weights_lag;
+    if (result.lag > dispatcher.limits.weights_grace)
         result.cost_ms = dispatcher.limits.old_weights_cost_ms;
     return result;
 }
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -28,6 +28,10 @@
     /// The operator has requested newer weights.
     bool is_old = false;
     std::uint64_t version = 0;
+    /// Version that the operator has requested; 0: none is known.
+    std::uint64_t wanted_version = 0;
+    /// Time since newer weights than the engine's were requested.
+    microseconds lag{0};
     double cost_ms = 0;
 };
 
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/dispatch/parts.hpp>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/retries.hpp>
@@ -271,6 +272,18 @@
     return events;
 }
 
+// Weights of the engine that the call is sent to, compared with those wanted.
+dispatch::weights_status weights_of(gateway_state const& state,
+                                    active_call const& call,
+                                    dispatch::upstream const& target,
+                                    mono_time now)
+{
+    auto const& prompt = call.dispatch_call.model_prompt;
+    return prompt ? dispatch::check_weights(state.dispatch, target,
+                                            prompt->model, now)
+                  : dispatch::weights_status{};
+}
+
 void send(gateway_state& state, dispatch::decision const& dispatch_decision)
 {
     active_call* const call = find_call(state, dispatch_decision.call);
@@ -291,6 +304,7 @@
     request.timeout =
         std::max(time_left(*call, now), std::chrono::milliseconds{1});
     request.idle_limit = is_retryable(*call) ? idle_limit : once_idle_limit;
+    auto const weights = weights_of(state, *call, target_upstream, now);
     state.log->write(
         event_number::upstream_chosen, call->caller_request.request_id,
         {{"upstream", call->upstream},
@@ -298,6 +312,10 @@
           static_cast<std::int64_t>(dispatch_decision.expected_ms)},
          {"weights",
           static_cast<std::int64_t>(dispatch_decision.weights.value_or(0))},
+         {"weights_wanted", static_cast<std::int64_t>(weights.wanted_version)},
+         {"weights_lag_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(weights.lag)
+              .count()},
          {"cached", static_cast<std::int64_t>(dispatch_decision.cached_tokens)},
          {"fetch", dispatch_decision.fetch_from
                        ? to_text(*dispatch_decision.fetch_from)
