--- a/jujubestand/dispatch/test/weights_test.cpp
+++ b/jujubestand/dispatch/test/weights_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <jujubestand/dispatch/dispatch.hpp>
 #include <jujubestand/dispatch/test/fleet.hpp>
+#include <rapidcheck/gtest.h>
 
 // Weights that the operator requests, and engines that lag behind.
 namespace jujubestand::dispatch
@@ -38,4 +39,47 @@
     EXPECT_FALSE(weights_at(dispatcher, 5'100).is_allowed);
 }
 
+// An engine that restarted two versions behind ran calls over `version-ms`
+// after the first of them: each newer request restarted the lag of all engines
+// (VERSION).
+TEST(weights, a_newer_request_does_not_restart_the_lag_of_an_older_one)
+{
+    auto dispatcher = fleet_with_lag_limit(1);
+    on_wanted_weights(dispatcher, "m", 2, at(0));
+    on_wanted_weights(dispatcher, "m", 3, at(3'600));
+    EXPECT_TRUE(weights_at(dispatcher, 4'900).is_allowed);
+    EXPECT_FALSE(weights_at(dispatcher, 5'100).is_allowed);
+    EXPECT_EQ(weights_at(dispatcher, 5'100).lag,
+              std::chrono::milliseconds{5'100});
+    // An engine that has the first of them is judged from the second.
+    on_weights_seen(dispatcher, engine(dispatcher, 1).key, "m", 2);
+    EXPECT_TRUE(weights_at(dispatcher, 8'500).is_allowed);
+    EXPECT_FALSE(weights_at(dispatcher, 8'700).is_allowed);
+}
+
+// The same over any series of requests (VERSION).
+RC_GTEST_PROP(weights,
+              the_lag_counts_from_the_first_request_that_an_engine_lacks, ())
+{
+    auto dispatcher = fleet_with_lag_limit(1);
+    auto const loaded =
+        static_cast<std::uint64_t>(*rc::gen::inRange<int>(1, 12));
+    on_weights_seen(dispatcher, engine(dispatcher, 1).key, "m", loaded);
+    auto const requests = *rc::gen::inRange<int>(1, 12);
+    std::uint64_t version = 1;
+    int ms = 0;
+    std::optional<int> missed_at;
+    for (int request = 0; request < requests; ++request)
+    {
+        version += static_cast<std::uint64_t>(*rc::gen::inRange<int>(1, 3));
+        ms += *rc::gen::inRange<int>(0, 4'000);
+        on_wanted_weights(dispatcher, "m", version, at(ms));
+        if (version > loaded && !missed_at)
+            missed_at = ms;
+        bool const is_allowed = !missed_at || std::chrono::milliseconds{
+                                                  ms - *missed_at} < lag_limit;
+        RC_ASSERT(weights_at(dispatcher, ms).is_allowed == is_allowed);
+    }
+}
+
 } // namespace jujubestand::dispatch
