Judge an engine's weights from the first request that it lacks

Cause: dispatch kept one request per model, the newest, and dated every older engine from it. Each newer request gave engines that lacked the one before another whole weights_lag. An engine that crashed before it loaded version 3 and came back with version 2 after version 4 was requested took calls until 4.8 s after version 4.

Ruled out: too small a margin for the wait at the engine (the calls of the record waited 0.21 and 0.14 s); requests learned late (agents had version 3 0.04 s after its acknowledgement, no gateway restarted).

Change: dispatch keeps the requests of a model in order and judges an engine from the first that it lacks. Requests that are too old to matter are removed, so that at most one older than weights_lag is kept.

Conclusion: the time limit belongs to each request, not to the newest one.

--- a/jujubestand/dispatch/parts.cpp
+++ b/jujubestand/dispatch/parts.cpp
@@ -152,9 +152,9 @@
 {
     auto const wanted_weights =
         dispatcher.weights.find(request.model_prompt->model);
-    bool const is_settled =
-        wanted_weights == dispatcher.weights.end() ||
-        now - wanted_weights->second.since > dispatcher.limits.save_weights_age;
+    bool const is_settled = wanted_weights == dispatcher.weights.end() ||
+                            now - wanted_weights->second.back().since >
+                                dispatcher.limits.save_weights_age;
     if (dispatcher.stores.empty() || !is_settled ||
         read_tokens < dispatcher.limits.save_tokens_min)
         return std::nullopt;
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -45,11 +45,20 @@
     auto const wanted_weights = dispatcher.weights.find(model);
     if (wanted_weights == dispatcher.weights.end())
         return result;
-    result.wanted_version = wanted_weights->second.version;
-    if (result.version >= result.wanted_version)
+    auto const& requests = wanted_weights->second;
+    result.wanted_version = requests.back().version;
+    // Each request has a time limit of its own: a newer one doesn't extend that
+    // of the ones before, so the lag counts from the first that is not loaded.
+    auto const first_missing =
+        std::find_if(requests.begin(), requests.end(),
+                     [&](wanted_version const& request)
+                     {
+                         return request.version > result.version;
+                     });
+    if (first_missing == requests.end())
         return result;
     result.is_old = true;
-    result.lag = now - wanted_weights->second.since;
+    result.lag = now - first_missing->since;
     result.is_allowed = result.lag < dispatcher.limits.weights_lag;
     if (result.lag > dispatcher.limits.weights_grace)
         result.cost_ms = dispatcher.limits.old_weights_cost_ms;
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -233,7 +233,9 @@
     std::map<std::string, upstream_key, std::less<>> keys_by_id;
     std::unordered_map<call_key, open_send> sends;
     std::map<call_key, call> waiting;
-    std::map<std::string, wanted_version> weights;
+    /// Requested versions of each model, oldest first; at most one of them is
+    /// older than `weights_lag`. Never empty.
+    std::map<std::string, std::vector<wanted_version>> weights;
     std::vector<part_store> stores;
     upstream_key last_key = 0;
     /// Number of gateways that share the upstreams, including this one.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -78,6 +78,21 @@
     }
 }
 
+// An engine that lacks a request also lacks all later ones. Once one of these
+// is too old for the engine to be allowed, the request has no more effect.
+void remove_redundant(std::vector<wanted_version>& requests,
+                      mono_time oldest_allowed)
+{
+    auto const first_allowed =
+        std::find_if(requests.begin(), requests.end(),
+                     [oldest_allowed](wanted_version const& request)
+                     {
+                         return request.since > oldest_allowed;
+                     });
+    if (first_allowed - requests.begin() > 1)
+        requests.erase(requests.begin(), first_allowed - 1);
+}
+
 // Two upstreams can't share an address: the one that started later owns it.
 void mark_replaced(state& dispatcher, upstream& added,
                    traffic::upstream_record const& record)
@@ -175,9 +190,11 @@
 void on_wanted_weights(state& dispatcher, std::string const& model,
                        std::uint64_t version, mono_time since)
 {
-    auto& known = dispatcher.weights[model];
-    if (version > known.version)
-        known = wanted_version{version, since};
+    auto& requests = dispatcher.weights[model];
+    if (!requests.empty() && version <= requests.back().version)
+        return;
+    requests.push_back({version, since});
+    remove_redundant(requests, since - dispatcher.limits.weights_lag);
 }
 
 void on_first_output(state& dispatcher, call_key call)
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -92,8 +92,8 @@
     auto const& known = state.operator_topic->known();
     query.sent_at_us = to_us(now);
     query.operator_end = known.next;
-    for (auto const& [model, wanted] : state.dispatch.weights)
-        query.requested_versions[model] = wanted.version;
+    for (auto const& [model, requests] : state.dispatch.weights)
+        query.requested_versions[model] = requests.back().version;
     if (auto const age = follow::staleness(known, now))
         query.staleness_us = age->count();
     query.gateway = state.settings.name;
