--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -133,6 +133,7 @@
         state.log->write(event_number::member_live, {},
                          {{"upstream", record->id},
                           {"pool", record->pool},
+                          {"software", record->software_version},
                           {"address", to_text(record->where)}});
     if (record->is_leaving && !was_leaving)
         state.log->write(event_number::member_leaving, {},
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -115,7 +115,9 @@
          {"team", call.team.name},
          {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                          call.deadline - call.arrived_at)
-                         .count()}});
+                         .count()},
+         {"resumes", call.caller_request.resumed_request},
+         {"last_event", call.caller_request.last_event}});
     if (!ends_before_stop(state, call))
     {
         refuse_request(state, call.exchange, call.caller_request.request_id,
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -308,6 +308,7 @@
     state.log->write(
         event_number::upstream_chosen, call->caller_request.request_id,
         {{"upstream", call->upstream},
+         {"software", target_upstream.record.software_version},
          {"expected_ms",
           static_cast<std::int64_t>(dispatch_decision.expected_ms)},
          {"weights",
--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -30,6 +30,8 @@
     std::optional<prompt> asked;
     /// Last event that the caller has of a stream which it resumes.
     std::string last_event;
+    /// Id of the request that brought the first event of that stream.
+    std::string resumed_request;
     /// Fields that go on to the upstream as they are.
     std::vector<http::field> passed;
     std::string body;
--- a/jujubestand/traffic/upstream.hpp
+++ b/jujubestand/traffic/upstream.hpp
@@ -25,6 +25,9 @@
     std::uint64_t born_ms = 0;
     /// It takes no new work.
     bool is_leaving = false;
+    /// Version of the upstream's software; empty if it is not known. Streams
+    /// of different software versions don't fit together.
+    std::string software_version;
     /// Version of the weights of each model that it serves.
     std::map<std::string, std::uint64_t> versions;
 };
