--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -114,6 +114,8 @@
     std::chrono::milliseconds target_latency{1'000};
     /// Upstreams that the call was already sent to.
     std::vector<upstream_key> tried;
+    /// For a stream that has begun: the software version that it continues at.
+    std::optional<std::string> software_version;
 };
 
 /// \brief Next step of a call.
