Continue a begun stream only at its own software version

What callers saw: streams with events of two software versions of the engines, which don't fit together (ORDER).

Cause: nothing in dispatch knew the software version of an upstream. A stream that had begun was sent, after a cut, a crash or before a load of weights, to the engine with the least expected time, of whichever version.

Change: the first event that is forwarded fixes the software version of the call. Every later choice (retry, migration before a load, review of waiting calls) considers only upstreams of that version; while these are unavailable the stream waits, and once none is left that it was not sent to it is refused.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -233,12 +233,6 @@
     return result;
 }
 
-bool was_tried(call const& request, upstream_key key)
-{
-    return std::find(request.tried.begin(), request.tried.end(), key) !=
-           request.tried.end();
-}
-
 } // namespace
 
 std::optional<choice> choose(state const& dispatcher, call const& request,
@@ -258,6 +252,7 @@
     for (auto const& [key, target] : dispatcher.upstreams)
     {
         if (target.record.pool != request.pool || was_tried(request, key) ||
+            !has_software(target, request) ||
             !is_available(dispatcher, target, now))
             continue;
         auto const candidate =
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -101,6 +101,22 @@
                   "no upstream has room in time", request.pool};
 }
 
+// Reason to refuse a call that can't be served any more, if there is one.
+std::optional<decision> refuse_hopeless(state const& dispatcher,
+                                        call const& request, mono_time now)
+{
+    if (!can_be_served(dispatcher, request, now))
+        return refuse(request, no_time_left(request),
+                      dispatcher.limits.return_margin);
+    if (!has_candidate(dispatcher, request))
+        return refuse(request,
+                      reason{reason_code::no_upstream,
+                             "no upstream of the stream's software version",
+                             *request.software_version},
+                      no_upstream_retry_after);
+    return std::nullopt;
+}
+
 // Time to prefill the calls that wait ahead of this one, if this gateway's
 // share of the available engines prefills nothing else.
 double expected_wait_ms(state const& dispatcher, call const& request,
@@ -126,9 +142,8 @@
 
 decision submit(state& dispatcher, call const& request, mono_time now)
 {
-    if (!can_be_served(dispatcher, request, now))
-        return refuse(request, no_time_left(request),
-                      dispatcher.limits.return_margin);
+    if (auto const refusal = refuse_hopeless(dispatcher, request, now))
+        return *refusal;
     if (auto const chosen = choose(dispatcher, request, now))
         return send(dispatcher, request, *chosen, now);
     if (dispatcher.waiting.size() >= dispatcher.limits.waiting_limit)
@@ -158,9 +173,8 @@
     std::vector<decision> result;
     for (call const* request : ordered_calls)
     {
-        if (!can_be_served(dispatcher, *request, now))
-            result.push_back(refuse(*request, no_time_left(*request),
-                                    dispatcher.limits.return_margin));
+        if (auto const refusal = refuse_hopeless(dispatcher, *request, now))
+            result.push_back(*refusal);
         else if (auto const chosen = choose(dispatcher, *request, now))
             result.push_back(send(dispatcher, *request, *chosen, now));
     }
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -21,6 +21,35 @@
     return !has_fresh_report(dispatcher, target, now) || !target.load->is_down;
 }
 
+bool has_software(upstream const& target, call const& request)
+{
+    return !request.software_version ||
+           target.record.software_version == *request.software_version;
+}
+
+bool was_tried(call const& request, upstream_key key)
+{
+    return std::find(request.tried.begin(), request.tried.end(), key) !=
+           request.tried.end();
+}
+
+// New upstreams usually run the newest software, so a call without a needed
+// version always has a candidate to wait for.
+bool has_candidate(state const& dispatcher, call const& request)
+{
+    return !request.software_version ||
+           std::any_of(dispatcher.upstreams.begin(), dispatcher.upstreams.end(),
+                       [&](auto const& row)
+                       {
+                           upstream const& target = row.second;
+                           return target.record.pool == request.pool &&
+                                  !target.record.is_leaving &&
+                                  !target.is_replaced &&
+                                  has_software(target, request) &&
+                                  !was_tried(request, row.first);
+                       });
+}
+
 std::size_t available_count(state const& dispatcher, std::string const& pool,
                             mono_time now)
 {
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -15,6 +15,17 @@
 [[nodiscard]] bool is_available(state const& dispatcher, upstream const& target,
                                 mono_time now);
 
+/// \brief Whether an upstream runs the software version that a call needs: a
+/// stream that has begun continues only at the version that began it.
+[[nodiscard]] bool has_software(upstream const& target, call const& request);
+
+/// \brief Whether a call was already sent to an upstream.
+[[nodiscard]] bool was_tried(call const& request, upstream_key key);
+
+/// \brief Whether a pool has an upstream that could serve a call now or later,
+/// regardless of free capacity.
+[[nodiscard]] bool has_candidate(state const& dispatcher, call const& request);
+
 /// \brief Number of upstreams of a pool that accept calls, regardless of free
 /// capacity.
 [[nodiscard]] std::size_t available_count(state const& dispatcher,
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -161,6 +161,7 @@
     if (!call->is_response_started)
     {
         call->is_response_started = true;
+        call->dispatch_call.software_version = call->software_version;
         state.caller_server->begin(call->exchange, call->response_head.status,
                                    call->response_head.passed);
     }
@@ -292,6 +293,7 @@
     auto const now = mono_now();
     call->upstream = target_upstream.record.id;
     call->upstream_key = dispatch_decision.upstream;
+    call->software_version = target_upstream.record.software_version;
     ++call->upstream_attempts;
     http1::client_request request;
     request.server = target_upstream.record.where;
@@ -308,7 +310,7 @@
     state.log->write(
         event_number::upstream_chosen, call->caller_request.request_id,
         {{"upstream", call->upstream},
-         {"software", target_upstream.record.software_version},
+         {"software", call->software_version},
          {"expected_ms",
           static_cast<std::int64_t>(dispatch_decision.expected_ms)},
          {"weights",
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -46,6 +46,8 @@
     http1::call_id upstream_call;
     std::string upstream;
     dispatch::upstream_key upstream_key = 0;
+    /// Software version of that upstream.
+    std::string software_version;
     std::uint32_t upstream_attempts = 0;
     /// Number of attempts that may have executed the call.
     std::uint32_t possible_runs = 0;
