Continue resumed streams at the software version that began them

Cause: a caller resumes at any gateway, mostly not the one that began the stream, and no gateway knew the version that another one had begun it at; nothing read which request began it.

Change: the gateway that forwards the first event of a stream keeps its software version and sends it to two others, chosen by the request's id. A resumed stream that is not known at its gateway is queried at four; it then continues at its version, or, if nobody knows it, at the only version that the pool has had for a minute, or is refused as not run.

--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -38,6 +38,7 @@
     retry_scheduled = 1107,
     hedge_started = 1108,
     request_waits = 1109,
+    resume_decided = 1110,
 
     // Sidecar.
     call_received = 1200,
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -124,6 +124,8 @@
         return;
     }
     follow::on_present(state.lapses, row.key);
+    record_software(state.origins, record->pool, record->software_version,
+                    mono_now());
     auto const known = state.dispatch.keys_by_id.find(record->id);
     bool const was_leaving =
         known != state.dispatch.keys_by_id.end() &&
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
+#include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <platform/calls.hpp>
@@ -125,12 +126,12 @@
         return;
     }
     state.call_by_exchange[call.exchange] = key;
-    auto const submitted = call.dispatch_call;
+    bool const is_taken_up = is_resumed(call);
     state.active_calls.emplace(key, std::move(call));
-    auto const dispatch_decision =
-        dispatch::submit(state.dispatch, submitted, mono_now());
-    apply_decision(state, dispatch_decision);
-    schedule_review(state);
+    if (is_taken_up)
+        begin_resumed(state, key);
+    else
+        submit_call(state, key);
 }
 
 } // namespace
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <jujubestand/gateway/apply_records.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/peers.hpp>
+#include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/loop/signals.hpp>
 #include <platform/names.hpp>
@@ -85,6 +86,7 @@
         {
             on_agent_datagram(state, sender, bytes);
             on_peer_datagram(state, sender, bytes);
+            on_origin_datagram(state, sender, bytes);
         });
 }
 
@@ -151,6 +153,7 @@
         follow::on_store_failure(state.lapses, now);
     remove_lapsed_upstreams(state);
     review_suspended_calls(state);
+    expire_origin_queries(state);
     query_agents(state);
     query_peers(state);
 }
--- /dev/null
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -0,0 +1,179 @@
+#include <jujubestand/gateway/resumed_streams.hpp>
+
+#include <jujubestand/gateway/answers.hpp>
+#include <jujubestand/gateway/sends.hpp>
+#include <jujubestand/status/messages.hpp>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+/// Time after which an unanswered query counts as answered in the negative.
+constexpr std::chrono::milliseconds origin_query_timeout{100};
+
+/// Retry-After of a stream whose version is not known here.
+constexpr std::chrono::milliseconds unknown_origin_retry_after{200};
+
+void send_to(gateway_state& state, std::string const& host,
+             std::string const& datagram)
+{
+    state.datagrams->send(address{host, state.settings.internal_port},
+                          datagram);
+}
+
+// Returns the number of queries sent.
+std::size_t query_origin(gateway_state& state, origin_key stream)
+{
+    status::origin_query query;
+    query.stream = stream;
+    auto const targets = origin_holders(state.gateway_hosts, state.settings.ip,
+                                        stream, origin_query_targets);
+    for (auto const& host : targets)
+        send_to(state, host, status::to_datagram(query));
+    return targets.size();
+}
+
+void refuse_unknown_origin(gateway_state& state, dispatch::call_key key)
+{
+    problem error;
+    error.why = reason{reason_code::no_upstream,
+                       "software version of the resumed stream is not known",
+                       {}};
+    error.retry_after = unknown_origin_retry_after;
+    fail_call(state, key, error);
+}
+
+void apply_resume(gateway_state& state, dispatch::call_key key,
+                  bool was_queried)
+{
+    active_call* const call = find_call(state, key);
+    if (call == nullptr)
+        return;
+    auto const& stream = call->caller_request.resumed_request;
+    auto const now = mono_now();
+    auto decided = decide_resume(state.origins, call->dispatch_call.pool,
+                                 stream, was_queried, now);
+    if (decided.step == resume_step::query)
+    {
+        auto const queries = query_origin(state, origin_key_of(stream));
+        if (queries > 0)
+        {
+            state.origin_queries[key] = {origin_key_of(stream), now, queries};
+            return;
+        }
+        decided = decide_resume(state.origins, call->dispatch_call.pool, stream,
+                                true, now);
+    }
+    state.log->write(
+        event_number::resume_decided, call->caller_request.request_id,
+        {{"resumes", stream},
+         {"software", decided.software_version.value_or("unknown")},
+         {"step", to_name(resume_step_names, decided.step)}});
+    if (decided.step == resume_step::refuse)
+    {
+        refuse_unknown_origin(state, key);
+        return;
+    }
+    call->dispatch_call.software_version = decided.software_version;
+    submit_call(state, key);
+}
+
+// Takes the waiting calls of a stream out of the table before it decides on
+// them, since a decision may change the table.
+template <class Condition>
+void end_queries(gateway_state& state, Condition const& is_over)
+{
+    std::vector<dispatch::call_key> keys;
+    for (auto const& [key, query] : state.origin_queries)
+    {
+        if (is_over(query))
+            keys.push_back(key);
+    }
+    for (auto const key : keys)
+    {
+        state.origin_queries.erase(key);
+        apply_resume(state, key, true);
+    }
+}
+
+void on_origin_query(gateway_state& state, address const& sender,
+                     status::origin_query const& query)
+{
+    auto const known = find_origin(state.origins, query.stream);
+    status::origin_response response;
+    response.stream = query.stream;
+    response.is_known = known.has_value();
+    response.software_version = known.value_or("");
+    state.datagrams->send(sender, status::to_datagram(response));
+}
+
+void on_origin_response(gateway_state& state,
+                        status::origin_response const& response)
+{
+    if (response.is_known)
+        record_origin(state.origins, response.stream,
+                      response.software_version);
+    for (auto& [key, query] : state.origin_queries)
+    {
+        if (query.stream == response.stream && query.open > 0)
+            --query.open;
+    }
+    end_queries(state,
+                [&](open_origin_query const& query)
+                {
+                    return query.stream == response.stream &&
+                           (response.is_known || query.open == 0);
+                });
+}
+
+} // namespace
+
+bool is_resumed(active_call const& call)
+{
+    return call.route.kind == traffic::call_kind::stream &&
+           !call.caller_request.last_event.empty();
+}
+
+void begin_resumed(gateway_state& state, dispatch::call_key key)
+{
+    apply_resume(state, key, false);
+}
+
+void announce_origin(gateway_state& state, active_call const& call)
+{
+    auto const stream = origin_key_of(call.caller_request.request_id);
+    record_origin(state.origins, stream, call.software_version);
+    status::origin_notice notice;
+    notice.stream = stream;
+    notice.software_version = call.software_version;
+    for (auto const& host : origin_holders(
+             state.gateway_hosts, state.settings.ip, stream, origin_replicas))
+        send_to(state, host, status::to_datagram(notice));
+}
+
+void on_origin_datagram(gateway_state& state, address const& sender,
+                        std::string_view bytes)
+{
+    if (auto const notice = status::from_datagram<status::origin_notice>(bytes))
+        record_origin(state.origins, notice->stream, notice->software_version);
+    else if (auto const query =
+                 status::from_datagram<status::origin_query>(bytes))
+        on_origin_query(state, sender, *query);
+    else if (auto const response =
+                 status::from_datagram<status::origin_response>(bytes))
+        on_origin_response(state, *response);
+}
+
+void expire_origin_queries(gateway_state& state)
+{
+    auto const now = mono_now();
+    end_queries(state,
+                [now](open_origin_query const& query)
+                {
+                    return now - query.sent_at >= origin_query_timeout;
+                });
+}
+
+} // namespace jujubestand::gateway
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <platform/calls.hpp>
 
@@ -162,6 +163,8 @@
     {
         call->is_response_started = true;
         call->dispatch_call.software_version = call->software_version;
+        if (!is_resumed(*call))
+            announce_origin(state, *call);
         state.caller_server->begin(call->exchange, call->response_head.status,
                                    call->response_head.passed);
     }
@@ -368,6 +371,14 @@
     fail_call(state, dispatch_decision.call, error);
 }
 
+void submit_call(gateway_state& state, dispatch::call_key key)
+{
+    auto const dispatch_decision = dispatch::submit(
+        state.dispatch, find_call(state, key)->dispatch_call, mono_now());
+    apply_decision(state, dispatch_decision);
+    schedule_review(state);
+}
+
 void retry_call(gateway_state& state, dispatch::call_key key)
 {
     active_call* const call = find_call(state, key);
--- a/jujubestand/gateway/sends.hpp
+++ b/jujubestand/gateway/sends.hpp
@@ -16,6 +16,9 @@
 void apply_decision(gateway_state& state,
                     dispatch::decision const& dispatch_decision);
 
+/// \brief Submits a call for its first attempt.
+void submit_call(gateway_state& state, dispatch::call_key key);
+
 /// \brief Submits a call for another attempt; a stream resumes after the last
 /// forwarded event.
 void retry_call(gateway_state& state, dispatch::call_key key);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -8,6 +8,7 @@
 #include <jujubestand/follow/lapses.hpp>
 #include <jujubestand/gateway/event_stream.hpp>
 #include <jujubestand/gateway/query_pacing.hpp>
+#include <jujubestand/gateway/stream_origins.hpp>
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <jujubestand/logs/log.hpp>
@@ -76,6 +77,15 @@
     mono_time next_poll_at{};
 };
 
+/// \brief Query to other gateways for the version that a stream began at.
+struct open_origin_query
+{
+    origin_key stream = 0;
+    mono_time sent_at{};
+    /// Queried gateways that have not answered.
+    std::size_t open = 0;
+};
+
 /// \brief State of a gateway process.
 struct gateway_state
 {
@@ -119,6 +129,9 @@
     /// Calls whose response has started and that wait for retry budget, with
     /// the outcome of the last attempt.
     std::map<dispatch::call_key, dispatch::send_outcome> suspended_calls;
+    stream_origins origins;
+    /// Resumed streams that wait for their software version.
+    std::map<dispatch::call_key, open_origin_query> origin_queries;
     /// Paths of the record fetches in flight.
     std::set<std::string> fetches_in_flight;
     gateway::query_map status_queries;
--- /dev/null
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -0,0 +1,107 @@
+#include <jujubestand/gateway/stream_origins.hpp>
+
+#include <algorithm>
+#include <jujubestand/placement/rendezvous.hpp>
+#include <utility>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+// The software version that all upstreams of a pool have and had of late.
+std::optional<std::string> only_version(stream_origins const& state,
+                                        std::string const& pool, mono_time now)
+{
+    auto const found = state.software_in_use.find(pool);
+    if (found == state.software_in_use.end())
+        return std::nullopt;
+    std::optional<std::string> result;
+    for (auto const& [version, seen_at] : found->second)
+    {
+        if (now - seen_at > software_memory)
+            continue;
+        if (result)
+            return std::nullopt;
+        result = version;
+    }
+    return result;
+}
+
+} // namespace
+
+origin_key origin_key_of(std::string_view request_id) noexcept
+{
+    return placement::name_hash_of(request_id);
+}
+
+void record_origin(stream_origins& state, origin_key stream,
+                   std::string const& software_version)
+{
+    if (state.versions.find(stream) == nullptr)
+        state.versions.insert(stream, software_version);
+}
+
+std::optional<std::string> find_origin(stream_origins& state, origin_key stream)
+{
+    auto const* const known = state.versions.find(stream);
+    return known == nullptr ? std::nullopt : std::optional(*known);
+}
+
+void record_software(stream_origins& state, std::string const& pool,
+                     std::string const& software_version, mono_time now)
+{
+    auto& versions = state.software_in_use[pool];
+    std::erase_if(versions,
+                  [now](auto const& row)
+                  {
+                      return now - row.second > software_memory;
+                  });
+    versions[software_version] = now;
+}
+
+// A version that no gateway knows any more can still be inferred while the pool
+// has had only one that the stream can have begun at.
+resume_decision decide_resume(stream_origins& state, std::string const& pool,
+                              std::string const& request_id, bool was_queried,
+                              mono_time now)
+{
+    resume_decision result;
+    if (!request_id.empty())
+        result.software_version = find_origin(state, origin_key_of(request_id));
+    if (!result.software_version && !request_id.empty() && !was_queried)
+    {
+        result.step = resume_step::query;
+        return result;
+    }
+    if (!result.software_version)
+        result.software_version = only_version(state, pool, now);
+    result.step =
+        result.software_version ? resume_step::proceed : resume_step::refuse;
+    return result;
+}
+
+std::vector<std::string> origin_holders(std::vector<std::string> const& hosts,
+                                        std::string const& own,
+                                        origin_key stream, std::size_t count)
+{
+    std::vector<std::pair<double, std::string>> ranked;
+    for (auto const& host : hosts)
+    {
+        if (host != own)
+            ranked.emplace_back(placement::rendezvous_score(
+                                    stream, placement::name_hash_of(host), 1.0),
+                                host);
+    }
+    auto const kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end(), std::greater<>{});
+    std::vector<std::string> result;
+    for (std::size_t index = 0; index < kept; ++index)
+        result.push_back(std::move(ranked[index].second));
+    return result;
+}
+
+} // namespace jujubestand::gateway
--- /dev/null
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -0,0 +1,104 @@
+#ifndef JUJUBESTAND_GATEWAY_STREAM_ORIGINS_HPP
+#define JUJUBESTAND_GATEWAY_STREAM_ORIGINS_HPP
+
+#include <array>
+#include <cstdint>
+#include <jujubestand/core/enum_table.hpp>
+#include <jujubestand/core/recent_map.hpp>
+#include <jujubestand/core/time.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \brief Software versions that streams began at.
+///
+/// A stream continues only at the software version that began it, and callers
+/// resume streams at any gateway. The gateway that begins a stream keeps its
+/// version and sends it to a few others, chosen by the request's id; the
+/// gateway at which the stream is resumed queries these.
+namespace jujubestand::gateway
+{
+
+/// \brief Identifies the request that began a stream.
+using origin_key = std::uint64_t;
+
+/// \brief Gateways, apart from its own, that keep the version of a stream.
+inline constexpr std::size_t origin_replicas = 2;
+
+/// \brief Gateways that are queried for it: more than keep it, since the list
+/// of gateways may have changed in between.
+inline constexpr std::size_t origin_query_targets = 4;
+
+/// \brief Time in which a software version of a pool counts as in use after
+/// its last upstream has left, since callers may still hold streams of it.
+inline constexpr std::chrono::milliseconds software_memory{60'000};
+
+/// \brief What a gateway knows of the versions that streams began at.
+struct stream_origins
+{
+    /// Software version by request; bounds the memory, and holds over a minute
+    /// of the streams of one gateway and those that it keeps for others.
+    recent_map<origin_key, std::string> versions{16'384};
+    /// By pool and software version: when an upstream was last registered.
+    std::map<std::string, std::map<std::string, mono_time>> software_in_use;
+};
+
+/// \brief Next step for a stream that a caller resumes.
+enum class resume_step : std::uint8_t
+{
+    proceed, ///< send to an upstream of the software version
+    query,   ///< query the gateways that may know the version
+    refuse,  ///< the version can't be known
+};
+
+inline constexpr std::array<enum_name<resume_step>, 3> resume_step_names{{
+    {resume_step::proceed, "proceed"},
+    {resume_step::query, "query"},
+    {resume_step::refuse, "refuse"},
+}};
+
+/// \brief Decision for a stream that a caller resumes.
+struct resume_decision
+{
+    resume_step step = resume_step::refuse;
+    /// For `proceed`: the version to continue at.
+    std::optional<std::string> software_version;
+};
+
+/// \brief Key of the request that began a stream.
+[[nodiscard]] origin_key origin_key_of(std::string_view request_id) noexcept;
+
+/// \brief Records the version that a stream began at; the first one holds.
+void record_origin(stream_origins& state, origin_key stream,
+                   std::string const& software_version);
+
+/// \brief The version that a stream began at, if it is known here.
+[[nodiscard]] std::optional<std::string> find_origin(stream_origins& state,
+                                                     origin_key stream);
+
+/// \brief Records that a pool has an upstream of a software version.
+void record_software(stream_origins& state, std::string const& pool,
+                     std::string const& software_version, mono_time now);
+
+/// \brief Decides on a stream that a caller resumes.
+/// \param request_id request that began the stream; empty if the caller does
+/// not name it
+/// \param was_queried other gateways were queried and none knew the version
+[[nodiscard]] resume_decision decide_resume(stream_origins& state,
+                                            std::string const& pool,
+                                            std::string const& request_id,
+                                            bool was_queried, mono_time now);
+
+/// \brief The gateways that keep or may know the version of a stream, the
+/// likeliest first.
+/// \param hosts all gateways, in any order
+/// \param own this gateway, which is left out
+[[nodiscard]] std::vector<std::string>
+origin_holders(std::vector<std::string> const& hosts, std::string const& own,
+               origin_key stream, std::size_t count);
+
+} // namespace jujubestand::gateway
+
+#endif
--- /dev/null
+++ b/jujubestand/gateway/test/stream_origins_test.cpp
@@ -0,0 +1,135 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <jujubestand/gateway/stream_origins.hpp>
+#include <rapidcheck/gtest.h>
+
+// Streams that callers resume at another gateway, in a pool of several software
+// versions.
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+mono_time at(int ms)
+{
+    return mono_time{std::chrono::milliseconds{100'000 + ms}};
+}
+
+stream_origins two_versions()
+{
+    stream_origins state;
+    record_software(state, "engines", "old", at(0));
+    record_software(state, "engines", "new", at(0));
+    return state;
+}
+
+std::vector<std::string> hosts(int count)
+{
+    std::vector<std::string> result;
+    for (int number = 1; number <= count; ++number)
+        result.push_back("10.0.0." + std::to_string(number));
+    return result;
+}
+
+} // namespace
+
+// A stream that its caller resumed went on at any software version (ORDER).
+TEST(stream_origins, a_resumed_stream_continues_at_the_version_that_began_it)
+{
+    auto state = two_versions();
+    record_origin(state, origin_key_of("first"), "old");
+    auto const result = decide_resume(state, "engines", "first", false, at(10));
+    EXPECT_EQ(result.step, resume_step::proceed);
+    EXPECT_EQ(result.software_version, "old");
+}
+
+TEST(stream_origins, the_version_that_began_a_stream_is_not_replaced)
+{
+    auto state = two_versions();
+    record_origin(state, 7, "old");
+    record_origin(state, 7, "new");
+    EXPECT_EQ(find_origin(state, 7), "old");
+}
+
+// The gateway that began a stream is mostly not the one at which it is resumed
+// (ORDER).
+TEST(stream_origins, an_unknown_version_is_queried_and_then_refused)
+{
+    auto state = two_versions();
+    EXPECT_EQ(decide_resume(state, "engines", "first", false, at(10)).step,
+              resume_step::query);
+    EXPECT_EQ(decide_resume(state, "engines", "first", true, at(10)).step,
+              resume_step::refuse);
+    EXPECT_EQ(decide_resume(state, "engines", "", false, at(10)).step,
+              resume_step::refuse);
+}
+
+// A version whose last upstream has just left can still have begun a stream
+// (ORDER).
+TEST(stream_origins, a_version_counts_as_in_use_for_a_while_after_it_has_left)
+{
+    auto state = two_versions();
+    for (int ms = 0; ms <= 50'000; ms += 1'000)
+        record_software(state, "engines", "new", at(ms));
+    EXPECT_EQ(decide_resume(state, "engines", "", false, at(50'000)).step,
+              resume_step::refuse);
+    for (int ms = 51'000; ms <= 70'000; ms += 1'000)
+        record_software(state, "engines", "new", at(ms));
+    auto const later = decide_resume(state, "engines", "", false, at(70'000));
+    EXPECT_EQ(later.step, resume_step::proceed);
+    EXPECT_EQ(later.software_version, "new");
+}
+
+TEST(stream_origins, the_versions_of_another_pool_do_not_count)
+{
+    stream_origins state;
+    record_software(state, "engines", "old", at(0));
+    record_software(state, "booking", "new", at(0));
+    auto const result = decide_resume(state, "engines", "", false, at(10));
+    EXPECT_EQ(result.step, resume_step::proceed);
+    EXPECT_EQ(result.software_version, "old");
+}
+
+TEST(stream_origins, an_unknown_pool_is_refused)
+{
+    stream_origins state;
+    EXPECT_EQ(decide_resume(state, "engines", "", true, at(10)).step,
+              resume_step::refuse);
+}
+
+// The gateway that began a stream is killed, and its callers come back at
+// another one: one of the others that know the version is among the queried,
+// also where the list of gateways has lost or won one (LOST).
+RC_GTEST_PROP(stream_origins, queries_reach_a_gateway_that_keeps_the_version,
+              (std::uint64_t stream))
+{
+    auto const count = *rc::gen::inRange<int>(3, 60);
+    auto const all = hosts(count);
+    auto const& beginner = *rc::gen::elementOf(all);
+    auto const keepers = origin_holders(all, beginner, stream, origin_replicas);
+    RC_ASSERT(keepers.size() == origin_replicas);
+    RC_ASSERT(std::find(keepers.begin(), keepers.end(), beginner) ==
+              keepers.end());
+    auto changed = all;
+    if (*rc::gen::arbitrary<bool>())
+        changed.push_back("10.0.1.1");
+    auto const lost = *rc::gen::elementOf(all);
+    std::erase(changed, lost);
+    auto const& resumer = *rc::gen::elementOf(changed);
+    bool const knows =
+        resumer == beginner ||
+        std::find(keepers.begin(), keepers.end(), resumer) != keepers.end();
+    auto const queried =
+        origin_holders(changed, resumer, stream, origin_query_targets);
+    bool const is_reached =
+        std::any_of(queried.begin(), queried.end(),
+                    [&](std::string const& host)
+                    {
+                        return std::find(keepers.begin(), keepers.end(),
+                                         host) != keepers.end();
+                    });
+    RC_ASSERT(knows || is_reached);
+}
+
+} // namespace jujubestand::gateway
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -37,5 +37,8 @@
 template std::optional<status_response> from_datagram(std::string_view);
 template std::optional<peer_request> from_datagram(std::string_view);
 template std::optional<peer_response> from_datagram(std::string_view);
+template std::optional<origin_notice> from_datagram(std::string_view);
+template std::optional<origin_query> from_datagram(std::string_view);
+template std::optional<origin_response> from_datagram(std::string_view);
 
 } // namespace jujubestand::status
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -137,6 +137,37 @@
                          stores)
 };
 
+/// \brief Notice of the software version at which a stream began.
+struct origin_notice
+{
+    std::uint32_t format = format_version;
+    /// Hash of the id of the request that began the stream.
+    std::uint64_t stream = 0;
+    std::string software_version;
+
+    MSGPACK_DEFINE_ARRAY(format, stream, software_version)
+};
+
+/// \brief Query for the software version at which a stream began.
+struct origin_query
+{
+    std::uint32_t format = format_version;
+    std::uint64_t stream = 0;
+
+    MSGPACK_DEFINE_ARRAY(format, stream)
+};
+
+/// \brief Response to an `origin_query`.
+struct origin_response
+{
+    std::uint32_t format = format_version;
+    std::uint64_t stream = 0;
+    bool is_known = false;
+    std::string software_version;
+
+    MSGPACK_DEFINE_ARRAY(format, stream, is_known, software_version)
+};
+
 /// \brief Hash of a list of gateways; depends on the order.
 [[nodiscard]] std::uint64_t
 hash_of(std::vector<std::string> const& gateways) noexcept;
@@ -148,6 +179,9 @@
     status_response = 'a',
     peer_request = 'p',
     peer_response = 'r',
+    origin_notice = 'n',
+    origin_query = 'o',
+    origin_response = 's',
 };
 
 /// \brief Kind of a message type.
@@ -163,6 +197,16 @@
 inline constexpr message_kind kind_of<peer_response> =
     message_kind::peer_response;
 
+template <>
+inline constexpr message_kind kind_of<origin_notice> =
+    message_kind::origin_notice;
+template <>
+inline constexpr message_kind kind_of<origin_query> =
+    message_kind::origin_query;
+template <>
+inline constexpr message_kind kind_of<origin_response> =
+    message_kind::origin_response;
+
 /// \brief Serializes a message as one datagram, with its kind.
 template <class Message>
 [[nodiscard]] std::string to_datagram(Message const& message);
