--- /dev/null
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -0,0 +1,238 @@
+#include <jujubestand/gateway/upstream_responses.hpp>
+
+#include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/resumed_streams.hpp>
+#include <jujubestand/gateway/retries.hpp>
+#include <jujubestand/gateway/sends.hpp>
+#include <platform/calls.hpp>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+/// Retry-After of calls that failed without having run.
+constexpr std::chrono::milliseconds retry_pause{200};
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int first_server_error = 500;
+
+bool is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+// Statuses that guarantee that the call did not run. An upstream response
+// with such a status that does not guarantee this must not be forwarded.
+bool guarantees_not_run(int status)
+{
+    constexpr int timeout = 408;
+    constexpr int misdirected = 421;
+    constexpr int too_many = 429;
+    return status == timeout || status == misdirected || status == too_many ||
+           status == status_unavailable;
+}
+
+void finish_call(gateway_state& state, dispatch::call_key key)
+{
+    active_call* const call = find_call(state, key);
+    auto fields = call->response_head.passed;
+    state.log->write(
+        event_number::request_finished, call->caller_request.request_id,
+        {{"status", call->response_head.status},
+         {"upstream", call->upstream},
+         {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                         mono_now() - call->arrived_at)
+                         .count()}});
+    if (call->is_response_started)
+        state.caller_server->finish(call->exchange);
+    else
+        state.caller_server->respond(call->exchange, call->response_head.status,
+                                     fields, call->response_body);
+    end_call(state, key);
+}
+
+void on_head(gateway_state& state, dispatch::call_key key,
+             http1::message_head const& head)
+{
+    active_call* const call = find_call(state, key);
+    if (call == nullptr)
+        return;
+    auto answer = platform::read_answer(head);
+    auto const send = state.dispatch.sends.find(key);
+    if (answer.weights && call->dispatch_call.model_prompt &&
+        send != state.dispatch.sends.end())
+        dispatch::on_weights_seen(state.dispatch, send->second.upstream,
+                                  call->dispatch_call.model_prompt->model,
+                                  *answer.weights);
+    if (!answer.other_upstream.empty() &&
+        answer.other_upstream != call->upstream)
+        dispatch::on_misdirected(state.dispatch, call->upstream_key);
+    bool const is_usable =
+        answer.is_signed && !answer.is_encoded && !answer.is_not_run;
+    call->is_response_discarded =
+        !is_usable || (call->is_response_started && !is_success(answer.status));
+    call->is_repeatable_failure =
+        answer.status >= first_server_error && is_retryable(*call);
+    if (!call->is_response_started)
+        call->response_head = std::move(answer);
+    else
+        call->response_head.is_not_run = answer.is_not_run;
+}
+
+bool is_stream_answer(active_call const& call)
+{
+    return call.route.kind == traffic::call_kind::stream &&
+           is_success(call.response_head.status);
+}
+
+void on_send_end(gateway_state& state, dispatch::call_key key,
+                 http1::call_end const& end);
+
+void on_body(gateway_state& state, dispatch::call_key key,
+             std::string_view bytes)
+{
+    active_call* const call = find_call(state, key);
+    if (call == nullptr || call->is_response_discarded)
+        return;
+    if (!is_stream_answer(*call))
+    {
+        call->response_body += bytes;
+        return;
+    }
+    std::string const events = on_bytes(call->events, bytes);
+    if (call->events.is_broken)
+    {
+        http1::call_end end;
+        end.may_have_sent = true;
+        end.why = reason{
+            reason_code::answer_too_large, "server-sent event too large", {}};
+        state.upstream_client->cancel(call->upstream_call);
+        on_send_end(state, key, end);
+        return;
+    }
+    if (events.empty())
+        return;
+    dispatch::on_first_output(state.dispatch, key);
+    if (!call->is_response_started)
+    {
+        call->is_response_started = true;
+        call->dispatch_call.software_version = call->software_version;
+        if (!is_resumed(*call))
+            announce_origin(state, *call);
+        state.caller_server->begin(call->exchange, call->response_head.status,
+                                   call->response_head.passed);
+    }
+    state.caller_server->send(call->exchange, events);
+}
+
+// Outcome of an attempt as dispatch counts it for the upstream.
+dispatch::send_outcome outcome_of(active_call const& call,
+                                  http1::call_end const& end)
+{
+    using dispatch::send_outcome;
+    if (!end.may_have_sent)
+        return send_outcome::unreachable;
+    if (!end.is_complete)
+        return send_outcome::cut;
+    if (call.response_head.is_not_run)
+        return send_outcome::refused;
+    if (call.is_response_discarded)
+        return send_outcome::cut;
+    return call.response_head.status >= first_server_error
+               ? send_outcome::failed
+               : send_outcome::served;
+}
+
+// Whether the response can be forwarded at once. A server error of the upstream
+// is forwarded only if the call may not be retried.
+bool is_final(active_call const& call, dispatch::send_outcome outcome)
+{
+    return outcome == dispatch::send_outcome::served &&
+           !guarantees_not_run(call.response_head.status);
+}
+
+void on_send_end(gateway_state& state, dispatch::call_key key,
+                 http1::call_end const& end)
+{
+    active_call* const call = find_call(state, key);
+    if (call == nullptr)
+        return;
+    auto const now = mono_now();
+    auto const outcome = outcome_of(*call, end);
+    call->upstream_call = http1::call_id{};
+    call->outcome = worst(call->outcome, verdict_of(outcome));
+    dispatch::on_send_end(state.dispatch, key, outcome, now);
+    if (verdict_of(outcome) != verdict::not_run)
+        count_possible_run(*call);
+    if (is_final(*call, outcome))
+    {
+        finish_call(state, key);
+        return;
+    }
+    auto const why_not = acquire_retry(state, *call, outcome, now);
+    state.log->write(
+        event_number::attempt_failed, call->caller_request.request_id,
+        {{"upstream", call->upstream},
+         {"outcome", to_name(dispatch::send_outcome_names, outcome)},
+         {"status", call->response_head.status},
+         {"why", end.why.text},
+         {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
+    if (why_not == reason_code::none)
+    {
+        retry_call(state, key);
+        return;
+    }
+    if (why_not == reason_code::retry_budget_spent && call->is_response_started)
+    {
+        suspend_call(state, key, outcome);
+        return;
+    }
+    if (outcome == dispatch::send_outcome::failed &&
+        !call->is_response_started &&
+        !guarantees_not_run(call->response_head.status))
+    {
+        finish_call(state, key);
+        return;
+    }
+    problem error;
+    error.why = end.why;
+    if (error.why.code == reason_code::none)
+        error.why = reason{
+            reason_code::upstream_error, "no usable upstream response", {}};
+    error.outcome = call->outcome;
+    error.status = status_of(call->outcome, error.why.code);
+    if (call->outcome == verdict::not_run)
+        error.retry_after = retry_pause;
+    fail_call(state, key, error);
+}
+
+} // namespace
+
+http1::call_events events_of(gateway_state& state, dispatch::call_key key,
+                             std::string const& request_id)
+{
+    http1::call_events events;
+    events.is_foreign = [request_id](http1::message_head const& head)
+    {
+        auto const answer = platform::read_answer(head);
+        return !answer.request_id.empty() && answer.request_id != request_id;
+    };
+    events.on_head = [&state, key](http1::message_head const& head)
+    {
+        on_head(state, key, head);
+    };
+    events.on_body = [&state, key](std::string_view bytes)
+    {
+        on_body(state, key, bytes);
+    };
+    events.on_end = [&state, key](http1::call_end const& end)
+    {
+        on_send_end(state, key, end);
+    };
+    return events;
+}
+
+} // namespace jujubestand::gateway
