Count registered upstreams among the software versions in use

Cause: the versions in use were refreshed by records only, and records don't come while the store is away.

Change: the registered upstreams are counted when a resumed stream is decided on, and an upstream's version when it is removed.

Evidence: stream_origins.registered_upstreams_count_without_new_records fails without record_registered_software, since the version is then older than software_memory. test_gateway passes (29).

--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -110,6 +110,13 @@
 
 void remove_upstream(gateway_state& state, std::string const& id)
 {
+    auto const known = state.dispatch.keys_by_id.find(id);
+    if (known != state.dispatch.keys_by_id.end())
+    {
+        auto const& record = state.dispatch.upstreams.at(known->second).record;
+        record_software(state.origins, record.pool, record.software_version,
+                        mono_now());
+    }
     dispatch::on_upstream_removed(state.dispatch, id);
     state.log->write(event_number::member_gone, {}, {{"upstream", id}});
 }
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -53,6 +53,8 @@
         return;
     auto const& stream = call->caller_request.resumed_request;
     auto const now = mono_now();
+    record_registered_software(state.origins, state.dispatch,
+                               call->dispatch_call.pool, now);
     auto decided = decide_resume(state.origins, call->dispatch_call.pool,
                                  stream, was_queried, now);
     if (decided.step == resume_step::query)
--- a/jujubestand/gateway/stream_origins.cpp
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -61,6 +61,19 @@
     versions[software_version] = now;
 }
 
+// Records arrive only while the store can be read; the upstreams of the last
+// ones still serve.
+void record_registered_software(stream_origins& state,
+                                dispatch::state const& dispatcher,
+                                std::string const& pool, mono_time now)
+{
+    for (auto const& [key, target] : dispatcher.upstreams)
+    {
+        if (target.record.pool == pool)
+            record_software(state, pool, target.record.software_version, now);
+    }
+}
+
 // A version that no gateway knows any more can still be inferred while the pool
 // has had only one that the stream can have begun at.
 resume_decision decide_resume(stream_origins& state, std::string const& pool,
--- a/jujubestand/gateway/stream_origins.hpp
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -6,6 +6,7 @@
 #include <jujubestand/core/enum_table.hpp>
 #include <jujubestand/core/recent_map.hpp>
 #include <jujubestand/core/time.hpp>
+#include <jujubestand/dispatch/types.hpp>
 #include <map>
 #include <optional>
 #include <string>
@@ -82,6 +83,12 @@
 void record_software(stream_origins& state, std::string const& pool,
                      std::string const& software_version, mono_time now);
 
+/// \brief Records the software versions of the upstreams that are registered in
+/// a pool.
+void record_registered_software(stream_origins& state,
+                                dispatch::state const& dispatcher,
+                                std::string const& pool, mono_time now);
+
 /// \brief Decides on a stream that a caller resumes.
 /// \param request_id request that began the stream; empty if the caller does
 /// not name it
--- a/jujubestand/gateway/test/stream_origins_test.cpp
+++ b/jujubestand/gateway/test/stream_origins_test.cpp
@@ -91,6 +91,20 @@
     EXPECT_EQ(result.software_version, "old");
 }
 
+// While the store can't be read, no record arrives, and upstreams serve on: a
+// resumed stream was refused after a minute of this (LOST).
+TEST(stream_origins, registered_upstreams_count_without_new_records)
+{
+    stream_origins state;
+    dispatch::state dispatcher;
+    dispatcher.upstreams[1].record.pool = "engines";
+    dispatcher.upstreams[1].record.software_version = "old";
+    record_software(state, "engines", "old", at(0));
+    record_registered_software(state, dispatcher, "engines", at(90'000));
+    EXPECT_EQ(decide_resume(state, "engines", "", false, at(90'000)).step,
+              resume_step::proceed);
+}
+
 TEST(stream_origins, an_unknown_pool_is_refused)
 {
     stream_origins state;
