--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -122,6 +122,35 @@
     EXPECT_EQ(find_origin(this->state.origins, origin_key_of("first")), "old");
 }
 
+// Another gateway announces the version that a stream began at (ORDER).
+TEST_F(origin_exchange, a_notice_of_another_gateway_makes_the_version_known)
+{
+    status::origin_notice notice;
+    notice.stream = 7;
+    notice.software_version = "old";
+    on_origin_datagram(this->state, address{"10.0.0.2", 7'000},
+                       status::to_datagram(notice));
+    EXPECT_EQ(find_origin(this->state.origins, 7), "old");
+}
+
+// A stream that its caller resumes waits for the version that began it, though
+// another one has room (ORDER).
+TEST_F(origin_exchange, a_resumed_stream_is_held_for_the_version_that_began_it)
+{
+    this->write_entry("e1", "1", R"("version":"old",)");
+    this->write_entry("e2", "2", R"("version":"new",)");
+    auto const engine = this->state.dispatch.keys_by_id.at("e1");
+    this->state.dispatch.upstreams.at(engine).avoid_until =
+        mono_now() + std::chrono::milliseconds{1'000};
+    record_origin(this->state.origins, origin_key_of("first"), "old");
+    auto& call = this->add_stream(1, "second");
+    call.caller_request.resumed_request = "first";
+    call.caller_request.last_event = "3";
+    begin_resumed(this->state, 1);
+    ASSERT_TRUE(this->state.dispatch.waiting.contains(1));
+    EXPECT_EQ(this->state.dispatch.waiting.at(1).software_version, "old");
+}
+
 // A gateway that has just started knows no other one yet. It took the only
 // version that it has seen for that of the stream, as if all had been queried
 // (ORDER).
