--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -88,8 +88,11 @@
                            status::to_datagram(response));
     }
 
+    // As for a call that resumes a stream: the registered upstreams count.
     resume_decision decide(bool was_queried)
     {
+        record_registered_software(this->state.origins, this->state.dispatch,
+                                   "engines", mono_now());
         return decide_resume(this->state.origins, "engines", "first",
                              was_queried, mono_now());
     }
