Ignore entries without a software version in the inference of one

An entry of another writer may lack its version. It counted as a second version of its pool, so that every resumed stream whose version no gateway knew was refused (LOST). Only versions that are named count, unless none is.

--- a/jujubestand/gateway/stream_origins.cpp
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -20,7 +20,10 @@
     std::optional<std::string> result;
     for (auto const& [version, seen_at] : found->second)
     {
-        if (now - seen_at > software_memory)
+        bool const is_recent = now - seen_at <= software_memory;
+        // Entries without a version name no other one.
+        bool const is_unknown = version.empty() && found->second.size() > 1;
+        if (!is_recent || is_unknown)
             continue;
         if (result)
             return std::nullopt;
