Count each queried gateway once

A query for the version of a resumed stream counted answers, not the gateways that gave them: answers to an earlier query, or to that of another call of the same stream, ended it before the gateway that knows the version had answered, and the stream was refused (LOST) or its version inferred. Answers that nobody awaits were recorded, too.

Change: an open query holds the gateways that have not answered; others' answers are ignored. The test fills in four gateways in place of a count of four and asserts the same.

--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -3,6 +3,7 @@
 #include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
+#include <utility>
 
 namespace jujubestand::gateway
 {
@@ -23,8 +24,8 @@
                           datagram);
 }
 
-// Returns the number of queries sent.
-std::size_t query_origin(gateway_state& state, origin_key stream)
+// Returns the IP addresses of the queried gateways.
+std::set<std::string> query_origin(gateway_state& state, origin_key stream)
 {
     status::origin_query query;
     query.stream = stream;
@@ -32,7 +33,7 @@
                                         stream, origin_query_targets);
     for (auto const& host : targets)
         send_to(state, host, status::to_datagram(query));
-    return targets.size();
+    return {targets.begin(), targets.end()};
 }
 
 void refuse_unknown_origin(gateway_state& state, dispatch::call_key key)
@@ -59,10 +60,11 @@
                                  stream, was_queried, now);
     if (decided.step == resume_step::query)
     {
-        auto const queries = query_origin(state, origin_key_of(stream));
-        if (queries > 0)
+        auto queried = query_origin(state, origin_key_of(stream));
+        if (!queried.empty())
         {
-            state.origin_queries[key] = {origin_key_of(stream), now, queries};
+            state.origin_queries[key] = open_origin_query{
+                origin_key_of(stream), now, std::move(queried)};
             return;
         }
         decided = decide_resume(state.origins, call->dispatch_call.pool, stream,
@@ -111,22 +113,26 @@
     state.datagrams->send(sender, status::to_datagram(response));
 }
 
-void on_origin_response(gateway_state& state,
+// Only an answer to an open query counts, and each queried gateway once.
+void on_origin_response(gateway_state& state, std::string const& host,
                         status::origin_response const& response)
 {
-    if (response.is_known)
-        record_origin(state.origins, response.stream,
-                      response.software_version);
+    bool is_awaited = false;
     for (auto& [key, query] : state.origin_queries)
     {
-        if (query.stream == response.stream && query.open > 0)
-            --query.open;
+        if (query.stream == response.stream && query.open.erase(host) > 0)
+            is_awaited = true;
     }
+    if (!is_awaited)
+        return;
+    if (response.is_known)
+        record_origin(state.origins, response.stream,
+                      response.software_version);
     end_queries(state,
                 [&](open_origin_query const& query)
                 {
                     return query.stream == response.stream &&
-                           (response.is_known || query.open == 0);
+                           (response.is_known || query.open.empty());
                 });
 }
 
@@ -165,7 +171,7 @@
         on_origin_query(state, sender, *query);
     else if (auto const response =
                  status::from_datagram<status::origin_response>(bytes))
-        on_origin_response(state, *response);
+        on_origin_response(state, sender.host, *response);
 }
 
 void expire_origin_queries(gateway_state& state)
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -82,8 +82,8 @@
 {
     origin_key stream = 0;
     mono_time sent_at{};
-    /// Queried gateways that have not answered.
-    std::size_t open = 0;
+    /// IP addresses of the queried gateways that have not answered.
+    std::set<std::string> open;
 };
 
 /// \brief State of a gateway process.
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -205,7 +205,8 @@
 // before the gateway that knows the version had answered (LOST).
 TEST_F(origin_exchange, repeated_answers_of_one_gateway_count_once)
 {
-    this->state.origin_queries[1] = {7, mono_now(), origin_query_targets};
+    this->state.origin_queries[1] = {
+        7, mono_now(), {"10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"}};
     for (std::size_t number = 0; number < origin_query_targets; ++number)
         this->answer_unknown("10.0.0.2", 7);
     EXPECT_TRUE(this->state.origin_queries.contains(1));
