Keep gateways known that one agent's list lacks

An agent that has just started reports only the gateways that have queried it so far, and each list replaced the whole one at the gateway. Until the next agent's list, streams that began were announced to nobody, and resumed ones were decided without a query: refused (LOST) or their version inferred (ORDER).

Change: announcements and queries use all gateways that any agent has reported in the last 3 s. The choice of the reading gateways and the share of the budgets go by the last list, as before.

--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/gateway/agents.hpp>
 
+#include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/migration.hpp>
@@ -13,6 +14,9 @@
 namespace
 {
 
+/// Time for which a gateway counts as running after the last report of it.
+constexpr std::chrono::milliseconds gateway_memory{3'000};
+
 dispatch::engine_load to_load(status::status_response const& response,
                               mono_time now)
 {
@@ -83,8 +87,43 @@
     return hosts;
 }
 
+// The gateways of the list so far were known until now: agents report a list
+// only when it has changed.
+void set_gateways(gateway_state& state, std::vector<std::string> const& hosts,
+                  mono_time now)
+{
+    for (auto const& host : state.gateway_hosts)
+        state.gateway_seen_at[host] = now;
+    for (auto const& host : hosts)
+        state.gateway_seen_at[host] = now;
+    std::erase_if(state.gateway_seen_at,
+                  [now](auto const& row)
+                  {
+                      return now - row.second > gateway_memory;
+                  });
+    state.gateway_hosts = hosts;
+    state.dispatch.gateways = static_cast<std::uint32_t>(hosts.size());
+}
+
 } // namespace
 
+// The lists of agents differ while an agent starts or is cut off from a part of
+// the gateways.
+std::vector<std::string> known_gateways(gateway_state const& state,
+                                        mono_time now)
+{
+    auto result = state.gateway_hosts;
+    for (auto const& [host, seen_at] : state.gateway_seen_at)
+    {
+        bool const is_listed =
+            std::find(state.gateway_hosts.begin(), state.gateway_hosts.end(),
+                      host) != state.gateway_hosts.end();
+        if (!is_listed && now - seen_at <= gateway_memory)
+            result.push_back(host);
+    }
+    return result;
+}
+
 void query_agents(gateway_state& state)
 {
     status::status_request query;
@@ -135,11 +174,7 @@
                                  answer->cache);
     }
     if (!answer->gateways.empty())
-    {
-        state.gateway_hosts = answer->gateways;
-        state.dispatch.gateways =
-            static_cast<std::uint32_t>(answer->gateways.size());
-    }
+        set_gateways(state, answer->gateways, now);
     apply_proof(state, sender.host, *answer);
     schedule_review(state);
 }
--- a/jujubestand/gateway/agents.hpp
+++ b/jujubestand/gateway/agents.hpp
@@ -12,6 +12,10 @@
 /// \brief Sends a status query to every agent that has none outstanding.
 void query_agents(gateway_state& state);
 
+/// \brief IP addresses of the gateways that an agent has reported recently.
+[[nodiscard]] std::vector<std::string>
+known_gateways(gateway_state const& state, mono_time now);
+
 /// \brief Handles a status datagram from an agent.
 void on_agent_datagram(gateway_state& state, address const& sender,
                        std::string_view bytes);
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/gateway/resumed_streams.hpp>
 
+#include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
@@ -29,8 +30,9 @@
 {
     status::origin_query query;
     query.stream = stream;
-    auto const targets = origin_holders(state.gateway_hosts, state.settings.ip,
-                                        stream, origin_query_targets);
+    auto const targets =
+        origin_holders(known_gateways(state, mono_now()), state.settings.ip,
+                       stream, origin_query_targets);
     for (auto const& host : targets)
         send_to(state, host, status::to_datagram(query));
     return {targets.begin(), targets.end()};
@@ -156,8 +158,9 @@
     status::origin_notice notice;
     notice.stream = stream;
     notice.software_version = call.software_version;
-    for (auto const& host : origin_holders(
-             state.gateway_hosts, state.settings.ip, stream, origin_replicas))
+    for (auto const& host :
+         origin_holders(known_gateways(state, mono_now()), state.settings.ip,
+                        stream, origin_replicas))
         send_to(state, host, status::to_datagram(notice));
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -139,6 +139,8 @@
     /// IP addresses of all gateways, highest link bandwidth first; empty until
     /// an agent has reported them.
     std::vector<std::string> gateway_hosts;
+    /// By IP address: when an agent last reported the gateway.
+    std::map<std::string, mono_time> gateway_seen_at;
     mono_time started_at{};
     mono_time drain_started_at{};
 };
