Wait for the first list of gateways before a version is inferred

A gateway that has just started knows no other gateway. It took a resumed stream as if all had been queried, and inferred the only version that it had seen so far, which need not be the stream's (ORDER).

Change: the stream waits for the first list, up to 0.5 s, then queries; without a list it is refused as not run.

--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -15,6 +15,9 @@
 /// Time after which an unanswered query counts as answered in the negative.
 constexpr std::chrono::milliseconds origin_query_timeout{100};
 
+/// Longest wait of a resumed stream for the first list of gateways.
+constexpr std::chrono::milliseconds first_list_timeout{500};
+
 /// Retry-After of a stream whose version is not known here.
 constexpr std::chrono::milliseconds unknown_origin_retry_after{200};
 
@@ -48,6 +51,24 @@
     fail_call(state, key, error);
 }
 
+// Queries other gateways, if there are any. A gateway that has just started
+// knows none yet: the query then waits for the first list.
+bool start_query(gateway_state& state, dispatch::call_key key,
+                 active_call const& call, mono_time now)
+{
+    open_origin_query query;
+    query.stream = origin_key_of(call.caller_request.resumed_request);
+    query.sent_at = now;
+    query.is_sent = !known_gateways(state, now).empty();
+    if (query.is_sent)
+        query.open = query_origin(state, query.stream);
+    bool const has_waited = now - call.arrived_at >= first_list_timeout;
+    if (query.open.empty() && (query.is_sent || has_waited))
+        return false;
+    state.origin_queries[key] = std::move(query);
+    return true;
+}
+
 void apply_resume(gateway_state& state, dispatch::call_key key,
                   bool was_queried)
 {
@@ -62,15 +83,12 @@
                                  stream, was_queried, now);
     if (decided.step == resume_step::query)
     {
-        auto queried = query_origin(state, origin_key_of(stream));
-        if (!queried.empty())
-        {
-            state.origin_queries[key] = open_origin_query{
-                origin_key_of(stream), now, std::move(queried)};
+        if (start_query(state, key, *call, now))
             return;
-        }
         decided = decide_resume(state.origins, call->dispatch_call.pool, stream,
                                 true, now);
+        if (known_gateways(state, now).empty())
+            decided.step = resume_step::refuse;
     }
     state.log->write(
         event_number::resume_decided, call->caller_request.request_id,
@@ -91,16 +109,16 @@
 template <class Condition>
 void end_queries(gateway_state& state, Condition const& is_over)
 {
-    std::vector<dispatch::call_key> keys;
+    std::map<dispatch::call_key, bool> was_sent_by_key;
     for (auto const& [key, query] : state.origin_queries)
     {
         if (is_over(query))
-            keys.push_back(key);
+            was_sent_by_key[key] = query.is_sent;
     }
-    for (auto const key : keys)
+    for (auto const& [key, was_sent] : was_sent_by_key)
     {
         state.origin_queries.erase(key);
-        apply_resume(state, key, true);
+        apply_resume(state, key, was_sent);
     }
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -77,13 +77,15 @@
     mono_time next_poll_at{};
 };
 
-/// \brief Query to other gateways for the version that a stream began at.
+/// \brief Query to other gateways for the version that a stream began at; not
+/// sent yet while no gateway is known.
 struct open_origin_query
 {
     origin_key stream = 0;
     mono_time sent_at{};
     /// IP addresses of the queried gateways that have not answered.
     std::set<std::string> open;
+    bool is_sent = true;
 };
 
 /// \brief State of a gateway process.
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -169,6 +169,35 @@
     EXPECT_FALSE(this->state.dispatch.waiting.contains(1));
 }
 
+// The same call goes on once a list has come that names no other gateway, and
+// is refused if none comes.
+TEST_F(origin_exchange, a_stream_waits_for_the_first_list_of_gateways)
+{
+    this->write_entry("e1", "1", R"("version":"new",)");
+    auto& engine = this->state.dispatch.upstreams.begin()->second;
+    engine.avoid_until = mono_now() + std::chrono::milliseconds{10'000};
+    auto& call = this->add_stream(1, "second");
+    call.caller_request.resumed_request = "first";
+    call.caller_request.last_event = "3";
+    call.arrived_at = mono_now();
+    begin_resumed(this->state, 1);
+    ASSERT_TRUE(this->state.origin_queries.contains(1));
+    EXPECT_FALSE(this->state.origin_queries.at(1).is_sent);
+    this->report_gateways("10.0.1.1", {"10.0.0.1"});
+    this->state.origin_queries.at(1).sent_at = mono_time{};
+    expire_origin_queries(this->state);
+    EXPECT_EQ(call.dispatch_call.software_version, "new");
+    EXPECT_TRUE(this->state.dispatch.waiting.contains(1));
+    auto& late = this->add_stream(2, "third");
+    late.caller_request.resumed_request = "first";
+    late.caller_request.last_event = "3";
+    late.arrived_at = mono_now() - std::chrono::milliseconds{10'000};
+    this->state.gateway_hosts.clear();
+    this->state.gateway_seen_at.clear();
+    begin_resumed(this->state, 2);
+    EXPECT_FALSE(this->state.active_calls.contains(2));
+}
+
 // A version whose upstreams are registered but whose entries were not written
 // for a minute (the store is down) counted as gone, and the other one was
 // inferred (ORDER).
