Check for a candidate before retry budget is spent

A begun stream whose software version has no upstream left took a token of the retry budget before it was refused. When a version leaves with many streams, others that could go on lacked the budget (LOST).

--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/gateway/retries.hpp>
 
 #include <algorithm>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <utility>
 
@@ -81,6 +82,8 @@
         return reason_code::upstream_read_cut;
     if (call.possible_runs >= call.route.attempts_limit)
         return reason_code::attempts_spent;
+    if (!dispatch::has_candidate(state.dispatch, call.dispatch_call))
+        return reason_code::no_upstream;
     retries::request_progress progress;
     progress.attempts = call.upstream_attempts;
     progress.worst = is_retryable(call) ? verdict::not_run : call.outcome;
