Date late requests for weights from the last confirmation

Cause: a gateway dated a request for weights from its arrival, once it had run for 3 s. (a) A first list that arrives later than that, with the store away at the start, has requests of any age. (b) A gateway whose copy of the operator's topic was not confirmed for a second or more may receive a request that is as old. The margin between the last send and the limit is 1.2 s, for the wait at the engine.

Ruled out: a change of the margin or of the uptime rule alone, since neither bounds the age of a record; the confirmation does.

Change: a follower reports changes with the time at which its copy was last confirmed without them. written_since dates a record from it: from the limit if the copy was never confirmed, and never so early that engines get less than 2.5 s to load. The rule for the first 3 s of a gateway is gone with it.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -29,7 +29,8 @@
     state.store = std::make_unique<platform::store>(*state.http_client,
                                                     state.settings.store);
     follow::follower_events events;
-    events.on_changes = [&state](std::vector<follow::record> const& rows)
+    events.on_changes = [&state](std::vector<follow::record> const& rows,
+                                 std::optional<mono_time>)
     {
         apply_records(state, rows);
     };
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -31,7 +31,7 @@
                      std::string const& model, std::uint64_t version);
 
 /// \brief Adds a weights version that the operator requested for a model.
-/// \param since latest time at which it can have been requested
+/// \param since earliest time at which it may have been requested
 void on_wanted_weights(state& dispatcher, std::string const& model,
                        std::uint64_t version, mono_time since);
 
--- a/jujubestand/follow/follower.cpp
+++ b/jujubestand/follow/follower.cpp
@@ -55,7 +55,8 @@
     void request_list_part(std::string const& after);
     void on_listed(platform::listing_end const& end);
     void on_read(platform::read_end const& end);
-    void notify(std::vector<record> const& changes);
+    void notify(std::vector<record> const& changes,
+                std::optional<mono_time> confirmed_before);
     void on_success();
     void schedule_read(std::chrono::milliseconds pause);
     void on_failure(reason const& why);
@@ -114,8 +115,9 @@
         return;
     }
     this->needs_list = false;
-    this->notify(
-        on_listing(this->copy, this->partial_list, this->requested_at));
+    auto const confirmed_before = this->copy.current_as_of;
+    this->notify(on_listing(this->copy, this->partial_list, this->requested_at),
+                 confirmed_before);
     this->on_success();
 }
 
@@ -133,14 +135,17 @@
         this->on_failure(end.why);
         return;
     }
-    this->notify(on_page(this->copy, *end.page, this->requested_at));
+    auto const confirmed_before = this->copy.current_as_of;
+    this->notify(on_page(this->copy, *end.page, this->requested_at),
+                 confirmed_before);
     this->on_success();
 }
 
-void follower::state::notify(std::vector<record> const& changes)
+void follower::state::notify(std::vector<record> const& changes,
+                             std::optional<mono_time> confirmed_before)
 {
     if (!changes.empty())
-        this->events.on_changes(changes);
+        this->events.on_changes(changes, confirmed_before);
 }
 
 void follower::state::on_success()
@@ -215,8 +220,10 @@
 void follower::apply(listing const& list, std::uint64_t since,
                      mono_time confirmed_at)
 {
+    auto const confirmed_before = this->impl->copy.current_as_of;
     this->impl->notify(
-        on_peer_records(this->impl->copy, list, since, confirmed_at));
+        on_peer_records(this->impl->copy, list, since, confirmed_at),
+        confirmed_before);
 }
 
 void follower::confirm(std::uint64_t end, mono_time confirmed_at)
--- a/jujubestand/follow/follower.hpp
+++ b/jujubestand/follow/follower.hpp
@@ -6,6 +6,7 @@
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/follow/topic.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,10 @@
 /// \brief Callbacks of a follower, called from the event loop.
 struct follower_events
 {
-    std::function<void(std::vector<record> const&)> on_changes;
+    /// Called with changed records and the time at which the copy was last
+    /// confirmed current without them; empty if it never was.
+    std::function<void(std::vector<record> const&, std::optional<mono_time>)>
+        on_changes;
     std::function<void(reason const&)> on_unreachable;
     std::function<void()> on_reachable;
     /// The store deleted records before they were read; the follower lists
--- a/jujubestand/follow/test/follower_test.cpp
+++ b/jujubestand/follow/test/follower_test.cpp
@@ -66,7 +66,8 @@
     http1::client calls(base.get());
     platform::store store(calls, store_address);
     follower_events events;
-    events.on_changes = [&](std::vector<record> const&)
+    events.on_changes =
+        [&](std::vector<record> const&, std::optional<mono_time>)
     {
         if (lists == 2)
             event_base_loopbreak(base.get());
@@ -86,4 +87,35 @@
     EXPECT_EQ(reader->known().next, 9U);
 }
 
+// Guards against a time limit that counts from the arrival of a late record:
+// when changes are reported, the copy is confirmed anew, so the confirmation
+// from before them was lost.
+TEST(follower, changes_come_with_the_confirmation_before_them)
+{
+    std::unique_ptr<event_base, decltype(&event_base_free)> const base(
+        event_base_new(), event_base_free);
+    http1::client calls(base.get());
+    platform::store store(calls, free_address());
+    std::vector<std::optional<mono_time>> confirmations;
+    follower_events events;
+    events.on_changes = [&](std::vector<record> const&,
+                            std::optional<mono_time> confirmed_before)
+    {
+        confirmations.push_back(confirmed_before);
+    };
+    follower copy(base.get(), store, read_options{"keyed.t", {}, {}}, events);
+    auto const start = mono_now();
+    auto const at = [start](int ms)
+    {
+        return start + std::chrono::milliseconds{ms};
+    };
+    copy.apply({{{"a", "1", 3}}, 4}, 0, at(0));
+    copy.confirm(4, at(700));
+    copy.apply({{{"a", "2", 4}}, 5}, 4, at(2'000));
+    copy.apply({{{"a", "3", 5}}, 6}, 5, at(3'000));
+    std::vector<std::optional<mono_time>> const expected = {std::nullopt,
+                                                            at(700), at(2'000)};
+    EXPECT_EQ(confirmations, expected);
+}
+
 } // namespace jujubestand::follow
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -1,7 +1,7 @@
 #include <jujubestand/gateway/apply_records.hpp>
 
-#include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/record_age.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <string_view>
@@ -12,9 +12,9 @@
 namespace
 {
 
-/// Uptime after which new records are assumed to arrive as they are written.
-constexpr std::chrono::milliseconds settled_uptime{3'000};
-constexpr std::chrono::milliseconds load_time_at_start{2'500};
+/// Shortest time that engines get to load weights, however late the request
+/// for them is read.
+constexpr std::chrono::milliseconds load_time_min{2'500};
 
 /// Part of the key removal bound reserved for the transfer to the upstream.
 constexpr std::chrono::milliseconds freshness_margin{300};
@@ -78,18 +78,18 @@
          {"teams", static_cast<std::int64_t>(state.tables->teams.size())}});
 }
 
-// Weights read at startup may have been set long before. Older weights are then
-// accepted only for the time that the engines take to load the new ones.
-mono_time requested_since(gateway_state const& state, mono_time now)
+// Weights may have been requested long before they are read. Older weights are
+// then accepted at least for the time that the engines take to load the new
+// ones.
+mono_time requested_since(gateway_state const& state, mono_time now,
+                          std::optional<mono_time> confirmed_before)
 {
-    if (now - state.started_at > settled_uptime)
-        return now;
-    return now - std::max<microseconds>(state.dispatch.limits.weights_lag -
-                                            load_time_at_start,
-                                        microseconds{0});
+    return written_since(confirmed_before, now,
+                         state.dispatch.limits.weights_lag - load_time_min);
 }
 
-void apply_weights(gateway_state& state, follow::record const& row)
+void apply_weights(gateway_state& state, follow::record const& row,
+                   std::optional<mono_time> confirmed_before)
 {
     reason why;
     auto const requested = platform::decode_weights(row.value, why);
@@ -98,9 +98,9 @@
         reject(state, row, why);
         return;
     }
-    dispatch::on_wanted_weights(state.dispatch, requested->model,
-                                requested->version,
-                                requested_since(state, mono_now()));
+    dispatch::on_wanted_weights(
+        state.dispatch, requested->model, requested->version,
+        requested_since(state, mono_now(), confirmed_before));
     state.log->write(
         event_number::weights_wanted, {},
         {{"model", requested->model},
@@ -145,7 +145,8 @@
 } // namespace
 
 void apply_operator_records(gateway_state& state,
-                            std::vector<follow::record> const& changes)
+                            std::vector<follow::record> const& changes,
+                            std::optional<mono_time> confirmed_before)
 {
     for (auto const& row : changes)
     {
@@ -154,7 +155,7 @@
         if (row.key == platform::names::configuration_key)
             apply_tables(state, row);
         else if (row.key.starts_with(platform::names::weights_key_prefix))
-            apply_weights(state, row);
+            apply_weights(state, row, confirmed_before);
     }
 }
 
--- a/jujubestand/gateway/apply_records.hpp
+++ b/jujubestand/gateway/apply_records.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubestand/follow/topic.hpp>
 #include <jujubestand/gateway/state.hpp>
+#include <optional>
 #include <vector>
 
 /// \brief Applies store records: configuration, weights and upstreams.
@@ -11,8 +12,11 @@
 
 /// \brief Applies operator records; a record that cannot be decoded is logged
 /// and ignored.
+/// \param confirmed_before when the copy of the topic was last confirmed
+/// current without the changes; empty: never
 void apply_operator_records(gateway_state& state,
-                            std::vector<follow::record> const& changes);
+                            std::vector<follow::record> const& changes,
+                            std::optional<mono_time> confirmed_before);
 
 /// \brief Applies upstream records.
 void apply_upstream_records(gateway_state& state,
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -39,12 +39,15 @@
 
 follow::follower_events follower_events_of(
     gateway_state& state, char const* topic,
-    void (*apply)(gateway_state&, std::vector<follow::record> const&))
+    void (*apply)(gateway_state&, std::vector<follow::record> const&,
+                  std::optional<mono_time>))
 {
     follow::follower_events events;
-    events.on_changes = [&state, apply](std::vector<follow::record> const& rows)
+    events.on_changes =
+        [&state, apply](std::vector<follow::record> const& rows,
+                        std::optional<mono_time> confirmed_before)
     {
-        apply(state, rows);
+        apply(state, rows, confirmed_before);
         review_waiting(state);
     };
     events.on_unreachable = [&state, topic](reason const& why)
@@ -79,7 +82,13 @@
         state.base, *state.store,
         follow::read_options{std::string(platform::names::upstream_topic),
                              std::chrono::milliseconds{0}, upstream_pause},
-        follower_events_of(state, "upstreams", apply_upstream_records));
+        follower_events_of(state, "upstreams",
+                           [](gateway_state& shared,
+                              std::vector<follow::record> const& changes,
+                              std::optional<mono_time>)
+                           {
+                               apply_upstream_records(shared, changes);
+                           }));
     state.datagrams = std::make_unique<loop::datagrams>(
         state.base,
         [&state](address const& sender, std::string_view bytes)
@@ -219,7 +228,6 @@
     constexpr std::chrono::milliseconds weights_margin{1'200};
     state.dispatch.limits.weights_lag =
         state.settings.limits.weights_lag - weights_margin;
-    state.started_at = mono_now();
     state.random_engine.seed(std::random_device{}());
     make_clients(state);
     make_servers(state);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -139,7 +139,6 @@
     /// IP addresses of all gateways, highest link bandwidth first; empty until
     /// an agent has reported them.
     std::vector<std::string> gateway_hosts;
-    mono_time started_at{};
     mono_time drain_started_at{};
 };
 
