Wait for the end of an exchange in one place of its tests

Cause: five tests of exchanges repeated the same wait for the end, and two the same reply to every request.

Change: the fixture has run_until_ended and reply_with. Assertions are unchanged.

--- a/jujubestand/http/test/exchange_test.cpp
+++ b/jujubestand/http/test/exchange_test.cpp
@@ -72,6 +72,26 @@
         return is_met();
     }
 
+    bool run_until_ended()
+    {
+        return this->run_until(
+            [this]
+            {
+                return this->end.has_value();
+            });
+    }
+
+    // Replies to every request; `is_answered` is set by the first.
+    void reply_with(std::string const& body, bool& is_answered)
+    {
+        this->front->requested.connect(
+            [this, body, &is_answered](caller_id caller, request const&)
+            {
+                this->front->reply(caller, 200, {}, body);
+                is_answered = true;
+            });
+    }
+
     int raw_socket()
     {
         int const handle = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -108,11 +128,7 @@
             this->front->finish(caller);
         });
     (void)this->back->start(this->where, post("hello"));
-    ASSERT_TRUE(this->run_until(
-        [this]
-        {
-            return this->end.has_value();
-        }));
+    ASSERT_TRUE(this->run_until_ended());
     EXPECT_TRUE(this->end->is_complete);
     EXPECT_EQ(this->status, 200);
     EXPECT_EQ(this->received, "hello|end");
@@ -128,11 +144,7 @@
             this->front->abort(caller);
         });
     (void)this->back->start(this->where, post("x"));
-    ASSERT_TRUE(this->run_until(
-        [this]
-        {
-            return this->end.has_value();
-        }));
+    ASSERT_TRUE(this->run_until_ended());
     EXPECT_FALSE(this->end->is_complete);
     EXPECT_TRUE(this->end->may_have_sent);
     EXPECT_EQ(this->received, "half");
@@ -147,11 +159,7 @@
             this->front->abort(caller);
         });
     (void)this->back->start(this->where, post("x"));
-    ASSERT_TRUE(this->run_until(
-        [this]
-        {
-            return this->end.has_value();
-        }));
+    ASSERT_TRUE(this->run_until_ended());
     EXPECT_FALSE(this->end->is_complete);
     EXPECT_EQ(this->status, 200);
 }
@@ -160,12 +168,7 @@
 {
     std::string const large(32U << 20U, 'z');
     bool is_answered = false;
-    this->front->requested.connect(
-        [&](caller_id caller, request const&)
-        {
-            this->front->reply(caller, 200, {}, large);
-            is_answered = true;
-        });
+    this->reply_with(large, is_answered);
     auto const exchange = this->back->start(this->where, post("x"));
     this->back->pause(exchange);
     ASSERT_TRUE(this->run_until(
@@ -176,11 +179,7 @@
     this->back->pause(exchange);
     EXPECT_EQ(this->front->open_callers(), 1U);
     this->back->unpause(exchange);
-    ASSERT_TRUE(this->run_until(
-        [this]
-        {
-            return this->end.has_value();
-        }));
+    ASSERT_TRUE(this->run_until_ended());
     EXPECT_EQ(this->received.size(), large.size());
     EXPECT_EQ(this->front->open_callers(), 0U);
 }
@@ -189,12 +188,7 @@
 {
     std::string const large(32U << 20U, 'z');
     bool is_answered = false;
-    this->front->requested.connect(
-        [&](caller_id caller, request const&)
-        {
-            this->front->reply(caller, 200, {}, large);
-            is_answered = true;
-        });
+    this->reply_with(large, is_answered);
     auto const exchange = this->back->start(this->where, post("x"));
     ASSERT_TRUE(this->run_until(
         [&]
@@ -214,11 +208,7 @@
     this->front.reset();
     this->front = std::make_unique<server>(this->base, server_options{});
     (void)this->back->start(this->where, post("x"));
-    ASSERT_TRUE(this->run_until(
-        [this]
-        {
-            return this->end.has_value();
-        }));
+    ASSERT_TRUE(this->run_until_ended());
     EXPECT_FALSE(this->end->is_complete);
     EXPECT_FALSE(this->end->may_have_sent);
 }
