Wait for closed streams and received frames in one place of the link tests

Cause: the tests of a pair of nodes repeated two waits in fifteen places.

Change: the fixture has run_until_closed and run_until_received; each ASSERT or EXPECT stays what it was.

--- a/jujubestand/link/test/faults_test.cpp
+++ b/jujubestand/link/test/faults_test.cpp
@@ -87,11 +87,7 @@
     start(options, quick_options("sidecar"));
     auto const stream = entry->subject.open(where);
     entry->subject.send(stream, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !entry->closed.empty();
-        }));
+    ASSERT_TRUE(this->run_until_closed());
     EXPECT_FALSE(entry->closed[stream].may_have_sent);
     EXPECT_EQ(sidecar->count(event_number::link_refused), 1U);
     EXPECT_EQ(sidecar->count(event_number::link_up), 0U);
@@ -107,11 +103,7 @@
     other.key = "";
     start(options, other);
     auto const stream = entry->subject.open(where);
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !entry->closed.empty();
-        }));
+    ASSERT_TRUE(this->run_until_closed());
     EXPECT_FALSE(entry->closed[stream].may_have_sent);
     EXPECT_TRUE(sidecar->opened.empty());
 }
@@ -123,11 +115,7 @@
     start(quick_options("entry"), options);
     auto const stream = entry->subject.open(where);
     entry->subject.send(stream, piece_of(std::string(2'000, 'x')));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !entry->closed.empty();
-        }));
+    ASSERT_TRUE(this->run_until_closed());
     EXPECT_TRUE(sidecar->received.empty());
     EXPECT_TRUE(entry->closed[stream].may_have_sent);
     EXPECT_EQ(sidecar->count(event_number::link_down), 1U);
@@ -160,11 +148,7 @@
     silent_server const silent;
     auto const stream = entry->subject.open(silent.where);
     entry->subject.send(stream, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !entry->closed.empty();
-        }));
+    ASSERT_TRUE(this->run_until_closed());
     EXPECT_FALSE(entry->closed[stream].may_have_sent);
     EXPECT_EQ(entry->closed[stream].why.code, reason_code::link_unreachable);
 }
@@ -173,17 +157,9 @@
 {
     auto const stream = entry->subject.open(where);
     entry->subject.send(stream, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     sidecar.reset();
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !entry->closed.empty();
-        }));
+    ASSERT_TRUE(this->run_until_closed());
     EXPECT_FALSE(entry->closed[stream].clean);
     EXPECT_FALSE(entry->closed[stream].is_reset);
     EXPECT_TRUE(entry->closed[stream].may_have_sent);
@@ -196,11 +172,7 @@
     auto const stream = entry->subject.open(where);
     auto const other = entry->subject.open(where);
     entry->subject.send(other, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     sidecar.reset();
     ASSERT_TRUE(loop.run_until(
         [&]
--- a/jujubestand/link/test/node_test.cpp
+++ b/jujubestand/link/test/node_test.cpp
@@ -8,11 +8,7 @@
 {
     auto const stream = entry->subject.open(where);
     EXPECT_TRUE(entry->subject.send(stream, piece_of("ask")));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     auto const other = sidecar->opened.at(0);
     EXPECT_EQ(sidecar->received[other].at(0).payload, "ask");
     EXPECT_EQ(sidecar->subject.peer_of(other)->role, "entry");
@@ -40,11 +36,7 @@
     sidecar->clock = hybrid_time{9'000'000'000'000, 0};
     auto const stream = entry->subject.open(where);
     entry->subject.send(stream, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     sidecar->subject.send(sidecar->opened.at(0), piece_of("answer"));
     ASSERT_TRUE(loop.run_until(
         [&]
@@ -59,11 +51,7 @@
     auto const stream = entry->subject.open(where);
     entry->subject.send(stream, piece_of("ask"));
     entry->subject.finish(stream);
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     loop.run_for(std::chrono::milliseconds(20));
     EXPECT_TRUE(sidecar->closed.empty());
     sidecar->subject.finish(sidecar->opened.at(0));
@@ -80,11 +68,7 @@
 {
     auto const stream = entry->subject.open(where);
     entry->subject.send(stream, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     entry->subject.reset(stream);
     ASSERT_TRUE(loop.run_until(
         [&]
@@ -166,11 +150,7 @@
     std::size_t const frames = 40 * window / frame_bytes;
     for (std::size_t number = 0; number < frames; ++number)
         entry->subject.send(stalled, piece_of(std::string(frame_bytes, 's')));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     loop.run_for(std::chrono::milliseconds(50));
     EXPECT_LE(sidecar->received_bytes, window);
     EXPECT_GE(entry->subject.unsent_bytes(stalled),
@@ -232,19 +212,11 @@
 {
     auto const first = entry->subject.open(where);
     entry->subject.send(first, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     sidecar->subject.stop_accepting();
     auto const second = entry->subject.open(where);
     entry->subject.send(second, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !entry->closed.empty();
-        }));
+    ASSERT_TRUE(this->run_until_closed());
     EXPECT_FALSE(entry->closed[second].may_have_sent);
     EXPECT_EQ(sidecar->opened.size(), 1U);
     sidecar->subject.finish(sidecar->opened[0]);
@@ -263,11 +235,7 @@
     start(options, quick_options("sidecar"));
     auto const stream = entry->subject.open(where);
     entry->subject.send(stream, piece_of("ask"));
-    ASSERT_TRUE(loop.run_until(
-        [&]
-        {
-            return !sidecar->received.empty();
-        }));
+    ASSERT_TRUE(this->run_until_received());
     sidecar->subject.finish(sidecar->opened[0]);
     ASSERT_TRUE(loop.run_until(
         [&]
--- a/jujubestand/link/test/pair.hpp
+++ b/jujubestand/link/test/pair.hpp
@@ -138,6 +138,26 @@
         this->where = *bound;
     }
 
+    /// \brief Runs until a stream of the entry is closed.
+    bool run_until_closed()
+    {
+        return this->loop.run_until(
+            [this]
+            {
+                return !this->entry->closed.empty();
+            });
+    }
+
+    /// \brief Runs until the sidecar has a frame.
+    bool run_until_received()
+    {
+        return this->loop.run_until(
+            [this]
+            {
+                return !this->sidecar->received.empty();
+            });
+    }
+
     test_loop loop;
     std::unique_ptr<recorder> entry;
     std::unique_ptr<recorder> sidecar;
