Let the fixture of the entry's tests run for some time

Cause: four places of the entry's tests repeated a loop until a time.

Change: the fixture has run_for. The times are unchanged.

--- a/jujubestand/entry/test/bad_input_test.cpp
+++ b/jujubestand/entry/test/bad_input_test.cpp
@@ -198,12 +198,7 @@
         if (is_open)
             pair.upstream->write(slow, std::string(piece_bytes, 'x'));
         written += is_open ? piece_bytes : 0;
-        auto const until = mono_now() + std::chrono::milliseconds(2);
-        this->run_until(
-            [until]
-            {
-                return mono_now() > until;
-            });
+        this->run_for(std::chrono::milliseconds(2));
     }
     // The rest is in windows and the kernel's socket buffers.
     EXPECT_LT(written, answer_bytes);
--- a/jujubestand/entry/test/path_fixture.hpp
+++ b/jujubestand/entry/test/path_fixture.hpp
@@ -118,6 +118,17 @@
         return this->log.server.run_until(done);
     }
 
+    /// \brief Runs for some time.
+    void run_for(std::chrono::milliseconds time) const
+    {
+        auto const until = mono_now() + time;
+        this->run_until(
+            [until]
+            {
+                return mono_now() > until;
+            });
+    }
+
     void start_path(std::size_t upstreams = 2)
     {
         this->common.log = this->log.server.where;
--- a/jujubestand/entry/test/streams_test.cpp
+++ b/jujubestand/entry/test/streams_test.cpp
@@ -62,13 +62,7 @@
         // The entry learns the addresses from the list, again and again.
         for (int polls = 0; polls < 5; ++polls)
         {
-            auto const until = mono_now() + std::chrono::milliseconds(
-                                                this->common.list_poll_ms);
-            this->run_until(
-                [until]
-                {
-                    return mono_now() > until;
-                });
+            this->run_for(std::chrono::milliseconds(this->common.list_poll_ms));
         }
     }
 
@@ -91,12 +85,7 @@
     auto const asked = pair.seen.at(0);
     this->ways.at(0)->hold();
     pair.upstream->write(asked.caller, event(asked, 2, "lost at first"));
-    auto const until = mono_now() + std::chrono::milliseconds(50);
-    this->run_until(
-        [until]
-        {
-            return mono_now() > until;
-        });
+    this->run_for(std::chrono::milliseconds(50));
     this->cut_links();
     this->ways.at(0)->let_pass();
     pair.upstream->write(asked.caller, event(asked, 3, "b") + end_of(4));
@@ -119,12 +108,7 @@
     auto& pair = this->asked_pair();
     this->ways.at(0)->hold();
     pair.upstream->reply(pair.seen.at(0).caller, 201, {}, "booked");
-    auto const until = mono_now() + std::chrono::milliseconds(50);
-    this->run_until(
-        [until]
-        {
-            return mono_now() > until;
-        });
+    this->run_for(std::chrono::milliseconds(50));
     this->cut_links();
     this->ways.at(0)->let_pass();
     ASSERT_TRUE(this->run_to_end(id));
