Take a probe off its call in one place

Cause: the reply to a probe and the close of its stream found and removed the probe by the same twelve lines.

Change: take_probe_call removes the stream's entry, take_open_probe the call's; both handlers use them. The order of effects is unchanged.

--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -75,6 +75,7 @@
     [[nodiscard]] placement::placement_state& placement_of(call const& from);
     [[nodiscard]] placement::placement_request request_of(call const& from);
     void start_probes(call_id id, placement::probe_plan const& plan);
+    call_id take_probe_call(link::stream_id stream);
     void on_probe_reply(link::stream_id stream, link::frame const& frame);
     void on_probe_closed(link::stream_id stream);
     void end_probes(call& of);
--- a/jujubestand/entry/placing.cpp
+++ b/jujubestand/entry/placing.cpp
@@ -45,6 +45,18 @@
     return members;
 }
 
+open_probe take_open_probe(probing& probes, link::stream_id stream)
+{
+    auto const place = std::find_if(probes.open.begin(), probes.open.end(),
+                                    [&stream](open_probe const& each)
+                                    {
+                                        return each.stream == stream;
+                                    });
+    open_probe taken = *place;
+    probes.open.erase(place);
+    return taken;
+}
+
 } // namespace
 
 placement::placement_state& entry::state::placement_of(call const& from)
@@ -156,23 +168,22 @@
         std::chrono::milliseconds(this->shared->settings.probe_timeout_ms));
 }
 
+call_id entry::state::take_probe_call(link::stream_id stream)
+{
+    auto const found = this->by_probe.find(key_of(stream));
+    call_id const id = found->second;
+    this->by_probe.erase(found);
+    return id;
+}
+
 void entry::state::on_probe_reply(link::stream_id stream,
                                   link::frame const& frame)
 {
     this->links.consume(stream, frame.payload.size());
     this->counts.probe_answered(frame.payload.size() + frame_overhead_bytes);
-    auto const found = this->by_probe.find(key_of(stream));
-    call_id const id = found->second;
-    this->by_probe.erase(found);
+    call_id const id = this->take_probe_call(stream);
     call& of = *this->calls.find(id);
-    auto& open = of.probes->open;
-    auto const place = std::find_if(open.begin(), open.end(),
-                                    [&stream](open_probe const& each)
-                                    {
-                                        return each.stream == stream;
-                                    });
-    open_probe const asked = *place;
-    open.erase(place);
+    open_probe const asked = take_open_probe(*of.probes, stream);
     reason why;
     auto reply = link::from_frame<link::probe_reply>(frame, why);
     if (reply)
@@ -188,19 +199,9 @@
 
 void entry::state::on_probe_closed(link::stream_id stream)
 {
-    auto const found = this->by_probe.find(key_of(stream));
-    call_id const id = found->second;
-    this->by_probe.erase(found);
+    call_id const id = this->take_probe_call(stream);
     call& of = *this->calls.find(id);
-    auto& open = of.probes->open;
-    auto const place = std::find_if(open.begin(), open.end(),
-                                    [&stream](open_probe const& each)
-                                    {
-                                        return each.stream == stream;
-                                    });
-    upstream_id const upstream = place->upstream;
-    open.erase(place);
-    this->note_failure(upstream);
+    this->note_failure(take_open_probe(*of.probes, stream).upstream);
     if (of.probes->open.empty())
         this->decide(id);
 }
