Word the comments on claims in standard terms

Cause: comments let a claimant be told, ask and know, and an append be "on its way"; `forget` did not say what it removes.

Change: messages, effects, in flight, on record; `forget`, local to window.cpp, is `remove_aged`. Only comments and this local name change.

--- a/jujubestand/claims/appends.hpp
+++ b/jujubestand/claims/appends.hpp
@@ -7,12 +7,12 @@
 namespace jujubestand::claims
 {
 
-/// \brief Puts all waiting records into one append, unless one is on its way
+/// \brief Puts all waiting records into one append, unless one is in flight
 /// or the pause after a failure has not passed.
 [[nodiscard]] std::optional<append_wanted> flush(claimant& state, moment now);
 
-/// \brief Takes back the records of an append whose end is not known; what
-/// has been read from the log since is not sent again.
+/// \brief Requeues the records of an append without a result; those that
+/// have been read from the log since are not sent again.
 void take_back(claimant& state, batch records);
 
 /// \brief Whether anything waits to be appended.
--- a/jujubestand/claims/call_states.hpp
+++ b/jujubestand/claims/call_states.hpp
@@ -4,7 +4,7 @@
 #include <jujubestand/claims/claimant.hpp>
 #include <map>
 
-/// \brief States of the calls that a claimant knows; for the claimant only.
+/// \brief States of the calls that a claimant holds; for the claimant only.
 namespace jujubestand::claims
 {
 
--- a/jujubestand/claims/claimant.cpp
+++ b/jujubestand/claims/claimant.cpp
@@ -111,7 +111,7 @@
     return state.last_number;
 }
 
-// A key that the window knows is answered without a claim of its own.
+// A key that is in the window is answered without a claim of its own.
 bool offer_known(claimant& state, call_offered const& message, moment now,
                  claim_effects& effects)
 {
@@ -200,7 +200,7 @@
     }
     if (!state.is_read || offset != state.window.next)
         return;
-    // The record's own time is not known: one that is too late is harmless.
+    // The reply has no time of the record: one that is too late is harmless.
     auto const appended = std::max(state.window.log_time, now.wall);
     decide(state, fold(state.window, state.options, records, appended), now,
            effects);
--- a/jujubestand/claims/claimant.hpp
+++ b/jujubestand/claims/claimant.hpp
@@ -26,7 +26,7 @@
     wall_time wall;
 };
 
-/// \brief How far a call is on its way to one run.
+/// \brief Progress of a call towards its one run.
 enum class call_stage : std::uint8_t
 {
     unsent,    ///< its claim is in no append yet
@@ -43,7 +43,7 @@
     {call_stage::begun, "begun"},
 }};
 
-/// \brief One call that this claimant is asked to run at most once.
+/// \brief One call that this claimant has to run at most once.
 struct claimed_call
 {
     request_id request;
@@ -58,7 +58,7 @@
     mono_time answer_by;
 };
 
-/// \brief The append that is on its way.
+/// \brief The append in flight.
 struct append_flight
 {
     std::uint64_t id = 0;
@@ -83,7 +83,7 @@
     std::uint64_t last_append = 0;
 };
 
-// What a claimant is told.
+// Messages to a claimant.
 
 /// \brief A call arrived that may run once only.
 struct call_offered
@@ -103,7 +103,7 @@
     call_outcome outcome;
 };
 
-/// \brief The caller of a call that has not begun is gone.
+/// \brief The caller of a call that has not begun has left.
 struct call_cancelled
 {
     request_id request;
@@ -140,7 +140,7 @@
 {
 };
 
-// What a claimant asks for.
+// Effects of a claimant.
 
 /// \brief Append these bytes and report by `append_answered`.
 struct append_wanted
@@ -163,11 +163,11 @@
     reason why;
     /// 0: no advice. Only on `not_run`.
     std::chrono::milliseconds retry_after{0};
-    /// The recorded outcome where one is known.
+    /// The recorded outcome where there is one.
     std::optional<call_outcome> recorded;
 };
 
-/// \brief Anything that a claimant asks for.
+/// \brief Any effect of a claimant.
 using claim_effect = std::variant<append_wanted, start_wanted, answer_wanted>;
 
 /// \brief What one message led to, in order.
--- a/jujubestand/claims/options.cpp
+++ b/jujubestand/claims/options.cpp
@@ -5,7 +5,7 @@
 
 std::optional<reason> check(claim_options const& options)
 {
-    // A key's first claim can stand one skew before the key's own time, and
+    // A key's first claim can be dated one skew before the key's time, and
     // the key is accepted up to one skew late.
     auto const needed = options.accepted_age + 2 * options.clock_skew;
     if (needed >= options.retention)
--- a/jujubestand/claims/options.hpp
+++ b/jujubestand/claims/options.hpp
@@ -10,7 +10,7 @@
 namespace jujubestand::claims
 {
 
-/// \brief The rules that keep a call to one run; all stand in production.
+/// \brief The rules that keep a call to one run; all are on in production.
 ///
 /// Tests switch one off to show that the model checker finds the fault.
 struct claim_rules
--- a/jujubestand/claims/window.cpp
+++ b/jujubestand/claims/window.cpp
@@ -83,7 +83,7 @@
     bound_answers(window, options);
 }
 
-void forget(claim_window& window, claim_window::aged_key const& aged)
+void remove_aged(claim_window& window, claim_window::aged_key const& aged)
 {
     window.spent.erase(aged.nonce);
     auto const at = window.keys.find(aged.key);
@@ -141,7 +141,7 @@
     auto const limit = now - window_age(options);
     while (!window.ages.empty() && window.ages.front().appended < limit)
     {
-        forget(window, window.ages.front());
+        remove_aged(window, window.ages.front());
         window.ages.pop_front();
     }
     while (!window.answers.empty() &&
--- a/jujubestand/claims/window.hpp
+++ b/jujubestand/claims/window.hpp
@@ -16,12 +16,12 @@
 namespace jujubestand::claims
 {
 
-/// \brief What is known of one key: its first live claim.
+/// \brief State of one key: its first live claim.
 struct key_entry
 {
     claim_nonce holder;
     digest body;
-    /// Null while the holder's call is not known to have ended.
+    /// Null until the end of the holder's call is on record.
     std::unique_ptr<call_outcome> outcome;
 
     key_entry() = default;
@@ -48,7 +48,7 @@
 /// records.
 struct claim_window
 {
-    /// Offset of the next record to fold; 0: where to begin is not known.
+    /// Offset of the next record to fold; 0: no start offset yet.
     log_offset next;
     std::unordered_map<digest, key_entry> keys;
     /// The log's own clock, as the newest record read shows it: keys expire
@@ -77,7 +77,7 @@
     wall_time unreadable_until{};
 };
 
-/// \brief Folds one record that stands at `window.next`.
+/// \brief Folds the record at offset `window.next`.
 /// \returns the decisions on its claims, in order
 std::vector<claim_decision> fold(claim_window& window,
                                  claim_options const& options,
