Word names and comments of the prefix estimate in standard terms

Cause: functions local to belief.cpp "learn" a ratio, "prove" levels and "forget" all; comments let events speak, and requests vouch, for blocks.

Change: update_token_ratio, update_trust, confirm_levels, clear_all; an entry that is found is `current`, not `known`. A comment that said "nothing" of a bool says false. `belief`, a word of the glossary, and the members of its structs stay.

--- a/jujubestand/prefix/belief.cpp
+++ b/jujubestand/prefix/belief.cpp
@@ -108,7 +108,7 @@
     return prompt.levels.empty() ? nullptr : &prompt.levels.back();
 }
 
-void forget_all(belief& state)
+void clear_all(belief& state)
 {
     state.levels.clear();
     state.blocks.clear();
@@ -117,12 +117,12 @@
     state.cleared_seq = 0;
 }
 
-/// \returns nothing if the event is of a dead engine
+/// \returns false if the event is of an earlier incarnation
 bool is_current(belief& state, incarnation_id incarnation)
 {
     if (incarnation > state.incarnation)
     {
-        forget_all(state);
+        clear_all(state);
         state.incarnation = incarnation;
     }
     return incarnation == state.incarnation;
@@ -161,12 +161,12 @@
     }
 }
 
-/// Takes one block in unless a later event has already spoken of it.
+/// Stores one block unless a later event has already changed it.
 bool store_block(belief& state, block_id block, block_entry const& entry)
 {
-    block_entry const* const known = state.blocks.find(block);
-    if (known != nullptr && known->seq >= entry.seq)
-        return known->is_stored;
+    block_entry const* const current = state.blocks.find(block);
+    if (current != nullptr && current->seq >= entry.seq)
+        return current->is_stored;
     state.blocks.insert(block, entry);
     return true;
 }
@@ -191,25 +191,25 @@
 
 void remove_block(belief& state, block_id block, std::uint64_t seq)
 {
-    block_entry* const known = state.blocks.find(block);
-    if (known == nullptr)
+    block_entry* const current = state.blocks.find(block);
+    if (current == nullptr)
     {
         state.blocks.insert(block, block_entry{{}, 0, seq, false});
         return;
     }
-    if (known->seq >= seq)
+    if (current->seq >= seq)
         return;
-    known->seq = seq;
-    known->is_stored = false;
-    if (level_entry* const owner = state.levels.find(known->owner))
+    current->seq = seq;
+    current->is_stored = false;
+    if (level_entry* const owner = state.levels.find(current->owner))
     {
-        owner->stored_end = std::min(owner->stored_end, known->at_token);
+        owner->stored_end = std::min(owner->stored_end, current->at_token);
         owner->assumed_until = mono_time{};
     }
 }
 
-void learn_ratio(belief& state, request_entry const& request,
-                 std::uint32_t engine_tokens)
+void update_token_ratio(belief& state, request_entry const& request,
+                        std::uint32_t engine_tokens)
 {
     if (request.levels.prompt_tokens == 0 || engine_tokens == 0)
         return;
@@ -220,8 +220,8 @@
     state.token_ratio = std::clamp(next, ratio_min, ratio_max);
 }
 
-void learn_trust(belief& state, request_entry const& request,
-                 std::uint32_t cached)
+void update_trust(belief& state, request_entry const& request,
+                  std::uint32_t cached)
 {
     if (!request.was_doubtful || request.believed_tokens == 0)
         return;
@@ -231,7 +231,7 @@
 }
 
 /// What the answer reused is proved, whatever events were lost before it.
-void prove_levels(belief& state, chain const& prompt, std::uint32_t cached)
+void confirm_levels(belief& state, chain const& prompt, std::uint32_t cached)
 {
     for (auto const& each : prompt.levels)
     {
@@ -265,7 +265,7 @@
                          weights_version == state.weights_version;
     if (is_same)
         return false;
-    forget_all(state);
+    clear_all(state);
     state.incarnation = incarnation;
     state.weights_version = weights_version;
     return true;
@@ -296,10 +296,10 @@
     if (request == nullptr || request->is_answered)
         return;
     request->is_answered = true;
-    learn_ratio(state, *request, usage.prompt_tokens);
+    update_token_ratio(state, *request, usage.prompt_tokens);
     std::uint32_t const cached = to_estimated(state, usage.cached_tokens);
-    learn_trust(state, *request, cached);
-    prove_levels(state, request->levels, cached);
+    update_trust(state, *request, cached);
+    confirm_levels(state, request->levels, cached);
     assume(state, request->levels, now + state.options.unconfirmed_lifetime);
 }
 
--- a/jujubestand/prefix/belief.hpp
+++ b/jujubestand/prefix/belief.hpp
@@ -15,14 +15,14 @@
 namespace jujubestand::prefix
 {
 
-/// \brief Bounds of a belief, and how long it lasts without proof.
+/// \brief Bounds of a belief, and its lifetime without confirmation.
 struct belief_options
 {
     std::size_t blocks_limit = 65'536;
     std::size_t levels_limit = 16'384;
     std::size_t requests_limit = 4'096;
     /// How long an answered prompt counts as cached while no cache event
-    /// has told its blocks.
+    /// lists its blocks.
     std::chrono::milliseconds unconfirmed_lifetime{10'000};
     /// How long a running prompt counts as being cached.
     std::chrono::milliseconds running_lifetime{60'000};
@@ -60,7 +60,7 @@
     incarnation_id incarnation;
 };
 
-/// \brief What an answer said of its own prompt.
+/// \brief Token counts that an answer reports of its prompt.
 struct answer_usage
 {
     request_id request;
@@ -78,15 +78,15 @@
     bool is_stored = false;
 };
 
-/// \brief What is believed of one level of some prompt.
+/// \brief Estimated cache state of one level of a prompt.
 struct level_entry
 {
     bool has_parent = false;
     level_key parent;
     std::uint32_t tokens = 0;
-    /// Cache events say that tokens up to here are cached, if the parent is.
+    /// By cache events, tokens up to here are cached if the parent is.
     std::uint32_t stored_end = 0;
-    /// Until then a running or answered request vouches for the level.
+    /// Until then the level counts as cached by a running or answered request.
     mono_time assumed_until;
     /// Number of gaps seen when this was last proved.
     std::uint64_t proved_at_gap = 0;
@@ -101,7 +101,7 @@
     bool is_answered = false;
 };
 
-/// \brief Which levels one engine is believed to hold.
+/// \brief Which levels one engine is estimated to have cached.
 ///
 /// One belongs to each sidecar. It is of one incarnation and one weights
 /// version; the keys of its levels carry team, model and adapter besides.
@@ -116,7 +116,7 @@
     recent_map<block_id, block_entry> blocks;
     recent_map<request_id, request_entry> requests;
     std::uint64_t next_seq = 0;
-    /// Events with a lower number say nothing of the cache any more.
+    /// Events with a lower number are older than the last clearing.
     std::uint64_t cleared_seq = 0;
     std::uint64_t gaps = 0;
     std::uint64_t events_lost = 0;
@@ -126,9 +126,9 @@
     double trust = 0.5;
 };
 
-/// \brief Forgets everything if the engine is another one than before.
+/// \brief Clears the state if the engine is another one than before.
 ///
-/// An engine's incarnations go up: a lower one than known is ignored.
+/// An engine's incarnations go up: one lower than the current is ignored.
 /// \returns whether the belief was emptied
 bool set_engine(belief& state, incarnation_id incarnation,
                 std::string_view weights_version);
@@ -141,7 +141,7 @@
 void take_start(belief& state, request_id const& request, chain const& prompt,
                 mono_time now);
 
-/// \brief A request's answer is whole and tells its usage.
+/// \brief A request's answer is complete and reports its usage.
 void take_answer(belief& state, answer_usage const& usage, mono_time now);
 
 /// \brief A request ended without a whole answer.
