--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -25,7 +25,7 @@
     std::string path;
     std::string host;
     std::string key;
-    /// How long the caller waits from when the call was read.
+    /// Time until the caller's timeout, from when the call was read.
     std::optional<std::chrono::milliseconds> time_left;
     std::optional<prompt> asked;
     /// Last event that the caller has of a stream which it resumes.
@@ -37,7 +37,7 @@
     std::string body;
 };
 
-/// \brief What one send of a call says to its upstream.
+/// \brief Fields of one send of a call to its upstream.
 struct send_terms
 {
     /// The upstream refuses the call if it is another one.
@@ -58,7 +58,7 @@
     std::string last_event;
 };
 
-/// \brief What the head of an upstream's answer says.
+/// \brief Decoded head of an upstream's answer.
 struct answer_head
 {
     int status = 0;
@@ -71,7 +71,7 @@
     std::string other_upstream;
     /// Its bytes are not those that the upstream made.
     bool is_encoded = false;
-    /// Version of the weights it ran on, if told.
+    /// Version of the weights it ran on, if reported.
     std::optional<std::uint64_t> weights;
     /// Fields that go on to the caller as they are.
     std::vector<http::field> passed;
--- a/jujubestand/traffic/prompt.hpp
+++ b/jujubestand/traffic/prompt.hpp
@@ -15,7 +15,7 @@
     std::uint32_t tokens = 0;
 };
 
-/// \brief What a call asks of a model.
+/// \brief Prompt and output limits of a call to a model.
 struct prompt
 {
     std::string model;
--- a/jujubestand/traffic/upstream.hpp
+++ b/jujubestand/traffic/upstream.hpp
@@ -20,12 +20,12 @@
     std::string data_center;
     /// Calls that it runs at once; 0 if unknown.
     std::uint32_t slots = 0;
-    /// Wall clock of its start, in ms; 0 if it does not tell. Another one
-    /// under the same id means that it lost all that it held.
+    /// Wall clock of its start, in ms; 0 if not reported. Another one
+    /// under the same id means that it lost its state.
     std::uint64_t born_ms = 0;
     /// It takes no new work.
     bool is_leaving = false;
-    /// Version of the upstream's software; empty if it is not known. Streams
+    /// Version of the upstream's software; empty if not reported. Streams
     /// of different software versions don't fit together.
     std::string software_version;
     /// Version of the weights of each model that it serves.
