--- a/jujubestand/prefix/test/belief_test.cpp
+++ b/jujubestand/prefix/test/belief_test.cpp
@@ -70,16 +70,23 @@
     take_answer(state, {request, prompt.prompt_tokens, cached}, now);
 }
 
+/// The belief of an engine that has run one prompt and stored its blocks.
+belief belief_with(incarnation_id engine, chain const& prompt)
+{
+    belief state;
+    set_engine(state, engine, "7");
+    run(state, request_of(1), prompt, 0, start);
+    take_event(state, stored(1, engine, request_of(1), prompt));
+    return state;
+}
+
 } // namespace
 
 TEST(belief, counts_what_events_stored)
 {
-    belief state;
     incarnation_id const engine{1};
-    set_engine(state, engine, "7");
     chain const prompt = prompt_of(1, 1, 1);
-    run(state, request_of(1), prompt, 0, start);
-    take_event(state, stored(1, engine, request_of(1), prompt));
+    belief const state = belief_with(engine, prompt);
     EXPECT_EQ(cached_tokens(state, prompt, much_later), 3 * level_tokens);
     EXPECT_EQ(cached_tokens(state, prompt_of(1, 1, 9), much_later),
               2 * level_tokens);
@@ -90,12 +97,9 @@
 
 TEST(belief, counts_only_up_to_the_first_evicted_block)
 {
-    belief state;
     incarnation_id const engine{1};
-    set_engine(state, engine, "7");
     chain const prompt = prompt_of(1, 1, 1);
-    run(state, request_of(1), prompt, 0, start);
-    take_event(state, stored(1, engine, request_of(1), prompt));
+    belief state = belief_with(engine, prompt);
     block_id const evicted = blocks_of(prompt)[level_blocks + 1];
     take_event(state, blocks_removed{2, engine, {evicted}});
     EXPECT_EQ(cached_tokens(state, prompt, much_later),
@@ -138,12 +142,9 @@
 
 TEST(belief, gap_leaves_doubt_until_an_answer_proves)
 {
-    belief state;
     incarnation_id const engine{1};
-    set_engine(state, engine, "7");
     chain const prompt = prompt_of(1, 1, 1);
-    run(state, request_of(1), prompt, 0, start);
-    take_event(state, stored(1, engine, request_of(1), prompt));
+    belief state = belief_with(engine, prompt);
     EXPECT_FALSE(take_event(state, blocks_removed{2, engine, {42}}));
     EXPECT_TRUE(take_event(state, blocks_removed{9, engine, {43}}));
     EXPECT_EQ(state.events_lost, 6U);
