--- a/jujubestand/dispatch/test/software_test.cpp
+++ b/jujubestand/dispatch/test/software_test.cpp
@@ -55,6 +55,7 @@
                                  engine(dispatcher, 1).key, at(10)));
     auto const later = decide_waiting(dispatcher, at(600));
     ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(later[0].next_action, action::send);
     EXPECT_LE(later[0].upstream, 2U);
 }
 
