Keep the inferred version of a resumed stream

A resumed stream whose version was inferred continued there, and the next attempt of its caller could be refused, or be sent elsewhere once the pool had another version (ORDER): nothing recorded the inference. It is recorded under the request that began the stream.

The check added to a_stream_waits_for_the_first_list_of_gateways fails without the change. test_gateway passes.

--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -101,6 +101,9 @@
         return;
     }
     call->dispatch_call.software_version = decided.software_version;
+    if (!stream.empty())
+        record_origin(state.origins, origin_key_of(stream),
+                      *decided.software_version);
     submit_call(state, key);
 }
 
