Count an outage of the store from its last answer

Cause: each tick with a copy that was confirmed less than outage_min (1.5 s) ago counted as an answer of the store at that tick. An outage was thus recognised only once the copy was up to 3.0 s old, and a record that expired in a shorter one was removed for good. The limit counted from when the age was looked at, not from when the store last answered.

Ruled out: restarting of the time to return by a second outage within it. Owners can't write in that time either, so it has to start again.

Change: lapses::on_copy_age takes the time of the last confirmation and counts from it.

Evidence: lapses.an_outage_counts_from_the_last_confirmation fails against the old counting and passes; test_follow (14), test_gateway (32).

--- a/jujubestand/follow/lapses.cpp
+++ b/jujubestand/follow/lapses.cpp
@@ -31,6 +31,17 @@
         state.outage_seen_at = now;
 }
 
+// The store last responded when the copy was confirmed, which may be up to
+// `outage_min` before its age is looked at.
+void on_copy_age(lapses& state, std::optional<mono_time> confirmed_at,
+                 mono_time now)
+{
+    if (confirmed_at && now - *confirmed_at < state.limits.outage_min)
+        on_store_answer(state, *confirmed_at);
+    else
+        on_store_failure(state, now);
+}
+
 bool on_removed(lapses& state, std::string const& key, mono_time now)
 {
     if (!is_within_return_time(state, now))
--- a/jujubestand/follow/lapses.hpp
+++ b/jujubestand/follow/lapses.hpp
@@ -40,6 +40,11 @@
 /// \brief Handles a failed read of the store.
 void on_store_failure(lapses& state, mono_time now);
 
+/// \brief Handles the age of the copy of the topic, at regular intervals.
+/// \param confirmed_at when the copy was last confirmed current; empty: never
+void on_copy_age(lapses& state, std::optional<mono_time> confirmed_at,
+                 mono_time now);
+
 /// \brief Handles the removal of a record.
 /// \returns whether its owner is gone; if false, the record may come back
 [[nodiscard]] bool on_removed(lapses& state, std::string const& key,
--- a/jujubestand/follow/test/topic_test.cpp
+++ b/jujubestand/follow/test/topic_test.cpp
@@ -132,4 +132,28 @@
     EXPECT_TRUE(take_expired(state, at(9'100)).empty());
 }
 
+// Guards against an outage that counts from when it was noticed: records that
+// expired in one of up to twice `outage_min` were taken for removed.
+TEST(lapses, an_outage_counts_from_the_last_confirmation)
+{
+    lapses state;
+    for (int ms = 0; ms <= 2'600; ms += 100)
+        on_copy_age(state, at(0), at(ms));
+    EXPECT_FALSE(on_removed(state, "a", at(2'650)));
+    on_copy_age(state, at(2'640), at(2'700));
+    EXPECT_TRUE(take_expired(state, at(4'500)).empty());
+    EXPECT_EQ(take_expired(state, at(4'900)), std::vector<std::string>{"a"});
+}
+
+TEST(lapses, a_copy_that_is_confirmed_regularly_shows_no_outage)
+{
+    lapses state;
+    for (int ms = 0; ms <= 10'000; ms += 100)
+    {
+        int const confirmed_ms = ms - ms % 1'400;
+        on_copy_age(state, at(confirmed_ms), at(ms));
+        EXPECT_TRUE(on_removed(state, "a", at(ms)));
+    }
+}
+
 } // namespace jujubestand::follow
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -154,12 +154,8 @@
 // event.
 void on_tick(gateway_state& state)
 {
-    auto const now = mono_now();
-    auto const age = follow::staleness(state.upstream_topic->known(), now);
-    if (age && *age < state.lapses.limits.outage_min)
-        follow::on_store_answer(state.lapses, now);
-    else
-        follow::on_store_failure(state.lapses, now);
+    follow::on_copy_age(
+        state.lapses, state.upstream_topic->known().current_as_of, mono_now());
     remove_lapsed_upstreams(state);
     review_suspended_calls(state);
     expire_origin_queries(state);
