Test begun streams in a pool of two versions over whole gateways

Ruled out: a second gateway in the test's own process. `gateway::run` takes the process's signals, and the loss of a gateway is to be a SIGKILL.

The store's stand-in has no `/log-append`; gateways don't call it.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -7,6 +7,10 @@
     list(APPEND test_folders jujubestand/${slice})
 endforeach()
 list(APPEND test_folders standins programs bench platform)
+# Tests of the programs start these among stand-ins.
+add_library(programs_support INTERFACE)
+target_link_libraries(programs_support INTERFACE bench_support)
+set(programs_programs jujubestand_node)
 foreach(folder ${test_folders})
     file(GLOB test_sources CONFIGURE_DEPENDS
         ${PROJECT_SOURCE_DIR}/${folder}/test/*.cpp)
--- /dev/null
+++ b/programs/test/surroundings.hpp
@@ -0,0 +1,57 @@
+#ifndef JUJUBESTAND_PROGRAMS_TEST_SURROUNDINGS_HPP
+#define JUJUBESTAND_PROGRAMS_TEST_SURROUNDINGS_HPP
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <jujubestand/http1/sockets.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace jujubestand::programs::test
+{
+
+/// \brief A loopback address of this test process alone.
+inline std::string host(std::size_t number)
+{
+    constexpr unsigned byte_values = 256;
+    constexpr unsigned second_byte_values = 250;
+    auto const process = static_cast<unsigned>(::getpid());
+    return "127." +
+           std::to_string(1 + process / byte_values % second_byte_values) +
+           '.' + std::to_string(process % byte_values) + '.' +
+           std::to_string(number);
+}
+
+/// \brief A TCP port that is free at an address.
+inline std::uint16_t free_port(std::string const& where)
+{
+    int const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto local = *http1::to_sockaddr({where, 0});
+    socklen_t size = sizeof local;
+    EXPECT_EQ(::bind(descriptor, reinterpret_cast<sockaddr*>(&local), size), 0);
+    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size);
+    ::close(descriptor);
+    return ntohs(local.sin_port);
+}
+
+/// \brief A configuration of one route to one pool.
+inline std::string configuration()
+{
+    nlohmann::json const route{
+        {"name", "chat"},          {"host", "engines.example"},
+        {"path-prefix", "/chat/"}, {"service", "engines"},
+        {"kind", "stream"},        {"resumable", true},
+        {"public", true},          {"max-attempts", 4},
+        {"timeout-ms", 60'000}};
+    nlohmann::json const pool{{"name", "engines"}};
+    return nlohmann::json{{"version", 1},
+                          {"routes", nlohmann::json::array({route})},
+                          {"services", nlohmann::json::array({pool})}}
+        .dump();
+}
+
+} // namespace jujubestand::programs::test
+
+#endif
--- /dev/null
+++ b/standins/keyed/keyed_store.cpp
@@ -0,0 +1,126 @@
+#include <standins/keyed/keyed_store.hpp>
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+#include <string_view>
+#include <utility>
+
+namespace jujubestand::standins
+{
+
+namespace
+{
+
+constexpr unsigned length_bytes = 4;
+constexpr unsigned number_bytes = 8;
+
+std::string big_endian(std::uint64_t value, unsigned bytes)
+{
+    std::string result;
+    for (unsigned at = bytes; at-- > 0;)
+        result += static_cast<char>((value >> (8U * at)) & 0xffU);
+    return result;
+}
+
+std::string base64_encoded(std::string const& text)
+{
+    constexpr std::size_t group = 4;
+    constexpr std::size_t group_bytes = 3;
+    // The encoder adds a null character.
+    std::string result(
+        (text.size() + group_bytes - 1) / group_bytes * group + 1, '\0');
+    int const size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(result.data()),
+                        reinterpret_cast<unsigned char const*>(text.data()),
+                        static_cast<int>(text.size()));
+    result.resize(static_cast<std::size_t>(size));
+    return result;
+}
+
+} // namespace
+
+keyed_store::keyed_store(event_base* loop, address const& where)
+    : server(loop, where)
+    , held(loop)
+{
+    this->server.on(EVHTTP_REQ_GET, "/log-newest",
+                    [this](http_call const& call)
+                    {
+                        this->handle_newest(call);
+                    });
+    this->server.on(EVHTTP_REQ_GET, "/log-read",
+                    [this](http_call const& call)
+                    {
+                        this->handle_read(call);
+                    });
+}
+
+void keyed_store::put(std::string const& topic, std::string const& key,
+                      std::string const& value)
+{
+    auto& target = this->topics[topic];
+    if (value.empty())
+        target.newest.erase(key);
+    else
+        target.newest[key] = {value, target.records.size()};
+    target.records.push_back(static_cast<char>(key.size()) + key + value);
+    for (auto const& [id, read] : std::exchange(this->waiting, {}))
+    {
+        if (read.topic != topic)
+        {
+            this->waiting[id] = read;
+            continue;
+        }
+        if (auto* const request = this->held.take(id))
+            this->answer_read(request, read);
+    }
+}
+
+address keyed_store::bound() const
+{
+    return this->server.bound();
+}
+
+void keyed_store::handle_newest(http_call const& call)
+{
+    auto const& topic = this->topics[call.text("topic")];
+    auto items = nlohmann::json::array();
+    for (auto const& [key, record] : topic.newest)
+        items.push_back({{"key", key},
+                         {"value", base64_encoded(record.value)},
+                         {"offset", record.offset}});
+    nlohmann::json const body{
+        {"items", items}, {"has-more", false}, {"end", topic.records.size()}};
+    reply(call.request, HTTP_OK, body.dump());
+}
+
+void keyed_store::handle_read(http_call const& call)
+{
+    waiting_read const read{call.text("topic"), call.number("from", 0)};
+    std::chrono::milliseconds const wait{call.number("wait-ms", 0)};
+    bool const has_records =
+        read.from < this->topics[read.topic].records.size();
+    if (has_records || wait.count() == 0)
+    {
+        this->answer_read(call.request, read);
+        return;
+    }
+    auto const id = this->held.hold(call.request, wait,
+                                    [this, read](evhttp_request* request)
+                                    {
+                                        this->answer_read(request, read);
+                                    });
+    this->waiting[id] = read;
+}
+
+void keyed_store::answer_read(evhttp_request* request, waiting_read const& read)
+{
+    auto const& records = this->topics[read.topic].records;
+    std::string body = big_endian(records.size(), number_bytes);
+    body += big_endian(0, number_bytes);
+    for (std::size_t at = read.from; at < records.size(); ++at)
+        body += big_endian(records[at].size(), length_bytes) + records[at];
+    reply(request, HTTP_OK, body, "application/octet-stream");
+}
+
+} // namespace jujubestand::standins
--- /dev/null
+++ b/standins/keyed/keyed_store.hpp
@@ -0,0 +1,61 @@
+#ifndef JUJUBESTAND_STANDINS_KEYED_KEYED_STORE_HPP
+#define JUJUBESTAND_STANDINS_KEYED_KEYED_STORE_HPP
+
+#include <cstdint>
+#include <map>
+#include <standins/support/delays.hpp>
+#include <standins/support/http_server.hpp>
+#include <string>
+#include <vector>
+
+namespace jujubestand::standins
+{
+
+/// \brief The platform's store as far as a gateway reads it: keyed topics of
+/// one partition, written by the test itself.
+class keyed_store
+{
+public:
+    keyed_store(event_base* loop, address const& where);
+    keyed_store(keyed_store const&) = delete;
+    keyed_store& operator=(keyed_store const&) = delete;
+
+    /// \brief Appends a record; an empty value removes the key.
+    void put(std::string const& topic, std::string const& key,
+             std::string const& value);
+
+    [[nodiscard]] address bound() const;
+
+private:
+    struct newest_record
+    {
+        std::string value;
+        std::uint64_t offset = 0;
+    };
+
+    struct keyed_topic
+    {
+        /// As they are read, without their length.
+        std::vector<std::string> records;
+        std::map<std::string, newest_record> newest;
+    };
+
+    struct waiting_read
+    {
+        std::string topic;
+        std::uint64_t from = 0;
+    };
+
+    void handle_newest(http_call const& call);
+    void handle_read(http_call const& call);
+    void answer_read(evhttp_request* request, waiting_read const& read);
+
+    http_server server;
+    held_requests held;
+    std::map<std::string, keyed_topic> topics;
+    std::map<std::uint64_t, waiting_read> waiting;
+};
+
+} // namespace jujubestand::standins
+
+#endif
--- /dev/null
+++ b/standins/stream/stream_engine.cpp
@@ -0,0 +1,117 @@
+#include <standins/stream/stream_engine.hpp>
+
+#include <event2/buffer.h>
+#include <utility>
+
+namespace jujubestand::standins
+{
+
+namespace
+{
+
+std::uint64_t number_of(std::string const& text)
+{
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+void begin_answer(http_call const& call, std::string const& version)
+{
+    auto* const headers = evhttp_request_get_output_headers(call.request);
+    auto const id = call.header("X-Request-Id");
+    evhttp_add_header(headers, "Content-Type", "text/event-stream");
+    evhttp_add_header(headers, "X-Request-Id", id.c_str());
+    evhttp_add_header(headers, "X-Response-Stamp", version.c_str());
+    evhttp_send_reply_start(call.request, HTTP_OK, "OK");
+}
+
+void send(evhttp_request* request, std::string const& bytes)
+{
+    evbuffer* const chunk = evbuffer_new();
+    evbuffer_add(chunk, bytes.data(), bytes.size());
+    evhttp_send_reply_chunk(request, chunk);
+    evbuffer_free(chunk);
+}
+
+} // namespace
+
+stream_engine::stream_engine(event_base* loop, address const& where,
+                             std::string software_version)
+    : version(std::move(software_version))
+    , server(loop, where)
+{
+    this->server.on(EVHTTP_REQ_POST, "/",
+                    [this](http_call const& call)
+                    {
+                        this->answer(call);
+                    });
+}
+
+stream_engine::~stream_engine()
+{
+    for (auto const& [id, stream] : this->paused)
+        unwatch_close(stream.request);
+}
+
+void stream_engine::pause_after(std::uint64_t event)
+{
+    this->last_event = event;
+}
+
+void stream_engine::pause_no_more()
+{
+    this->last_event = stream_events;
+}
+
+void stream_engine::cut_streams()
+{
+    for (auto const& [id, stream] : this->paused)
+        cut(stream.request);
+}
+
+std::vector<stream_request> const& stream_engine::seen() const noexcept
+{
+    return this->requests;
+}
+
+address stream_engine::bound() const
+{
+    return this->server.bound();
+}
+
+void stream_engine::answer(http_call const& call)
+{
+    auto const from = call.header("Last-Event-Id");
+    this->requests.push_back({call.header("X-Request-Id"), from});
+    bool const is_whole = this->last_event >= stream_events;
+    if (!is_whole)
+        this->watch(call.request);
+    begin_answer(call, this->version);
+    std::string events;
+    for (auto number = number_of(from) + 1; number <= this->last_event;
+         ++number)
+        events += "id: " + std::to_string(number) + "\ndata: " + this->version +
+                  ' ' + std::to_string(number) + "\n\n";
+    if (!is_whole)
+        events += "id: " + std::to_string(this->last_event + 1) + "\nda";
+    send(call.request, events);
+    if (is_whole)
+        evhttp_send_reply_end(call.request);
+}
+
+// The connection's end, whoever causes it, ends the answer.
+void stream_engine::watch(evhttp_request* request)
+{
+    auto const id = this->next_id++;
+    auto& stream = this->paused[id];
+    stream.request = request;
+    stream.gone = [this, id]
+    {
+        auto* const left = this->paused.at(id).request;
+        unwatch_close(left);
+        this->paused.erase(id);
+        evhttp_send_reply_end(left);
+    };
+    watch_close(request, &stream.gone);
+}
+
+} // namespace jujubestand::standins
--- /dev/null
+++ b/standins/stream/stream_engine.hpp
@@ -0,0 +1,68 @@
+#ifndef JUJUBESTAND_STANDINS_STREAM_STREAM_ENGINE_HPP
+#define JUJUBESTAND_STANDINS_STREAM_STREAM_ENGINE_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <standins/support/http_server.hpp>
+#include <string>
+#include <vector>
+
+namespace jujubestand::standins
+{
+
+/// \brief A stream that an engine was sent.
+struct stream_request
+{
+    std::string request_id;
+    /// As it was sent; empty for a stream from its beginning.
+    std::string last_event;
+};
+
+/// \brief An engine that answers each POST with a stream of numbered events;
+/// each event names the engine's software version.
+class stream_engine
+{
+public:
+    /// \brief Events of a whole stream, numbered from 1.
+    static constexpr std::uint64_t stream_events = 8;
+
+    stream_engine(event_base* loop, address const& where, std::string version);
+    ~stream_engine();
+    stream_engine(stream_engine const&) = delete;
+    stream_engine& operator=(stream_engine const&) = delete;
+
+    /// \brief Stops new streams in the middle of the event after this one, and
+    /// keeps them open.
+    void pause_after(std::uint64_t event);
+
+    /// \brief Sends new streams to their end again.
+    void pause_no_more();
+
+    /// \brief Cuts the connections of the paused streams.
+    void cut_streams();
+
+    [[nodiscard]] std::vector<stream_request> const& seen() const noexcept;
+    [[nodiscard]] address bound() const;
+
+private:
+    struct paused_stream
+    {
+        evhttp_request* request = nullptr;
+        std::function<void()> gone;
+    };
+
+    void answer(http_call const& call);
+    void watch(evhttp_request* request);
+
+    std::string version;
+    http_server server;
+    std::uint64_t last_event = stream_events;
+    std::uint64_t next_id = 1;
+    std::map<std::uint64_t, paused_stream> paused;
+    std::vector<stream_request> requests;
+};
+
+} // namespace jujubestand::standins
+
+#endif
