Withdraw calls that have not begun before the limit of their weights

What callers saw: calls that began on a replaced version up to 1.4 s after its time limit (VERSION), though they had been sent within it: the engine stood still, or was slow, and they waited there.

Cause: a gateway decides about older weights only when it sends. The margin of 1.2 s before the limit stood for the wait at the engine, which nothing bounds.

A larger margin: the engines stood still for 3.5 s.

Change: a send keeps its weights. One without output 0.3 s before the limit is cancelled, counts as a failure of the engine, and is retried elsewhere where the route allows it, or ends with 504.

Evidence: weights.a_call_that_has_not_begun_is_overdue_before_the_limit (new with overdue_calls; before, nothing looked at a call between its send and its end).

--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -60,13 +60,15 @@
     in_flight.sent_at = now;
     in_flight.prefill_tokens = chosen.prefill_tokens;
     in_flight.memory_tokens = chosen.memory_tokens;
-    dispatcher.sends[request.key] = in_flight;
     if (request.model_prompt)
     {
+        in_flight.model = request.model_prompt->model;
+        in_flight.weights = chosen.weights.value_or(0);
         constexpr double weight = 0.02;
         dispatcher.mean_prefill_tokens +=
             weight * (chosen.prefill_tokens - dispatcher.mean_prefill_tokens);
     }
+    dispatcher.sends[request.key] = in_flight;
     mark_parts_expected(target, request, chosen, now);
     decision result;
     result.call = request.key;
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -5,6 +5,32 @@
 namespace jujubestand::dispatch
 {
 
+namespace
+{
+
+// Time since newer weights than a version were requested; empty if none were.
+// Each request has a time limit of its own: a newer one doesn't extend that of
+// the ones before, so the lag counts from the first that is not loaded.
+std::optional<microseconds> weights_lag(state const& dispatcher,
+                                        std::string const& model,
+                                        std::uint64_t version, mono_time now)
+{
+    auto const found = dispatcher.weights.find(model);
+    if (found == dispatcher.weights.end())
+        return std::nullopt;
+    auto const first_missing =
+        std::find_if(found->second.begin(), found->second.end(),
+                     [version](wanted_version const& request)
+                     {
+                         return request.version > version;
+                     });
+    if (first_missing == found->second.end())
+        return std::nullopt;
+    return now - first_missing->since;
+}
+
+} // namespace
+
 bool has_fresh_report(state const& dispatcher, upstream const& target,
                       mono_time now)
 {
@@ -71,27 +97,33 @@
         return result;
     result.version = known->second;
     result.is_allowed = true;
-    auto const wanted_weights = dispatcher.weights.find(model);
-    if (wanted_weights == dispatcher.weights.end())
+    auto const requests = dispatcher.weights.find(model);
+    if (requests == dispatcher.weights.end())
         return result;
-    auto const& requests = wanted_weights->second;
-    result.wanted_version = requests.back().version;
-    // Each request has a time limit of its own: a newer one doesn't extend that
-    // of the ones before, so the lag counts from the first that is not loaded.
-    auto const first_missing =
-        std::find_if(requests.begin(), requests.end(),
-                     [&](wanted_version const& request)
-                     {
-                         return request.version > result.version;
-                     });
-    if (first_missing == requests.end())
+    result.wanted_version = requests->second.back().version;
+    auto const lag = weights_lag(dispatcher, model, result.version, now);
+    if (!lag)
         return result;
     result.is_old = true;
-    result.lag = now - first_missing->since;
+    result.lag = *lag;
     result.is_allowed = result.lag < dispatcher.limits.weights_lag;
     if (result.lag > dispatcher.limits.weights_grace)
         result.cost_ms = dispatcher.limits.old_weights_cost_ms;
     return result;
 }
 
+std::vector<call_key> overdue_calls(state const& dispatcher, mono_time now)
+{
+    std::vector<call_key> result;
+    for (auto const& [key, send] : dispatcher.sends)
+    {
+        if (!send.is_prefilling || send.model.empty())
+            continue;
+        auto const lag = weights_lag(dispatcher, send.model, send.weights, now);
+        if (lag && *lag >= dispatcher.limits.weights_begin_limit)
+            result.push_back(key);
+    }
+    return result;
+}
+
 } // namespace jujubestand::dispatch
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_DISPATCH_STANDING_HPP
 
 #include <jujubestand/dispatch/types.hpp>
+#include <vector>
 
 /// \brief Availability of upstreams and of their weights.
 namespace jujubestand::dispatch
@@ -52,6 +53,11 @@
                                            std::string const& model,
                                            mono_time now);
 
+/// \brief Calls that were sent to engines on older weights and have not begun
+/// within `weights_begin_limit`. They must not begin there any more.
+[[nodiscard]] std::vector<call_key> overdue_calls(state const& dispatcher,
+                                                  mono_time now);
+
 } // namespace jujubestand::dispatch
 
 #endif
--- a/jujubestand/dispatch/test/upstreams_test.cpp
+++ b/jujubestand/dispatch/test/upstreams_test.cpp
@@ -14,7 +14,8 @@
     for (call_key key = 1; key <= 3; ++key)
     {
         failing.avoid_until = mono_time{};
-        dispatcher.sends[key] = open_send{failing.key, at(10), 0, 0, true};
+        dispatcher.sends[key] =
+            open_send{failing.key, at(10), 0, 0, true, "m", 1};
         ++failing.open_calls;
         on_send_end(dispatcher, key, send_outcome::cut, at(20));
         auto const pause = failing.avoid_until - at(20);
--- a/jujubestand/dispatch/test/weights_test.cpp
+++ b/jujubestand/dispatch/test/weights_test.cpp
@@ -82,4 +82,37 @@
     }
 }
 
+// Calls waited at an engine that stood still, and began there after the time
+// limit of its weights (VERSION).
+TEST(weights, a_call_that_has_not_begun_is_overdue_before_the_limit)
+{
+    auto dispatcher = fleet_with_lag_limit(2);
+    dispatcher.limits.weights_begin_limit = std::chrono::milliseconds{5'700};
+    on_wanted_weights(dispatcher, "m", 2, at(0));
+    on_wanted_weights(dispatcher, "m", 3, at(3'000));
+    for (call_key const key : {1U, 2U})
+        ASSERT_EQ(submit(dispatcher, prompt_call(key, 77, 1'000), at(1'000))
+                      .next_action,
+                  action::send);
+    on_first_output(dispatcher, 2);
+    EXPECT_TRUE(overdue_calls(dispatcher, at(5'600)).empty());
+    EXPECT_EQ(overdue_calls(dispatcher, at(5'700)), std::vector<call_key>{1});
+    // The load of newer weights at the engine does not change what the call was
+    // sent for; its end does.
+    for (int number : {1, 2})
+        on_weights_seen(dispatcher, engine(dispatcher, number).key, "m", 3);
+    EXPECT_EQ(overdue_calls(dispatcher, at(5'700)).size(), 1U);
+    on_send_end(dispatcher, 1, send_outcome::cut, at(5'700));
+    EXPECT_TRUE(overdue_calls(dispatcher, at(5'800)).empty());
+}
+
+TEST(weights, a_call_on_the_wanted_weights_is_never_overdue)
+{
+    auto dispatcher = fleet_with_lag_limit(1);
+    on_wanted_weights(dispatcher, "m", 1, at(0));
+    ASSERT_EQ(submit(dispatcher, prompt_call(1, 77, 10), at(10)).next_action,
+              action::send);
+    EXPECT_TRUE(overdue_calls(dispatcher, at(60'000)).empty());
+}
+
 } // namespace jujubestand::dispatch
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -73,6 +73,9 @@
     double old_weights_cost_ms = 400;
     /// No call begins on older weights than wanted after this time.
     std::chrono::milliseconds weights_lag{5'000};
+    /// A call that was sent to an engine on older weights and has no output by
+    /// this time is overdue.
+    std::chrono::milliseconds weights_begin_limit{5'700};
     /// Shortest time in which a call can be served.
     std::chrono::milliseconds service_time_min{60};
     /// Time that a caller needs to retry before its own timeout.
@@ -185,6 +188,9 @@
     /// Cache memory that the call occupies at the engine.
     double memory_tokens = 0;
     bool is_prefilling = true;
+    /// For a send to an engine: the weights that the call runs on.
+    std::string model;
+    std::uint64_t weights = 0;
 };
 
 /// \brief State of one upstream as seen by this process.
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
@@ -157,6 +158,7 @@
     follow::on_copy_age(
         state.lapses, state.upstream_topic->known().current_as_of, mono_now());
     remove_lapsed_upstreams(state);
+    withdraw_overdue_calls(state);
     review_suspended_calls(state);
     expire_origin_queries(state);
     query_agents(state);
@@ -222,8 +224,12 @@
     state.settings = std::move(settings);
     state.dispatch.data_center = state.settings.data_center;
     constexpr std::chrono::milliseconds weights_margin{1'200};
+    constexpr std::chrono::milliseconds begin_margin{300};
+    static_assert(begin_margin > 2 * tick_interval);
     state.dispatch.limits.weights_lag =
         state.settings.limits.weights_lag - weights_margin;
+    state.dispatch.limits.weights_begin_limit =
+        state.settings.limits.weights_lag - begin_margin;
     state.random_engine.seed(std::random_device{}());
     make_clients(state);
     make_servers(state);
--- a/jujubestand/gateway/migration.cpp
+++ b/jujubestand/gateway/migration.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/gateway/migration.hpp>
 
 #include <jujubestand/dispatch/dispatch.hpp>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
@@ -18,6 +19,16 @@
            retry_options_of(state).budget_limit / 2;
 }
 
+void cancel_attempt(gateway_state& state, active_call& call,
+                    dispatch::send_outcome outcome, mono_time now)
+{
+    state.upstream_client->cancel(call.upstream_call);
+    call.upstream_call = http1::call_id{};
+    call.outcome = worst(call.outcome, verdict::may_have_run);
+    count_possible_run(call);
+    dispatch::on_send_end(state.dispatch, call.dispatch_call.key, outcome, now);
+}
+
 void migrate_stream(gateway_state& state, dispatch::call_key key)
 {
     active_call* const call = find_call(state, key);
@@ -33,15 +44,45 @@
         acquire_retry(state, *call, dispatch::send_outcome::cancelled, now) !=
             reason_code::none)
         return;
-    state.upstream_client->cancel(call->upstream_call);
-    call->upstream_call = http1::call_id{};
-    call->outcome = worst(call->outcome, verdict::may_have_run);
-    count_possible_run(*call);
-    dispatch::on_send_end(state.dispatch, key,
-                          dispatch::send_outcome::cancelled, now);
+    cancel_attempt(state, *call, dispatch::send_outcome::cancelled, now);
     retry_call(state, key);
 }
 
+// An engine that has not begun the call for so long counts as failing.
+void withdraw_call(gateway_state& state, dispatch::call_key key, mono_time now)
+{
+    active_call* const call = find_call(state, key);
+    if (call == nullptr)
+        return;
+    constexpr auto outcome = dispatch::send_outcome::cut;
+    cancel_attempt(state, *call, outcome, now);
+    auto const why_not = acquire_retry(state, *call, outcome, now);
+    problem error;
+    error.why = reason{reason_code::upstream_timeout,
+                       "call not begun before the limit of its weights",
+                       {}};
+    state.log->write(
+        event_number::attempt_failed, call->caller_request.request_id,
+        {{"upstream", call->upstream},
+         {"outcome", to_name(dispatch::send_outcome_names, outcome)},
+         {"status", 0},
+         {"why", error.why.text},
+         {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
+    if (why_not == reason_code::none)
+    {
+        retry_call(state, key);
+        return;
+    }
+    if (why_not == reason_code::retry_budget_spent && call->is_response_started)
+    {
+        suspend_call(state, key, outcome);
+        return;
+    }
+    error.outcome = call->outcome;
+    error.status = status_of(call->outcome, error.why.code);
+    fail_call(state, key, error);
+}
+
 } // namespace
 
 void migrate_streams(gateway_state& state, dispatch::upstream_key source)
@@ -56,4 +97,11 @@
         migrate_stream(state, key);
 }
 
+void withdraw_overdue_calls(gateway_state& state)
+{
+    auto const now = mono_now();
+    for (auto const key : dispatch::overdue_calls(state.dispatch, now))
+        withdraw_call(state, key, now);
+}
+
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/migration.hpp
+++ b/jujubestand/gateway/migration.hpp
@@ -3,7 +3,7 @@
 
 #include <jujubestand/gateway/state.hpp>
 
-/// \brief Migration of streams to another engine.
+/// \brief Withdrawal of calls from engines, and their migration to others.
 namespace jujubestand::gateway
 {
 
@@ -11,6 +11,10 @@
 /// weights, since the load waits for every call running on the engine.
 void migrate_streams(gateway_state& state, dispatch::upstream_key source);
 
+/// \brief Withdraws calls that have not begun before the time limit of their
+/// engine's weights, and retries them elsewhere where allowed.
+void withdraw_overdue_calls(gateway_state& state);
+
 } // namespace jujubestand::gateway
 
 #endif
