--- a/jujubestand/dispatch/test/weights_test.cpp
+++ b/jujubestand/dispatch/test/weights_test.cpp
@@ -115,4 +115,20 @@
     EXPECT_TRUE(overdue_calls(dispatcher, at(60'000)).empty());
 }
 
+// A report of the process before counted for an engine that had started again
+// (calls refused with 421).
+TEST(weights, a_report_of_the_process_before_does_not_count)
+{
+    auto dispatcher = fleet_with_lag_limit(1);
+    on_wanted_weights(dispatcher, "m", 3, at(0));
+    auto restarted = engine_record(1);
+    restarted.born_ms = 2;
+    on_upstream_record(dispatcher, restarted);
+    auto before = idle_load(10);
+    before.report.started_at_ms = 1;
+    before.report.versions["m"] = 3;
+    on_load_report(dispatcher, engine(dispatcher, 1).key, before);
+    EXPECT_TRUE(weights_at(dispatcher, 20).is_old);
+}
+
 } // namespace jujubestand::dispatch
