--- a/jujubestand/gateway/migration.cpp
+++ b/jujubestand/gateway/migration.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
+#include <jujubestand/gateway/upstream_responses.hpp>
 
 namespace jujubestand::gateway
 {
@@ -56,31 +57,10 @@
         return;
     constexpr auto outcome = dispatch::send_outcome::cut;
     cancel_attempt(state, *call, outcome, now);
-    auto const why_not = acquire_retry(state, *call, outcome, now);
-    problem error;
-    error.why = reason{reason_code::upstream_timeout,
-                       "call not begun before the limit of its weights",
-                       {}};
-    state.log->write(
-        event_number::attempt_failed, call->caller_request.request_id,
-        {{"upstream", call->upstream},
-         {"outcome", to_name(dispatch::send_outcome_names, outcome)},
-         {"status", 0},
-         {"why", error.why.text},
-         {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
-    if (why_not == reason_code::none)
-    {
-        retry_call(state, key);
-        return;
-    }
-    if (why_not == reason_code::retry_budget_spent && call->is_response_started)
-    {
-        suspend_call(state, key, outcome);
-        return;
-    }
-    error.outcome = call->outcome;
-    error.status = status_of(call->outcome, error.why.code);
-    fail_call(state, key, error);
+    end_failed_attempt(state, key, outcome,
+                       reason{reason_code::upstream_timeout,
+                              "call not begun before the limit of its weights",
+                              {}});
 }
 
 } // namespace
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -172,13 +172,23 @@
         finish_call(state, key);
         return;
     }
+    end_failed_attempt(state, key, outcome, end.why);
+}
+
+} // namespace
+
+void end_failed_attempt(gateway_state& state, dispatch::call_key key,
+                        dispatch::send_outcome outcome, reason const& why)
+{
+    active_call* const call = find_call(state, key);
+    auto const now = mono_now();
     auto const why_not = acquire_retry(state, *call, outcome, now);
     state.log->write(
         event_number::attempt_failed, call->caller_request.request_id,
         {{"upstream", call->upstream},
          {"outcome", to_name(dispatch::send_outcome_names, outcome)},
          {"status", call->response_head.status},
-         {"why", end.why.text},
+         {"why", why.text},
          {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
     if (why_not == reason_code::none)
     {
@@ -198,7 +208,7 @@
         return;
     }
     problem error;
-    error.why = end.why;
+    error.why = why;
     if (error.why.code == reason_code::none)
         error.why = reason{
             reason_code::upstream_error, "no usable upstream response", {}};
@@ -209,8 +219,6 @@
     fail_call(state, key, error);
 }
 
-} // namespace
-
 http1::call_events events_of(gateway_state& state, dispatch::call_key key,
                              std::string const& request_id)
 {
--- a/jujubestand/gateway/upstream_responses.hpp
+++ b/jujubestand/gateway/upstream_responses.hpp
@@ -9,6 +9,11 @@
 namespace jujubestand::gateway
 {
 
+/// \brief Retries, suspends or fails a call whose attempt has ended without a
+/// response that can be forwarded.
+void end_failed_attempt(gateway_state& state, dispatch::call_key key,
+                        dispatch::send_outcome outcome, reason const& why);
+
 /// \brief Callbacks of one attempt of a call.
 [[nodiscard]] http1::call_events events_of(gateway_state& state,
                                            dispatch::call_key key,
