--- a/jujubestand/gateway/stream_origins.hpp
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -39,8 +39,8 @@
 /// \brief What a gateway knows of the versions that streams began at.
 struct stream_origins
 {
-    /// Software version by request; bounds the memory, and holds over a minute
-    /// of the streams of one gateway and those that it keeps for others.
+    /// Software version by request, of the streams of this gateway and those
+    /// that it keeps for others; the least recently used are dropped.
     recent_map<origin_key, std::string> versions{16'384};
     /// By pool and software version: when an upstream was last registered.
     std::map<std::string, std::map<std::string, mono_time>> software_in_use;
@@ -71,7 +71,7 @@
 /// \brief Key of the request that began a stream.
 [[nodiscard]] origin_key origin_key_of(std::string_view request_id) noexcept;
 
-/// \brief Records the version that a stream began at; the first one holds.
+/// \brief Records the version that a stream began at, unless one is recorded.
 void record_origin(stream_origins& state, origin_key stream,
                    std::string const& software_version);
 
