--- a/programs/test/stream_caller.hpp
+++ b/programs/test/stream_caller.hpp
@@ -69,7 +69,7 @@
 inline answer_ptr start_call(http1::client& caller,
                              http1::client_request request)
 {
-    auto const answer = std::make_shared<caller_answer>();
+    auto answer = std::make_shared<caller_answer>();
     http1::call_events events;
     events.on_head = [answer](http1::message_head const& head)
     {
