Log how an upstream ended its answer, and what was left of an event

`request_finished` and `attempt_failed` now have `framing` and `partial_bytes`; the client's head says which framing a response has. No decision changes.

--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -162,6 +162,7 @@
     active_call* const call = find_call(state, key);
     discard_partial_event(call->events);
     call->response_body.clear();
+    call->response_framing = http1::body_framing::none;
     call->is_response_discarded = false;
     call->is_repeatable_failure = false;
     auto const dispatch_decision =
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -55,6 +55,8 @@
     /// Worst verdict over the attempts that ended.
     verdict outcome = verdict::not_run;
     traffic::answer_head response_head;
+    /// Framing of the current upstream response.
+    http1::body_framing response_framing = http1::body_framing::none;
     /// Buffered response body; streams are forwarded without buffering.
     std::string response_body;
     event_stream events;
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -43,6 +43,10 @@
         event_number::request_finished, call->caller_request.request_id,
         {{"status", call->response_head.status},
          {"upstream", call->upstream},
+         {"framing",
+          to_name(http1::body_framing_names, call->response_framing)},
+         {"partial_bytes",
+          static_cast<std::int64_t>(call->events.partial.size())},
          {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                          mono_now() - call->arrived_at)
                          .count()}});
@@ -61,6 +65,7 @@
     if (call == nullptr)
         return;
     auto answer = platform::read_answer(head);
+    call->response_framing = head.framing;
     auto const send = state.dispatch.sends.find(key);
     if (answer.weights && call->dispatch_call.model_prompt &&
         send != state.dispatch.sends.end())
@@ -188,6 +193,10 @@
         {{"upstream", call->upstream},
          {"outcome", to_name(dispatch::send_outcome_names, outcome)},
          {"status", call->response_head.status},
+         {"framing",
+          to_name(http1::body_framing_names, call->response_framing)},
+         {"partial_bytes",
+          static_cast<std::int64_t>(call->events.partial.size())},
          {"why", why.text},
          {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
     if (why_not == reason_code::none)
--- a/jujubestand/http1/head.hpp
+++ b/jujubestand/http1/head.hpp
@@ -1,6 +1,9 @@
 #ifndef JUJUBESTAND_HTTP1_HEAD_HPP
 #define JUJUBESTAND_HTTP1_HEAD_HPP
 
+#include <array>
+#include <cstdint>
+#include <jujubestand/core/enum_table.hpp>
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/http/message.hpp>
 #include <string>
@@ -10,6 +13,23 @@
 namespace jujubestand::http1
 {
 
+/// \brief How the end of a body is marked.
+enum class body_framing : std::uint8_t
+{
+    none,    ///< no body
+    length,  ///< Content-Length
+    chunked, ///< Transfer-Encoding: chunked
+    close,   ///< end of the connection; responses only
+};
+
+/// \brief Names of the framings.
+inline constexpr std::array<enum_name<body_framing>, 4> body_framing_names{{
+    {body_framing::none, "none"},
+    {body_framing::length, "length"},
+    {body_framing::chunked, "chunked"},
+    {body_framing::close, "close"},
+}};
+
 /// \brief Start line and fields of a request or a response.
 struct message_head
 {
@@ -22,6 +42,8 @@
     std::vector<http::field> fields;
     /// The connection may carry another message after this one.
     bool is_keep_alive = false;
+    /// Responses only.
+    body_framing framing = body_framing::none;
 };
 
 /// \brief Checks the bytes of a head up to and with its empty line, before a
--- a/jujubestand/http1/reader.cpp
+++ b/jujubestand/http1/reader.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <http_parser.h>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -20,6 +21,17 @@
 
 } // namespace
 
+// A response whose head marks no end of its body may still have none, as one
+// with status 204 has.
+body_framing framing_of(http_parser const& parser)
+{
+    if ((parser.flags & F_CHUNKED) != 0)
+        return body_framing::chunked;
+    if (parser.content_length != std::numeric_limits<std::uint64_t>::max())
+        return body_framing::length;
+    return body_framing::close;
+}
+
 // On the heap, since the parser's callbacks keep its address.
 struct reader::state
 {
@@ -89,6 +101,8 @@
     if (self->kind == message_kind::request)
         self->head.method =
             http_method_str(static_cast<http_method>(parser->method));
+    if (self->kind == message_kind::response)
+        self->head.framing = framing_of(*parser);
     self->head.is_keep_alive = http_should_keep_alive(parser) != 0;
     // No other protocol is offered: a request to upgrade is an ordinary one.
     parser->upgrade = 0;
--- a/jujubestand/http1/writer.hpp
+++ b/jujubestand/http1/writer.hpp
@@ -2,7 +2,7 @@
 #define JUJUBESTAND_HTTP1_WRITER_HPP
 
 #include <cstddef>
-#include <jujubestand/http/message.hpp>
+#include <jujubestand/http1/head.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,14 +10,6 @@
 namespace jujubestand::http1
 {
 
-/// \brief How the end of a body is told.
-enum class body_framing
-{
-    none,    ///< no body, no length field
-    length,  ///< Content-Length
-    chunked, ///< Transfer-Encoding: chunked
-};
-
 /// \brief Head of a request with its fields and a length, if it has a body.
 [[nodiscard]] std::string request_head(std::string_view method,
                                        std::string_view target,
