--- a/programs/test/begun_streams_test.cpp
+++ b/programs/test/begun_streams_test.cpp
@@ -10,16 +10,6 @@
 
 constexpr std::uint64_t begun = 3;
 
-/// Data of the events from one number to another one.
-std::vector<std::string> events_of(std::string const& version,
-                                   std::uint64_t first, std::uint64_t last)
-{
-    std::vector<std::string> result;
-    for (auto number = first; number <= last; ++number)
-        result.push_back(version + ' ' + std::to_string(number));
-    return result;
-}
-
 constexpr auto whole = standins::stream_engine::stream_events;
 
 class begun_streams : public gateways_test
@@ -67,11 +57,6 @@
     {
         this->caller.cancel(answer->call);
     }
-
-    std::size_t engine_with_stream() const
-    {
-        return this->engines[0].engine->seen().empty() ? 1 : 0;
-    }
 };
 
 } // namespace
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -183,7 +183,7 @@
         http1::client_request request;
         request.server = this->gateways[gateway].callers;
         request.method = "POST";
-        request.target = "/chat/new";
+        request.target = asked.target;
         request.fields = fields_of(asked);
         return start_call(this->caller, std::move(request));
     }
@@ -243,6 +243,18 @@
             engine.engine->pause_after(event);
     }
 
+    /// \brief Engine that was sent the only stream so far.
+    [[nodiscard]] std::size_t engine_with_stream() const
+    {
+        for (std::size_t number = 0; number < this->engines.size(); ++number)
+        {
+            if (!this->engines[number].engine->seen().empty())
+                return number;
+        }
+        ADD_FAILURE() << "no engine was sent a stream";
+        return 0;
+    }
+
     void pause_no_more()
     {
         for (auto const& engine : this->engines)
--- a/programs/test/stream_caller.hpp
+++ b/programs/test/stream_caller.hpp
@@ -44,12 +44,23 @@
 
 using answer_ptr = std::shared_ptr<caller_answer>;
 
+/// \brief Data of the events from one number to another one.
+inline std::vector<std::string>
+events_of(std::string const& version, std::uint64_t first, std::uint64_t last)
+{
+    std::vector<std::string> result;
+    for (auto number = first; number <= last; ++number)
+        result.push_back(version + ' ' + std::to_string(number));
+    return result;
+}
+
 /// \brief A stream that a caller asks for.
 struct stream_call
 {
     std::string request_id;
     std::string last_event;
     std::string resumes;
+    std::string target = "/chat/new";
 };
 
 /// \brief Fields of a call for a stream.
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -36,18 +36,23 @@
     return ntohs(local.sin_port);
 }
 
-/// \brief A configuration of one route to one pool.
+/// \brief A configuration of two routes to one pool: streams that may be
+/// resumed, and streams that may run once only.
 inline std::string configuration()
 {
-    nlohmann::json const route{
+    nlohmann::json const resumable{
         {"name", "chat"},          {"host", "engines.example"},
         {"path-prefix", "/chat/"}, {"service", "engines"},
         {"kind", "stream"},        {"resumable", true},
         {"public", true},          {"max-attempts", 4},
         {"timeout-ms", 60'000}};
+    nlohmann::json once = resumable;
+    once["name"] = "once";
+    once["path-prefix"] = "/once/";
+    once["resumable"] = false;
     nlohmann::json const pool{{"name", "engines"}};
     return nlohmann::json{{"version", 1},
-                          {"routes", nlohmann::json::array({route})},
+                          {"routes", nlohmann::json::array({resumable, once})},
                           {"services", nlohmann::json::array({pool})}}
         .dump();
 }
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -1,6 +1,7 @@
 #include <standins/stream/stream_engine.hpp>
 
 #include <event2/buffer.h>
+#include <event2/http_struct.h>
 #include <utility>
 
 namespace jujubestand::standins
@@ -14,6 +15,12 @@
     return text.empty() ? 0 : std::stoull(text);
 }
 
+// evhttp frames no answer to a request of HTTP/1.0.
+void leave_unframed(evhttp_request* request)
+{
+    request->minor = 0;
+}
+
 void begin_answer(http_call const& call, std::string const& version)
 {
     auto* const headers = evhttp_request_get_output_headers(call.request);
@@ -52,9 +59,15 @@
         unwatch_close(stream.request);
 }
 
-void stream_engine::pause_after(std::uint64_t event)
+void stream_engine::pause_after(std::uint64_t event, std::size_t bytes)
 {
     this->last_event = event;
+    this->partial_bytes = bytes;
+}
+
+void stream_engine::end_by_close()
+{
+    this->is_framed = false;
 }
 
 void stream_engine::pause_no_more()
@@ -68,6 +81,21 @@
         cut(stream.request);
 }
 
+void stream_engine::truncate_streams()
+{
+    for (auto const& [id, stream] : std::exchange(this->paused, {}))
+    {
+        unwatch_close(stream.request);
+        evhttp_send_reply_end(stream.request);
+    }
+}
+
+std::string stream_engine::event(std::uint64_t number) const
+{
+    auto const text = std::to_string(number);
+    return "id: " + text + "\ndata: " + this->version + ' ' + text + "\n\n";
+}
+
 std::vector<stream_request> const& stream_engine::seen() const noexcept
 {
     return this->requests;
@@ -85,14 +113,16 @@
     bool const is_whole = this->last_event >= stream_events;
     if (!is_whole)
         this->watch(call.request);
+    if (!this->is_framed)
+        leave_unframed(call.request);
     begin_answer(call, this->version);
     std::string events;
     for (auto number = number_of(from) + 1; number <= this->last_event;
          ++number)
-        events += "id: " + std::to_string(number) + "\ndata: " + this->version +
-                  ' ' + std::to_string(number) + "\n\n";
+        events += this->event(number);
     if (!is_whole)
-        events += "id: " + std::to_string(this->last_event + 1) + "\nda";
+        events +=
+            this->event(this->last_event + 1).substr(0, this->partial_bytes);
     send(call.request, events);
     if (is_whole)
         evhttp_send_reply_end(call.request);
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -34,14 +34,22 @@
 
     /// \brief Stops new streams in the middle of the event after this one, and
     /// keeps them open.
-    void pause_after(std::uint64_t event);
+    /// \param bytes sent of the next event
+    void pause_after(std::uint64_t event, std::size_t bytes = 8);
 
     /// \brief Sends new streams to their end again.
     void pause_no_more();
 
+    /// \brief New answers have neither a length nor chunks: they end with
+    /// their connection.
+    void end_by_close();
+
     /// \brief Cuts the connections of the paused streams.
     void cut_streams();
 
+    /// \brief Ends the paused streams where they are, as if they were whole.
+    void truncate_streams();
+
     [[nodiscard]] std::vector<stream_request> const& seen() const noexcept;
     [[nodiscard]] address bound() const;
 
@@ -53,11 +61,14 @@
     };
 
     void answer(http_call const& call);
+    [[nodiscard]] std::string event(std::uint64_t number) const;
     void watch(evhttp_request* request);
 
     std::string version;
     http_server server;
     std::uint64_t last_event = stream_events;
+    std::size_t partial_bytes = 0;
+    bool is_framed = true;
     std::uint64_t next_id = 1;
     std::map<std::uint64_t, paused_stream> paused;
     std::vector<stream_request> requests;
