--- a/jujubestand/gateway/event_stream.cpp
+++ b/jujubestand/gateway/event_stream.cpp
@@ -65,6 +65,7 @@
         auto const event = remaining.substr(0, size);
         auto const id = id_of(event);
         remaining.remove_prefix(size);
+        ++state.response_events;
         if (was_forwarded(state, id))
             continue;
         forwarded += event;
@@ -76,9 +77,21 @@
     return forwarded;
 }
 
-void discard_partial_event(event_stream& state)
+// A connection that closes before the first event may have been meant to carry
+// some; chunks or a length say that there are none.
+bool is_whole(event_stream const& state, http1::body_framing framing) noexcept
+{
+    constexpr char const* line_ends = "\r\n";
+    bool const is_between_events =
+        state.partial.find_first_not_of(line_ends) == std::string::npos;
+    return is_between_events &&
+           (framing != http1::body_framing::close || state.response_events > 0);
+}
+
+void begin_response(event_stream& state)
 {
     state.partial.clear();
+    state.response_events = 0;
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/event_stream.hpp
+++ b/jujubestand/gateway/event_stream.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_GATEWAY_EVENT_STREAM_HPP
 
 #include <cstdint>
+#include <jujubestand/http1/head.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,8 @@
 {
     /// Bytes of an incomplete event.
     std::string partial;
+    /// Complete events of the current response.
+    std::uint64_t response_events = 0;
     /// Highest id that was forwarded.
     std::optional<std::uint64_t> last_id;
     /// An event arrived out of order; no further event may be forwarded.
@@ -25,9 +28,15 @@
 /// already forwarded
 [[nodiscard]] std::string on_bytes(event_stream& state, std::string_view bytes);
 
+/// \brief Whether the stream is whole at the end of a response. Its framing
+/// alone does not prove that: an upstream may break off and still end it in
+/// order.
+[[nodiscard]] bool is_whole(event_stream const& state,
+                            http1::body_framing framing) noexcept;
+
 /// \brief Discards the incomplete event before the stream resumes in another
 /// response.
-void discard_partial_event(event_stream& state);
+void begin_response(event_stream& state);
 
 } // namespace jujubestand::gateway
 
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -160,7 +160,7 @@
 void retry_call(gateway_state& state, dispatch::call_key key)
 {
     active_call* const call = find_call(state, key);
-    discard_partial_event(call->events);
+    begin_response(call->events);
     call->response_body.clear();
     call->response_framing = http1::body_framing::none;
     call->is_response_discarded = false;
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -133,6 +133,13 @@
     state.caller_server->send(call->exchange, events);
 }
 
+// Whether a stream ended in order, but before its end.
+bool is_broken_off(active_call const& call)
+{
+    return is_stream_answer(call) && !call.is_response_discarded &&
+           !is_whole(call.events, call.response_framing);
+}
+
 // Outcome of an attempt as dispatch counts it for the upstream.
 dispatch::send_outcome outcome_of(active_call const& call,
                                   http1::call_end const& end)
@@ -144,7 +151,7 @@
         return send_outcome::cut;
     if (call.response_head.is_not_run)
         return send_outcome::refused;
-    if (call.is_response_discarded)
+    if (call.is_response_discarded || is_broken_off(call))
         return send_outcome::cut;
     return call.response_head.status >= first_server_error
                ? send_outcome::failed
@@ -177,7 +184,11 @@
         finish_call(state, key);
         return;
     }
-    end_failed_attempt(state, key, outcome, end.why);
+    auto why = end.why;
+    if (end.is_complete && is_broken_off(*call))
+        why = reason{
+            reason_code::answer_incomplete, "stream ended inside an event", {}};
+    end_failed_attempt(state, key, outcome, why);
 }
 
 } // namespace
