Take a plain service's stream that ends inside an event for broken off

Same class as in the gateway (ORDER): the sidecar passed a plain service's stream of events on as opaque bytes, and evhttp takes an orderly close for the end of a body without a length. Such a stream is now incomplete unless it ends between events. Streams of completions were safe: they need their end mark; whole completions and the answers of store, engines and peers are JSON, msgpack or records with lengths, which a cut makes unreadable.

--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -10,10 +10,18 @@
 
 constexpr int status_ok = 200;
 
-streams::answer_form form_of(link::call const& message, int status)
+bool is_event_stream(http::response_head const& head)
 {
-    if (!message.is_completion || status != status_ok)
-        return streams::answer_form::opaque;
+    auto const type = http::find_header(head.headers, "Content-Type");
+    return type && type->starts_with("text/event-stream");
+}
+
+streams::answer_form form_of(link::call const& message,
+                             http::response_head const& head)
+{
+    if (!message.is_completion || head.status != status_ok)
+        return is_event_stream(head) ? streams::answer_form::plain_events
+                                     : streams::answer_form::opaque;
     return message.is_stream ? streams::answer_form::events
                              : streams::answer_form::whole;
 }
@@ -28,8 +36,8 @@
         return;
     call& of = *this->calls.find(found->second);
     of.has_head = true;
-    of.answer = streams::begin_answer(form_of(of.message, head.status),
-                                      of.message.request);
+    of.answer =
+        streams::begin_answer(form_of(of.message, head), of.message.request);
     link::head told;
     told.request = of.message.request;
     told.upstream = this->shared->settings.upstream;
--- a/jujubestand/streams/test/upstream_answer_test.cpp
+++ b/jujubestand/streams/test/upstream_answer_test.cpp
@@ -9,8 +9,9 @@
 
 RC_GTEST_PROP(upstream_answer, random_cuts_change_nothing, ())
 {
-    auto const form = *rc::gen::element(answer_form::events, answer_form::whole,
-                                        answer_form::opaque);
+    auto const form =
+        *rc::gen::element(answer_form::events, answer_form::whole,
+                          answer_form::opaque, answer_form::plain_events);
     std::string text;
     for (auto const& event :
          answer_of(mine, *rc::gen::inRange<std::uint64_t>(1, 30)))
@@ -50,6 +51,23 @@
     EXPECT_EQ(end.broken->code, reason_code::answer_crossed);
 }
 
+// A plain service's stream that was broken off inside an event was passed on as
+// complete, since its connection closed in order (ORDER).
+TEST(upstream_answer, a_plain_stream_is_complete_only_between_events)
+{
+    std::string const event = "id: 1\ndata: a\n\n";
+    std::string const text = event + "data: b\r\n\r\n";
+    for (std::size_t size = 0; size <= text.size(); ++size)
+    {
+        auto answer = begin_answer(answer_form::plain_events, mine);
+        for (std::size_t at = 0; at < size; ++at)
+            EXPECT_FALSE(take_bytes(answer, text.substr(at, 1)).broken);
+        bool const is_boundary =
+            size == 0 || size == event.size() || size == text.size();
+        EXPECT_EQ(take_end(answer).broken.has_value(), !is_boundary) << size;
+    }
+}
+
 TEST(upstream_answer, nothing_is_relayed_after_a_gap)
 {
     auto answer = begin_answer(answer_form::events, mine);
--- a/jujubestand/streams/upstream_answer.cpp
+++ b/jujubestand/streams/upstream_answer.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/streams/upstream_answer.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jujubestand::streams
@@ -57,6 +58,22 @@
     answer.usage = answer.checker.usage;
 }
 
+// An event ends with a blank line, whatever its line ends.
+bool ends_with_blank_line(std::string_view text)
+{
+    return text.ends_with("\n\n") || text.ends_with("\r\r") ||
+           text.ends_with("\n\r\n");
+}
+
+void keep_tail(upstream_answer& answer, std::string_view bytes)
+{
+    constexpr std::size_t blank_line_bytes = 4;
+    answer.tail +=
+        bytes.substr(bytes.size() - std::min(bytes.size(), blank_line_bytes));
+    if (answer.tail.size() > blank_line_bytes)
+        answer.tail.erase(0, answer.tail.size() - blank_line_bytes);
+}
+
 } // namespace
 
 upstream_answer begin_answer(answer_form form, request_id const& request)
@@ -77,6 +94,8 @@
         answer.held += bytes;
     else
         cut_into_pieces(answer, bytes, step);
+    if (answer.form == answer_form::plain_events)
+        keep_tail(answer, bytes);
     return step;
 }
 
@@ -86,6 +105,9 @@
     if (answer.form == answer_form::events && !answer.checker.is_done)
         step.broken = reason{reason_code::answer_incomplete,
                              "stream ended without its end mark", ""};
+    if (!answer.tail.empty() && !ends_with_blank_line(answer.tail))
+        step.broken = reason{reason_code::answer_incomplete,
+                             "stream ended inside an event", ""};
     if (answer.form != answer_form::whole)
         return step;
     reason why;
--- a/jujubestand/streams/upstream_answer.hpp
+++ b/jujubestand/streams/upstream_answer.hpp
@@ -23,13 +23,17 @@
     opaque, ///< a plain service's, or an engine's refusal: passed on
     events, ///< a streamed completion
     whole,  ///< a completion in one JSON object
+    /// A plain service's stream of events: passed on, but incomplete if it
+    /// ends inside an event.
+    plain_events,
 };
 
 /// \brief Names of the forms.
-inline constexpr std::array<enum_name<answer_form>, 3> answer_form_names{{
+inline constexpr std::array<enum_name<answer_form>, 4> answer_form_names{{
     {answer_form::opaque, "opaque"},
     {answer_form::events, "events"},
     {answer_form::whole, "whole"},
+    {answer_form::plain_events, "plain_events"},
 }};
 
 /// \brief An upstream's answer on its way into pieces.
@@ -40,6 +44,8 @@
     answer_checker checker;
     /// A whole answer is held until its id was read.
     std::string held;
+    /// Last bytes of a plain service's stream of events.
+    std::string tail;
     std::uint64_t pieces = 0;
     std::optional<answer_usage> usage;
 };
