Log the parts of a prompt and how far a failed attempt had come

BUDGET: the logs showed one call with a head and no event at each crash, but not what these calls have in common. `request_accepted` names the shared parts, `attempt_failed` the events of the attempt. No decision changes.

--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -1,6 +1,8 @@
 #include <jujubestand/gateway/calls.hpp>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
@@ -77,6 +79,25 @@
     return result;
 }
 
+/// The shared parts of a prompt, for the log.
+std::string parts_text(active_call const& call)
+{
+    auto const& prompt = call.caller_request.asked;
+    std::string result;
+    for (std::size_t at = 0; prompt && at + 1 < prompt->parts.size(); ++at)
+    {
+        std::array<char, 2 * sizeof(std::uint64_t)> digits{};
+        constexpr int hexadecimal = 16;
+        auto const end =
+            std::to_chars(digits.data(), digits.data() + digits.size(),
+                          prompt->parts[at].id, hexadecimal)
+                .ptr;
+        result += result.empty() ? "" : ",";
+        result.append(digits.data(), end);
+    }
+    return result;
+}
+
 problem draining_problem()
 {
     problem error;
@@ -114,6 +135,7 @@
         event_number::request_accepted, call.caller_request.request_id,
         {{"route", call.route.name},
          {"team", call.team.name},
+         {"parts", parts_text(call)},
          {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                          call.deadline - call.arrived_at)
                          .count()},
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -208,6 +208,7 @@
           to_name(http1::body_framing_names, call->response_framing)},
          {"partial_bytes",
           static_cast<std::int64_t>(call->events.partial.size())},
+         {"events", static_cast<std::int64_t>(call->events.response_events)},
          {"why", why.text},
          {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
     if (why_not == reason_code::none)
