--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -132,6 +132,25 @@
         this->store.put("keyed.servers", written.id, record.dump());
     }
 
+    /// \brief Destroys an engine as a crash does: its connections break, its
+    /// agent loses it, its record goes.
+    void crash_engine(std::size_t number)
+    {
+        auto& crashed = this->engines[number];
+        crashed.engine.reset();
+        crashed.agent->lose_engine();
+        this->remove_engine(number);
+    }
+
+    /// \brief Kills all gateways and starts them again with nothing.
+    void restart_gateways()
+    {
+        auto const count = this->gateways.size();
+        this->gateways.clear();
+        for (std::size_t number = 0; number < count; ++number)
+            this->start_gateway(number);
+    }
+
     void remove_engine(std::size_t number)
     {
         this->store.put("keyed.servers", this->engines[number].id, "");
@@ -159,7 +178,7 @@
         ASSERT_TRUE(this->run_until(
             [this]
             {
-                return this->engines.front().agent->informed().size() ==
+                return this->engines.back().agent->informed().size() ==
                        this->gateways.size();
             }));
     }
--- a/programs/test/stream_caller.hpp
+++ b/programs/test/stream_caller.hpp
@@ -61,6 +61,8 @@
     std::string last_event;
     std::string resumes;
     std::string target = "/chat/new";
+    /// Parts of the prompt as `ID:TOKENS,...`; empty: no prompt.
+    std::string parts{};
 };
 
 /// \brief Fields of a call for a stream.
@@ -73,6 +75,12 @@
         fields.push_back({"Last-Event-Id", asked.last_event});
     if (!asked.resumes.empty())
         fields.push_back({"Resumes", asked.resumes});
+    if (!asked.parts.empty())
+    {
+        fields.push_back({"X-Model", "m1"});
+        fields.push_back({"X-Token-Usage", "100,8"});
+        fields.push_back({"X-Prompt-Prefix", asked.parts});
+    }
     return fields;
 }
 
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -45,7 +45,7 @@
         {"path-prefix", "/chat/"}, {"service", "engines"},
         {"kind", "stream"},        {"resumable", true},
         {"public", true},          {"max-attempts", 4},
-        {"timeout-ms", 60'000}};
+        {"sticky", true},          {"timeout-ms", 60'000}};
     nlohmann::json once = resumable;
     once["name"] = "once";
     once["path-prefix"] = "/once/";
--- a/standins/agent/status_agent.cpp
+++ b/standins/agent/status_agent.cpp
@@ -26,6 +26,11 @@
     return this->informed_gateways;
 }
 
+void status_agent::lose_engine()
+{
+    this->is_engine_reachable = false;
+}
+
 void status_agent::answer(address const& sender, std::string_view bytes)
 {
     auto const asked = status::from_datagram<status::status_request>(bytes);
@@ -34,7 +39,7 @@
     status::status_response response;
     response.request_sent_at_us = asked->sent_at_us;
     response.agent = asked->upstream;
-    response.is_engine_reachable = true;
+    response.is_engine_reachable = this->is_engine_reachable;
     if (asked->gateways_hash == status::hash_of(this->gateways))
         this->informed_gateways.insert(asked->gateway);
     else
--- a/standins/agent/status_agent.hpp
+++ b/standins/agent/status_agent.hpp
@@ -19,6 +19,9 @@
     status_agent(event_base* loop, address const& where,
                  std::vector<std::string> hosts);
 
+    /// \brief Reports the engine as lost.
+    void lose_engine();
+
     /// \brief Names of the gateways that have the list.
     [[nodiscard]] std::set<std::string> const& informed() const noexcept;
 
@@ -27,6 +30,7 @@
 
     std::vector<std::string> gateways;
     std::set<std::string> informed_gateways;
+    bool is_engine_reachable = true;
     loop::datagrams socket;
 };
 
--- a/standins/keyed/keyed_store.cpp
+++ b/standins/keyed/keyed_store.cpp
@@ -53,6 +53,11 @@
                     {
                         this->handle_read(call);
                     });
+    this->server.on(EVHTTP_REQ_POST, "/log-append",
+                    [this](http_call const& call)
+                    {
+                        this->handle_append(call);
+                    });
 }
 
 void keyed_store::put(std::string const& topic, std::string const& key,
@@ -113,6 +118,24 @@
     this->waiting[id] = read;
 }
 
+// The first record of the call: length, length of the key, key, value.
+void keyed_store::handle_append(http_call const& call)
+{
+    auto const record = call.body().substr(length_bytes);
+    auto const key_bytes = static_cast<unsigned char>(record.at(0));
+    auto const topic = call.text("topic");
+    this->put(topic, record.substr(1, key_bytes), record.substr(1 + key_bytes));
+    auto const end = this->topics[topic].records.size();
+    nlohmann::json const body{{"offset", end - 1}, {"end", end}};
+    reply(call.request, HTTP_OK, body.dump());
+}
+
+bool keyed_store::has_keys(std::string const& topic) const
+{
+    auto const found = this->topics.find(topic);
+    return found != this->topics.end() && !found->second.newest.empty();
+}
+
 void keyed_store::answer_read(evhttp_request* request, waiting_read const& read)
 {
     auto const& records = this->topics[read.topic].records;
--- a/standins/keyed/keyed_store.hpp
+++ b/standins/keyed/keyed_store.hpp
@@ -11,8 +11,8 @@
 namespace jujubestand::standins
 {
 
-/// \brief The platform's store as far as a gateway reads it: keyed topics of
-/// one partition, written by the test itself.
+/// \brief The platform's store as far as a gateway uses it: keyed topics of one
+/// partition, written by the test itself and by gateways.
 class keyed_store
 {
 public:
@@ -20,6 +20,9 @@
     keyed_store(keyed_store const&) = delete;
     keyed_store& operator=(keyed_store const&) = delete;
 
+    /// \brief Whether the newest record of a topic's key has a value.
+    [[nodiscard]] bool has_keys(std::string const& topic) const;
+
     /// \brief Appends a record; an empty value removes the key.
     void put(std::string const& topic, std::string const& key,
              std::string const& value);
@@ -48,6 +51,7 @@
 
     void handle_newest(http_call const& call);
     void handle_read(http_call const& call);
+    void handle_append(http_call const& call);
     void answer_read(evhttp_request* request, waiting_read const& read);
 
     http_server server;
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+/// From the head of an answer until its engine crashes.
+constexpr std::chrono::milliseconds crash_delay{20};
+
 std::uint64_t number_of(std::string const& text)
 {
     return text.empty() ? 0 : std::stoull(text);
@@ -45,6 +48,7 @@
                              std::string software_version)
     : version(std::move(software_version))
     , server(loop, where)
+    , later(loop)
 {
     this->server.on(EVHTTP_REQ_POST, "/",
                     [this](http_call const& call)
@@ -75,6 +79,24 @@
     this->last_event = stream_events;
 }
 
+void stream_engine::crash_on(std::string part, std::function<void()> action)
+{
+    this->crash_part = std::move(part);
+    this->crashed = std::move(action);
+}
+
+void stream_engine::on_stream(std::function<void(stream_request const&)> action)
+{
+    this->sent = std::move(action);
+}
+
+bool stream_engine::crashes_on(http_call const& call) const
+{
+    return !this->crash_part.empty() &&
+           call.header("X-Prompt-Prefix").find(this->crash_part) !=
+               std::string::npos;
+}
+
 void stream_engine::cut_streams()
 {
     for (auto const& [id, stream] : this->paused)
@@ -109,7 +131,18 @@
 void stream_engine::answer(http_call const& call)
 {
     auto const from = call.header("Last-Event-Id");
-    this->requests.push_back({call.header("X-Request-Id"), from});
+    this->requests.push_back(
+        {call.header("X-Request-Id"), from, call.header("X-Prompt-Prefix")});
+    if (this->sent)
+        this->sent(this->requests.back());
+    if (this->crashes_on(call))
+    {
+        this->watch(call.request);
+        begin_answer(call, this->version);
+        send(call.request, this->event(1).substr(0, 1));
+        this->later.run(crash_delay, this->crashed);
+        return;
+    }
     bool const is_whole = this->last_event >= stream_events;
     if (!is_whole)
         this->watch(call.request);
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <standins/support/delays.hpp>
 #include <standins/support/http_server.hpp>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
     std::string request_id;
     /// As it was sent; empty for a stream from its beginning.
     std::string last_event;
+    /// Parts of its prompt, as they were sent.
+    std::string parts{};
 };
 
 /// \brief An engine that answers each POST with a stream of numbered events;
@@ -44,6 +47,14 @@
     /// their connection.
     void end_by_close();
 
+    /// \brief The engine crashes when it begins to answer a call with this text
+    /// among the parts of its prompt: it has sent the head of the answer.
+    /// \param crashed called from the loop; has to destroy the engine
+    void crash_on(std::string part, std::function<void()> crashed);
+
+    /// \brief Calls back for each stream that the engine is sent.
+    void on_stream(std::function<void(stream_request const&)> sent);
+
     /// \brief Cuts the connections of the paused streams.
     void cut_streams();
 
@@ -61,6 +72,7 @@
     };
 
     void answer(http_call const& call);
+    [[nodiscard]] bool crashes_on(http_call const& call) const;
     [[nodiscard]] std::string event(std::uint64_t number) const;
     void watch(evhttp_request* request);
 
@@ -69,6 +81,10 @@
     std::uint64_t last_event = stream_events;
     std::size_t partial_bytes = 0;
     bool is_framed = true;
+    std::string crash_part;
+    std::function<void()> crashed;
+    std::function<void(stream_request const&)> sent;
+    delays later;
     std::uint64_t next_id = 1;
     std::map<std::uint64_t, paused_stream> paused;
     std::vector<stream_request> requests;
