--- a/jujubestand/core/digest.cpp
+++ b/jujubestand/core/digest.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/core/digest.hpp>
 
 #include <array>
+#include <charconv>
 #include <jujubestand/core/ids.hpp>
 #include <openssl/evp.h>
 #include <openssl/sha.h>
@@ -72,6 +73,25 @@
     return to_text(request_id{value.high, value.low});
 }
 
+std::optional<digest> digest_from_text(std::string_view text) noexcept
+{
+    constexpr std::size_t word_digits = 16;
+    constexpr int hexadecimal = 16;
+    if (text.size() != 2 * word_digits)
+        return std::nullopt;
+    digest result;
+    for (auto* const word : {&result.high, &result.low})
+    {
+        auto const* const last = text.data() + word_digits;
+        auto const read =
+            std::from_chars(text.data(), last, *word, hexadecimal);
+        if (read.ec != std::errc{} || read.ptr != last)
+            return std::nullopt;
+        text.remove_prefix(word_digits);
+    }
+    return result;
+}
+
 std::string sha256_hex(std::string_view bytes)
 {
     std::string text;
--- a/jujubestand/core/digest.hpp
+++ b/jujubestand/core/digest.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,10 @@
 /// \brief 32 lower-case hexadecimal digits.
 [[nodiscard]] std::string to_text(digest const& value);
 
+/// \brief Reads the output of `to_text`; empty for any other text.
+[[nodiscard]] std::optional<digest>
+digest_from_text(std::string_view text) noexcept;
+
 /// \brief SHA-256 of `bytes`, as 64 lower-case hexadecimal digits.
 [[nodiscard]] std::string sha256_hex(std::string_view bytes);
 
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
+#include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
@@ -126,6 +127,7 @@
     auto const key = ++state.last_call_key;
     auto const pool = traffic::choose_pool(call.route, state.random_engine());
     call.dispatch_call = to_dispatch_call(call, key, pool);
+    call.suspect_keys = suspect_keys_of(call);
     retries::record_request(state.retry_budgets[call.dispatch_call.pool],
                             retry_options_of(state), call.arrived_at);
     retries::record_request(
--- /dev/null
+++ b/jujubestand/gateway/crashes.cpp
@@ -0,0 +1,321 @@
+#include <jujubestand/gateway/crashes.hpp>
+
+#include <charconv>
+#include <jujubestand/dispatch/dispatch.hpp>
+#include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/agents.hpp>
+#include <jujubestand/gateway/sends.hpp>
+#include <jujubestand/status/messages.hpp>
+#include <platform/names.hpp>
+
+namespace jujubestand::gateway
+{
+
+namespace
+{
+
+/// News are sent more than once, since datagrams may be lost.
+constexpr std::chrono::milliseconds news_interval{300};
+constexpr std::chrono::milliseconds news_time{2'000};
+
+/// Culprits are sent for as long as they are refused, for new gateways.
+constexpr std::chrono::milliseconds culprits_interval{2'000};
+
+/// Gateways find a culprit at the same time; one of them writes it first.
+constexpr std::chrono::milliseconds write_delay_limit{500};
+constexpr std::chrono::milliseconds write_retry_delay{1'000};
+
+/// A report this long after the connections broke is of an upstream that lives:
+/// the time of a report is known less exactly.
+constexpr std::chrono::milliseconds report_margin{100};
+
+void send_to_gateways(gateway_state& state, quarantine::notice const& evidence)
+{
+    status::crash_notice notice;
+    notice.evidence = evidence;
+    for (auto const& [fingerprint, until] : state.crashes.evidence.culprits)
+        notice.culprits.push_back(fingerprint);
+    auto const datagram = status::to_datagram(notice);
+    for (auto const& host : known_gateways(state, mono_now()))
+    {
+        if (host != state.settings.ip)
+            state.datagrams->send(address{host, state.settings.internal_port},
+                                  datagram);
+    }
+}
+
+void send_news(gateway_state& state, quarantine::notice const& news)
+{
+    if (news.empty())
+        return;
+    state.crashes.changed_at = mono_now();
+    send_to_gateways(state, news);
+}
+
+void announce(gateway_state& state, mono_time now)
+{
+    auto& crashes = state.crashes;
+    bool const is_news = now - crashes.changed_at < news_time;
+    auto const interval = is_news ? news_interval : culprits_interval;
+    bool const has_any = is_news || !crashes.evidence.culprits.empty();
+    if (!has_any || now - crashes.announced_at < interval)
+        return;
+    crashes.announced_at = now;
+    send_to_gateways(state, is_news ? quarantine::newest_notice(
+                                          crashes.evidence.strikes, wall_now())
+                                    : quarantine::notice{});
+}
+
+// An upstream without an agent shows that it crashed only when a connection to
+// it is refused or its record goes.
+quarantine::upstream_condition condition_of(gateway_state const& state,
+                                            dispatch::upstream_key key,
+                                            mono_time cut_at)
+{
+    using quarantine::upstream_condition;
+    auto const found = state.dispatch.upstreams.find(key);
+    if (found == state.dispatch.upstreams.end() || found->second.is_replaced)
+        return upstream_condition::lost;
+    auto const& load = found->second.load;
+    if (!load)
+        return upstream_condition::unknown;
+    if (load->is_down)
+        return upstream_condition::lost;
+    return load->reported_at > cut_at + report_margin
+               ? upstream_condition::alive
+               : upstream_condition::unknown;
+}
+
+void log_strikes(gateway_state& state, quarantine::notice const& news)
+{
+    if (news.strikes.empty())
+        return;
+    std::int64_t begun = 0;
+    for (auto const& strike : news.strikes)
+        begun += strike.has_begun ? 1 : 0;
+    state.log->write(
+        event_number::strike_recorded, {},
+        {{"upstream", news.strikes.front().upstream.text},
+         {"strikes", static_cast<std::int64_t>(news.strikes.size())},
+         {"begun", begun}});
+}
+
+void settle(gateway_state& state, dispatch::upstream_key key,
+            quarantine::upstream_condition condition)
+{
+    auto const news = quarantine::on_condition(state.crashes.evidence, key,
+                                               condition, wall_now());
+    log_strikes(state, news);
+    send_news(state, news);
+}
+
+void settle_suspected(gateway_state& state)
+{
+    auto const now = mono_now();
+    auto const wall = wall_now();
+    auto const suspected = state.crashes.evidence.suspected;
+    for (auto const& [key, crash] : suspected)
+        settle(state, key,
+               condition_of(state, key, now - (wall - crash.cut_at)));
+}
+
+// Ends calls with a new culprit that no upstream has given output for.
+void withdraw_quarantined(gateway_state& state)
+{
+    std::vector<dispatch::call_key> keys;
+    for (auto const& [key, call] : state.active_calls)
+    {
+        if (!call.is_response_started)
+            keys.push_back(key);
+    }
+    for (auto const key : keys)
+        refuse_quarantined(state, key);
+}
+
+void log_culprit(gateway_state& state, digest const& fingerprint,
+                 char const* source)
+{
+    state.log->write(event_number::request_quarantined, {},
+                     {{"key", to_text(fingerprint)}, {"source", source}});
+}
+
+void look_for_culprits(gateway_state& state, mono_time now)
+{
+    auto& crashes = state.crashes;
+    if (now - crashes.changed_at > news_time)
+        return;
+    auto const found = quarantine::judge(crashes.evidence, wall_now());
+    for (auto const& fingerprint : found)
+    {
+        log_culprit(state, fingerprint, "evidence");
+        std::uniform_int_distribution<std::int64_t> delay_ms(
+            0, write_delay_limit.count());
+        crashes.unwritten[fingerprint] =
+            now + std::chrono::milliseconds{delay_ms(state.random_engine)};
+    }
+    if (found.empty())
+        return;
+    withdraw_quarantined(state);
+    send_to_gateways(state, {});
+}
+
+// A write that fails is repeated until the topic shows the culprit.
+void write_culprits(gateway_state& state, mono_time now)
+{
+    auto& unwritten = state.crashes.unwritten;
+    auto const& written = state.quarantine_topic->known().newest;
+    std::erase_if(unwritten,
+                  [&](auto const& row)
+                  {
+                      return written.contains(to_text(row.first));
+                  });
+    for (auto& [fingerprint, due_at] : unwritten)
+    {
+        if (due_at > now)
+            continue;
+        due_at = now + write_retry_delay;
+        auto const& until = state.crashes.evidence.culprits[fingerprint];
+        state.store->put(platform::names::quarantine_topic,
+                         to_text(fingerprint),
+                         std::to_string(until.time_since_epoch().count()),
+                         [](platform::append_end const&) {});
+    }
+}
+
+void add_culprit(gateway_state& state, digest const& fingerprint,
+                 wall_time until, char const* source)
+{
+    if (until <= wall_now() ||
+        !quarantine::add_culprit(state.crashes.evidence, fingerprint, until))
+        return;
+    log_culprit(state, fingerprint, source);
+    withdraw_quarantined(state);
+}
+
+} // namespace
+
+std::vector<quarantine::suspect_key> suspect_keys_of(active_call const& call)
+{
+    std::vector<quarantine::suspect_key> keys;
+    std::string content;
+    append_part(content, call.caller_request.method);
+    append_part(content, call.caller_request.target);
+    append_part(content, call.caller_request.body);
+    if (auto const& prompt = call.caller_request.asked)
+    {
+        append_part(content, prompt->model);
+        std::uint8_t depth = 0;
+        for (std::size_t at = 0; at < prompt->parts.size(); ++at)
+        {
+            auto const id = prompt->parts[at].id;
+            append_part(content, std::to_string(id));
+            bool const is_own = at + 1 == prompt->parts.size();
+            if (!is_own && depth < quarantine::whole_request_depth)
+                keys.push_back({quarantine::fingerprint_of_part(id), depth++});
+        }
+    }
+    keys.push_back(
+        {quarantine::fingerprint_of(team_id{call.team.name},
+                                    route_id{call.route.name}, content),
+         quarantine::whole_request_depth});
+    return keys;
+}
+
+void record_answer(gateway_state& state, active_call const& call)
+{
+    send_news(state, quarantine::on_answered(state.crashes.evidence,
+                                             call.suspect_keys, wall_now()));
+}
+
+void record_attempt(gateway_state& state, active_call const& call,
+                    dispatch::send_outcome outcome, http1::call_end const& end)
+{
+    using dispatch::send_outcome;
+    if (outcome == send_outcome::unreachable)
+        settle(state, call.upstream_key, quarantine::upstream_condition::lost);
+    if (outcome == send_outcome::served || outcome == send_outcome::failed)
+        record_answer(state, call);
+    bool const has_output = call.events.response_events > 0;
+    auto const target = state.dispatch.upstreams.find(call.upstream_key);
+    if (outcome != send_outcome::cut || !end.is_cut || has_output ||
+        target == state.dispatch.upstreams.end())
+        return;
+    bool const has_begun = call.response_framing != http1::body_framing::none &&
+                           !call.is_response_discarded;
+    quarantine::on_cut(state.crashes.evidence, call.upstream_key,
+                       upstream_id{call.upstream},
+                       incarnation_id{target->second.record.born_ms},
+                       call.suspect_keys, has_begun, wall_now());
+}
+
+bool refuse_quarantined(gateway_state& state, dispatch::call_key key)
+{
+    active_call const* const call = find_call(state, key);
+    auto const now = wall_now();
+    auto const until = quarantine::refused_until(state.crashes.evidence,
+                                                 call->suspect_keys, now);
+    if (!until)
+        return false;
+    problem error;
+    error.why = reason{
+        reason_code::quarantined, "calls like this one crash upstreams", {}};
+    error.outcome = call->outcome;
+    if (call->upstream_call != http1::call_id{})
+        error.outcome = worst(error.outcome, verdict::may_have_run);
+    error.status = status_of(error.outcome, error.why.code);
+    if (error.outcome == verdict::not_run)
+        error.retry_after = *until - now;
+    state.upstream_client->cancel(call->upstream_call);
+    dispatch::on_send_end(state.dispatch, key,
+                          dispatch::send_outcome::cancelled, mono_now());
+    dispatch::remove_waiting(state.dispatch, key);
+    fail_call(state, key, error);
+    return true;
+}
+
+void review_crashes(gateway_state& state)
+{
+    auto const now = mono_now();
+    settle_suspected(state);
+    look_for_culprits(state, now);
+    write_culprits(state, now);
+    announce(state, now);
+}
+
+void on_crash_datagram(gateway_state& state, std::string_view bytes)
+{
+    auto const notice = status::from_datagram<status::crash_notice>(bytes);
+    if (!notice)
+        return;
+    auto const wall = wall_now();
+    auto& evidence = state.crashes.evidence;
+    auto const result = quarantine::on_notice(evidence, notice->evidence, wall);
+    if (result.is_news)
+        state.crashes.changed_at = mono_now();
+    send_news(state, result.reply);
+    for (auto const& fingerprint : notice->culprits)
+        add_culprit(state, fingerprint,
+                    wall + evidence.strikes.options.lifetime, "gateway");
+}
+
+void apply_quarantine_records(gateway_state& state,
+                              std::vector<follow::record> const& changes)
+{
+    for (auto const& row : changes)
+    {
+        auto const fingerprint = digest_from_text(row.key);
+        std::int64_t until_ms = 0;
+        auto const* const last = row.value.data() + row.value.size();
+        auto const read = std::from_chars(row.value.data(), last, until_ms);
+        if (!fingerprint || read.ec != std::errc{} || read.ptr != last)
+        {
+            state.log->write(event_number::record_rejected, {},
+                             {{"key", row.key}, {"why", "not a culprit"}});
+            continue;
+        }
+        add_culprit(state, *fingerprint,
+                    wall_time{std::chrono::milliseconds{until_ms}}, "store");
+    }
+}
+
+} // namespace jujubestand::gateway
--- /dev/null
+++ b/jujubestand/gateway/crashes.hpp
@@ -0,0 +1,45 @@
+#ifndef JUJUBESTAND_GATEWAY_CRASHES_HPP
+#define JUJUBESTAND_GATEWAY_CRASHES_HPP
+
+#include <chrono>
+#include <jujubestand/gateway/state.hpp>
+#include <string_view>
+#include <vector>
+
+/// \brief Calls that crash upstreams: evidence of this gateway, the exchange of
+/// evidence with others, and the refusal of culprits.
+namespace jujubestand::gateway
+{
+
+/// Long-poll time of the topic of culprits; each gateway reads it by itself.
+inline constexpr std::chrono::milliseconds quarantine_poll_timeout{15'000};
+
+/// \brief Fingerprints of a call and of the shared parts of its prompt.
+[[nodiscard]] std::vector<quarantine::suspect_key>
+suspect_keys_of(active_call const& call);
+
+/// \brief Records that an upstream has given output for a call.
+void record_answer(gateway_state& state, active_call const& call);
+
+/// \brief Records the end of an attempt, as far as it tells of a crash.
+void record_attempt(gateway_state& state, active_call const& call,
+                    dispatch::send_outcome outcome, http1::call_end const& end);
+
+/// \brief Refuses a call that is known to crash upstreams.
+/// \returns whether the call was refused, and has ended
+bool refuse_quarantined(gateway_state& state, dispatch::call_key key);
+
+/// \brief Settles suspected crashes, looks for culprits and tells the other
+/// gateways and the store.
+void review_crashes(gateway_state& state);
+
+/// \brief Handles a crash notice of another gateway.
+void on_crash_datagram(gateway_state& state, std::string_view bytes);
+
+/// \brief Applies culprits that the store holds.
+void apply_quarantine_records(gateway_state& state,
+                              std::vector<follow::record> const& changes);
+
+} // namespace jujubestand::gateway
+
+#endif
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
@@ -90,6 +91,19 @@
                            {
                                apply_upstream_records(shared, changes);
                            }));
+    state.quarantine_topic = std::make_unique<follow::follower>(
+        state.base, *state.store,
+        follow::read_options{std::string(platform::names::quarantine_topic),
+                             quarantine_poll_timeout,
+                             std::chrono::milliseconds{0}},
+        follower_events_of(state, "quarantine",
+                           [](gateway_state& shared,
+                              std::vector<follow::record> const& changes,
+                              std::optional<mono_time>)
+                           {
+                               apply_quarantine_records(shared, changes);
+                           }));
+    state.quarantine_topic->set_active(true);
     state.datagrams = std::make_unique<loop::datagrams>(
         state.base,
         [&state](address const& sender, std::string_view bytes)
@@ -97,6 +111,7 @@
             on_agent_datagram(state, sender, bytes);
             on_peer_datagram(state, sender, bytes);
             on_origin_datagram(state, sender, bytes);
+            on_crash_datagram(state, bytes);
         });
 }
 
@@ -161,6 +176,7 @@
     withdraw_overdue_calls(state);
     review_suspended_calls(state);
     expire_origin_queries(state);
+    review_crashes(state);
     query_agents(state);
     query_peers(state);
 }
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -4,6 +4,7 @@
 #include <jujubestand/dispatch/parts.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/upstream_responses.hpp>
 #include <platform/calls.hpp>
@@ -121,7 +122,7 @@
                     dispatch::decision const& dispatch_decision)
 {
     active_call* const call = find_call(state, dispatch_decision.call);
-    if (call == nullptr)
+    if (call == nullptr || refuse_quarantined(state, dispatch_decision.call))
         return;
     if (dispatch_decision.next_action == dispatch::action::send)
     {
@@ -164,7 +165,6 @@
     call->response_body.clear();
     call->response_framing = http1::body_framing::none;
     call->is_response_discarded = false;
-    call->is_repeatable_failure = false;
     auto const dispatch_decision =
         dispatch::submit(state.dispatch, call->dispatch_call, mono_now());
     state.log->write(
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -15,6 +15,7 @@
 #include <jujubestand/loop/datagrams.hpp>
 #include <jujubestand/loop/timer.hpp>
 #include <jujubestand/node/settings.hpp>
+#include <jujubestand/quarantine/evidence.hpp>
 #include <jujubestand/retries/retry.hpp>
 #include <jujubestand/traffic/call.hpp>
 #include <jujubestand/traffic/tables.hpp>
@@ -26,6 +27,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 struct event_base;
 
@@ -64,9 +66,8 @@
     bool is_response_started = false;
     /// The current upstream response is read but not forwarded.
     bool is_response_discarded = false;
-    /// The upstream answered with a server error and the call may be
-    /// retried on another upstream.
-    bool is_repeatable_failure = false;
+    /// Fingerprints of the call and of the shared parts of its prompt.
+    std::vector<quarantine::suspect_key> suspect_keys;
 };
 
 /// \brief A store of cached prompt parts whose events this gateway reads.
@@ -90,6 +91,17 @@
     bool is_sent = true;
 };
 
+/// \brief What this gateway knows of calls that crash upstreams, and what it
+/// has yet to tell.
+struct crash_watch
+{
+    quarantine::evidence evidence;
+    mono_time changed_at{};
+    mono_time announced_at{};
+    /// When each culprit that this gateway found is to be written to the store.
+    std::map<digest, mono_time> unwritten;
+};
+
 /// \brief State of a gateway process.
 struct gateway_state
 {
@@ -103,6 +115,9 @@
     std::unique_ptr<platform::store> store;
     std::unique_ptr<follow::follower> operator_topic;
     std::unique_ptr<follow::follower> upstream_topic;
+    /// Culprits that gateways found, so that a restart forgets none.
+    std::unique_ptr<follow::follower> quarantine_topic;
+    crash_watch crashes;
     /// Status datagrams to and from agents and other gateways.
     std::unique_ptr<loop::datagrams> datagrams;
     /// Serves store records to other gateways.
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/gateway/upstream_responses.hpp>
 
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
@@ -79,8 +80,6 @@
         answer.is_signed && !answer.is_encoded && !answer.is_not_run;
     call->is_response_discarded =
         !is_usable || (call->is_response_started && !is_success(answer.status));
-    call->is_repeatable_failure =
-        answer.status >= first_server_error && is_retryable(*call);
     if (!call->is_response_started)
         call->response_head = std::move(answer);
     else
@@ -107,6 +106,7 @@
         call->response_body += bytes;
         return;
     }
+    bool const had_output = call->events.response_events > 0;
     std::string const events = on_bytes(call->events, bytes);
     if (call->events.is_broken)
     {
@@ -121,6 +121,8 @@
     if (events.empty())
         return;
     dispatch::on_first_output(state.dispatch, key);
+    if (!had_output)
+        record_answer(state, *call);
     if (!call->is_response_started)
     {
         call->is_response_started = true;
@@ -176,6 +178,7 @@
     auto const outcome = outcome_of(*call, end);
     call->upstream_call = http1::call_id{};
     call->outcome = worst(call->outcome, verdict_of(outcome));
+    record_attempt(state, *call, outcome, end);
     dispatch::on_send_end(state.dispatch, key, outcome, now);
     if (verdict_of(outcome) != verdict::not_run)
         count_possible_run(*call);
--- a/jujubestand/jujubestand.hpp
+++ b/jujubestand/jujubestand.hpp
@@ -20,6 +20,8 @@
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/prefix/belief.hpp>
 #include <jujubestand/prefix/chain.hpp>
+#include <jujubestand/quarantine/culprits.hpp>
+#include <jujubestand/quarantine/evidence.hpp>
 #include <jujubestand/quarantine/strike.hpp>
 #include <jujubestand/retries/circuit.hpp>
 #include <jujubestand/retries/retry.hpp>
--- a/jujubestand/quarantine/strike.cpp
+++ b/jujubestand/quarantine/strike.cpp
@@ -27,20 +27,33 @@
            left.incarnation == right.incarnation;
 }
 
+// Processes notice one crash with different requests in flight: the strongest
+// evidence holds, in whatever order it arrives.
+bool update_strike(strike& known, strike const& added)
+{
+    bool const is_news =
+        (added.has_begun && !known.has_begun) || added.depth > known.depth;
+    known.depth = std::max(known.depth, added.depth);
+    known.has_begun = known.has_begun || added.has_begun;
+    return is_news;
+}
+
 bool add_strike(strike_table& table, strike const& added, wall_time now)
 {
     if (is_expired(table.options, added.at_ms, now))
         return false;
     strike_entry& entry = table.entries[added.fingerprint];
-    bool const is_known =
-        std::any_of(entry.strikes.begin(), entry.strikes.end(),
-                    [&](auto const& recorded)
-                    {
-                        return is_same_crash(recorded, added);
-                    });
-    if (is_known || added.at_ms <= entry.cleared_until_ms)
+    if (added.at_ms <= entry.cleared_until_ms)
         return false;
-    entry.strikes.push_back(added);
+    auto const known = std::find_if(entry.strikes.begin(), entry.strikes.end(),
+                                    [&](auto const& recorded)
+                                    {
+                                        return is_same_crash(recorded, added);
+                                    });
+    if (known != entry.strikes.end() && !update_strike(*known, added))
+        return false;
+    if (known == entry.strikes.end())
+        entry.strikes.push_back(added);
     entry.last_change_ms = std::max(entry.last_change_ms, added.at_ms);
     return true;
 }
@@ -90,6 +103,13 @@
     return digest_of(bytes);
 }
 
+digest fingerprint_of_part(std::uint64_t part) noexcept
+{
+    // No digest of a request's bytes is likely to have this half.
+    constexpr std::uint64_t part_mark = 0x7061727400000000U;
+    return {part_mark, part};
+}
+
 std::string pack(notice const& message)
 {
     if (message.empty())
@@ -209,6 +229,12 @@
     return result;
 }
 
+bool is_active(strike_table const& table, strike const& recorded,
+               wall_time now) noexcept
+{
+    return !is_expired(table.options, recorded.at_ms, now);
+}
+
 std::vector<strike> active_strikes(strike_table const& table, wall_time now)
 {
     std::vector<strike> active;
--- a/jujubestand/quarantine/strike.hpp
+++ b/jujubestand/quarantine/strike.hpp
@@ -24,7 +24,11 @@
 [[nodiscard]] digest fingerprint_of(team_id const& team, route_id const& route,
                                     std::string_view body_digest);
 
-/// \brief Records that a request was in flight when an engine crashed.
+/// \brief Depth of the fingerprint of a whole request.
+inline constexpr std::uint8_t whole_request_depth = 255;
+
+/// \brief Records that a request, or a part of its prompt, was in flight
+/// without output when an engine crashed.
 struct strike
 {
     digest fingerprint;
@@ -33,10 +37,19 @@
     upstream_id upstream;
     incarnation_id incarnation;
     std::int64_t at_ms = 0;
-
-    MSGPACK_DEFINE_ARRAY(fingerprint, upstream, incarnation, at_ms)
+    /// Index of the part in its prompt, or `whole_request_depth`; the deeper,
+    /// the fewer requests have the fingerprint.
+    std::uint8_t depth = whole_request_depth;
+    /// The engine had begun to answer the request.
+    bool has_begun = false;
+
+    MSGPACK_DEFINE_ARRAY(fingerprint, upstream, incarnation, at_ms, depth,
+                         has_begun)
 };
 
+/// \brief Identifies a part of a prompt, in whatever request.
+[[nodiscard]] digest fingerprint_of_part(std::uint64_t part) noexcept;
+
 /// \brief Records that strikes of a request up to a time do not count.
 struct clearance
 {
@@ -49,7 +62,7 @@
 /// \brief Strikes and clearances, in log records and attached to answers.
 struct notice
 {
-    static constexpr std::uint8_t current_version = 1;
+    static constexpr std::uint8_t current_version = 2;
 
     std::uint8_t version = current_version;
     std::vector<strike> strikes;
@@ -134,6 +147,10 @@
 /// \brief The newest strikes and clearances, to be attached to an answer.
 [[nodiscard]] notice newest_notice(strike_table const& table, wall_time now);
 
+/// \brief Whether a strike still counts.
+[[nodiscard]] bool is_active(strike_table const& table, strike const& recorded,
+                             wall_time now) noexcept;
+
 /// \brief The strikes that have not expired, oldest first, for operators.
 [[nodiscard]] std::vector<strike> active_strikes(strike_table const& table,
                                                  wall_time now);
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -40,5 +40,6 @@
 template std::optional<origin_notice> from_datagram(std::string_view);
 template std::optional<origin_query> from_datagram(std::string_view);
 template std::optional<origin_response> from_datagram(std::string_view);
+template std::optional<crash_notice> from_datagram(std::string_view);
 
 } // namespace jujubestand::status
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_STATUS_MESSAGES_HPP
 
 #include <cstdint>
+#include <jujubestand/quarantine/strike.hpp>
 #include <jujubestand/status/cache_view.hpp>
 #include <map>
 #include <msgpack.hpp>
@@ -168,6 +169,17 @@
     MSGPACK_DEFINE_ARRAY(format, stream, is_known, software_version)
 };
 
+/// \brief Evidence of a gateway on what crashes engines, and the culprits that
+/// it knows.
+struct crash_notice
+{
+    std::uint32_t format = format_version;
+    quarantine::notice evidence;
+    std::vector<digest> culprits;
+
+    MSGPACK_DEFINE_ARRAY(format, evidence, culprits)
+};
+
 /// \brief Hash of a list of gateways; depends on the order.
 [[nodiscard]] std::uint64_t
 hash_of(std::vector<std::string> const& gateways) noexcept;
@@ -182,6 +194,7 @@
     origin_notice = 'n',
     origin_query = 'o',
     origin_response = 's',
+    crash_notice = 'c',
 };
 
 /// \brief Kind of a message type.
@@ -207,6 +220,10 @@
 inline constexpr message_kind kind_of<origin_response> =
     message_kind::origin_response;
 
+template <>
+inline constexpr message_kind kind_of<crash_notice> =
+    message_kind::crash_notice;
+
 /// \brief Serializes a message as one datagram, with its kind.
 template <class Message>
 [[nodiscard]] std::string to_datagram(Message const& message);
