Give a restarted gateway no second retry reserve (BUDGET)

Cause: each start fills the gateway's share of the reserve at once, and before the first list of gateways arrives that share is the whole of it. Class: a limit of the fleet kept in the memory of a process that restarts.

A gateway now gets its share of the reserve one budget window after its start; until then it has what its own calls earn. Weighed: the reserve in the store (priced writes on the path of failures) and a share that grows with the age (life after life can still exceed it).

--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -236,6 +236,7 @@
     logs::log log(STDOUT_FILENO);
     gateway_state state;
     state.base = base;
+    state.started_at = mono_now();
     state.log = &log;
     state.settings = std::move(settings);
     state.dispatch.data_center = state.settings.data_center;
--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -30,6 +30,7 @@
         std::max(2.0, limits.retry_reserve * reserve_share /
                           static_cast<double>(state.dispatch.gateways));
     options.budget_per_second = 0;
+    options.filled_from = state.started_at + limits.retry_window;
     options.backoff_base = std::chrono::milliseconds{0};
     return options;
 }
--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -3,6 +3,7 @@
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/http1/test/sockets.hpp>
 #include <jujubestand/logs/log.hpp>
+#include <optional>
 
 namespace jujubestand::gateway
 {
@@ -185,4 +186,43 @@
               reason_code::attempts_spent);
 }
 
+// Each restart of a gateway brought it a whole reserve again, so that restarts
+// in series piled up repeats beyond the limit of all gateways (BUDGET).
+TEST(retry_budget, restarts_in_one_window_do_not_multiply_the_reserve)
+{
+    constexpr std::uint32_t gateways = 4;
+    constexpr double reserve = 54;
+    constexpr int window_ms = 10'000;
+    constexpr int step_ms = 50;
+    for (int const life_ms : {500, 1'500, 4'000, 9'000})
+    {
+        int retried = 0;
+        for (std::uint32_t gateway = 0; gateway < gateways; ++gateway)
+        {
+            std::optional<gateway_state> state;
+            int started_ms = 0;
+            // The first life began long before the window.
+            for (int now_ms = 0; now_ms < window_ms; now_ms += step_ms)
+            {
+                if (!state || now_ms - started_ms >= life_ms)
+                {
+                    bool const is_first = !state;
+                    state.emplace();
+                    state->settings.limits.retry_ratio = 0;
+                    state->settings.limits.retry_reserve = reserve;
+                    state->dispatch.gateways = gateways;
+                    state->started_at = at(is_first ? -window_ms : now_ms);
+                    started_ms = now_ms;
+                }
+                auto call = stream_call();
+                call.deadline = at(2 * window_ms);
+                while (acquire_retry(*state, call, dispatch::send_outcome::cut,
+                                     at(now_ms)) == reason_code::none)
+                    ++retried;
+            }
+        }
+        EXPECT_LE(retried, reserve) << life_ms;
+    }
+}
+
 } // namespace jujubestand::gateway
--- a/jujubestand/retries/retry.cpp
+++ b/jujubestand/retries/retry.cpp
@@ -10,8 +10,24 @@
 
 constexpr std::uint32_t doublings_limit = 16;
 
+void fill_late(retry_budget& budget, retry_options const& options,
+               mono_time now)
+{
+    bool const is_new = budget.refilled_at == mono_time{};
+    if (is_new && now < options.filled_from)
+    {
+        budget.tokens = 0;
+        budget.awaits_filling = true;
+    }
+    if (!budget.awaits_filling || now < options.filled_from)
+        return;
+    budget.tokens = options.budget_limit;
+    budget.awaits_filling = false;
+}
+
 void refill(retry_budget& budget, retry_options const& options, mono_time now)
 {
+    fill_late(budget, options, now);
     if (budget.refilled_at != mono_time{} && now > budget.refilled_at)
     {
         std::chrono::duration<double> const since = now - budget.refilled_at;
--- a/jujubestand/retries/retry.hpp
+++ b/jujubestand/retries/retry.hpp
@@ -20,6 +20,10 @@
     double budget_limit = 20.0;
     /// Retries allowed per second, however little traffic there is.
     double budget_per_second = 0.5;
+    /// Before this time a new budget holds no more than its share of the
+    /// requests since; at this time it is filled. For processes that share one
+    /// limit: a restarted one must not spend again what it spent before.
+    mono_time filled_from{};
     std::chrono::milliseconds backoff_base{10};
     std::chrono::milliseconds backoff_limit{1'000};
     /// Retries with less time than this before the deadline are not made.
@@ -31,11 +35,14 @@
 };
 
 /// \brief Token bucket of retries, bounded by `budget_limit`. Starts full, so
-/// that a restarted entry can retry during a failure.
+/// that a restarted entry can retry during a failure, unless
+/// `retry_options::filled_from` is later.
 struct retry_budget
 {
     double tokens = 20.0;
     mono_time refilled_at;
+    /// It is yet to be filled.
+    bool awaits_filling = false;
 };
 
 /// \brief State of a request after a failed attempt.
--- /dev/null
+++ b/programs/test/faults_test.cpp
@@ -0,0 +1,208 @@
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <map>
+#include <programs/test/gateways_fixture.hpp>
+#include <random>
+#include <standins/service/recording_service.hpp>
+
+// Gateway processes that are killed, stopped, paused and started again in
+// series, before plain services that refuse, fail and break off. Checks what
+// callers and services see. JUJUBESTAND_FAULT_SEED plays another seed,
+// JUJUBESTAND_FAULT_SECONDS another time.
+namespace jujubestand::programs::test
+{
+
+namespace
+{
+
+unsigned number_from(char const* variable, unsigned otherwise)
+{
+    char const* const text = std::getenv(variable);
+    return text == nullptr
+               ? otherwise
+               : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
+
+class faults : public gateways_test
+{
+protected:
+    struct sent_call
+    {
+        mono_time sent_at{};
+        answer_ptr answer;
+        bool is_repeatable = false;
+        std::vector<mono_time> arrivals;
+        std::size_t runs = 0;
+    };
+
+    void start()
+    {
+        this->retry_reserve = reserve;
+        this->retry_ratio = ratio;
+        this->start_gateways(gateway_count);
+        this->add_engine("v1", near);
+        for (std::size_t number = 0; number < service_count; ++number)
+        {
+            standins::service_events events;
+            events.arrived = [this](std::string const& id)
+            {
+                this->calls[id].arrivals.push_back(mono_now());
+            };
+            events.run = [this](std::string const& id)
+            {
+                ++this->calls[id].runs;
+            };
+            this->services.push_back(
+                std::make_unique<standins::recording_service>(
+                    this->base.get(), address{host(first_service + number), 0},
+                    this->seed + number, service_faults, events));
+            this->add_service("book-" + std::to_string(number),
+                              this->services.back()->bound());
+        }
+        this->wait_ready();
+    }
+
+    void send()
+    {
+        auto const id = "call-" + std::to_string(this->calls.size());
+        auto& call = this->calls[id];
+        call.sent_at = mono_now();
+        call.is_repeatable = this->random() % 2 == 0;
+        stream_call asked{id, "", ""};
+        asked.target = call.is_repeatable ? "/status/new" : "/book/new";
+        call.answer = this->ask(this->random() % gateway_count, asked);
+    }
+
+    /// \brief Does one thing to one gateway.
+    void disturb()
+    {
+        auto const number = this->random() % gateway_count;
+        auto& process = *this->gateways[number].process;
+        switch (this->random() % 3)
+        {
+        case 0:
+            this->restart_gateway(number);
+            break;
+        case 1:
+            process.begin_stop();
+            this->later.run(std::chrono::milliseconds{this->random() % 1'500},
+                            [this, number]
+                            {
+                                this->restart_gateway(number);
+                            });
+            break;
+        default:
+            process.signal(SIGSTOP);
+            this->later.run(std::chrono::milliseconds{this->random() % 1'500},
+                            [this, number]
+                            {
+                                this->gateways[number].process->signal(SIGCONT);
+                            });
+            break;
+        }
+    }
+
+    void play(milliseconds duration)
+    {
+        auto const end = mono_now() + duration;
+        auto next_fault = mono_now();
+        while (mono_now() < end)
+        {
+            this->send();
+            if (mono_now() >= next_fault)
+            {
+                this->disturb();
+                next_fault +=
+                    std::chrono::milliseconds{100 + this->random() % 700};
+            }
+            this->run_until(
+                []
+                {
+                    return false;
+                },
+                call_interval);
+        }
+        for (auto const& gateway : this->gateways)
+            gateway.process->signal(SIGCONT);
+        // What a refused call promised must hold afterwards as well.
+        this->run_until(
+            []
+            {
+                return false;
+            },
+            settle_time);
+    }
+
+    /// \brief Most repeats that arrived within one window.
+    [[nodiscard]] std::size_t most_repeats() const
+    {
+        std::vector<mono_time> repeats;
+        for (auto const& [id, call] : this->calls)
+        {
+            if (call.arrivals.size() > 1)
+                repeats.insert(repeats.end(), call.arrivals.begin() + 1,
+                               call.arrivals.end());
+        }
+        std::sort(repeats.begin(), repeats.end());
+        std::size_t most = 0;
+        for (std::size_t first = 0; first < repeats.size(); ++first)
+        {
+            auto const last = std::upper_bound(repeats.begin(), repeats.end(),
+                                               repeats[first] + window);
+            most = std::max(
+                most, static_cast<std::size_t>(last - repeats.begin()) - first);
+        }
+        return most;
+    }
+
+    static constexpr std::size_t gateway_count = 3;
+    static constexpr std::size_t service_count = 3;
+    static constexpr std::size_t first_service = 200;
+    static constexpr unsigned reserve = 30;
+    static constexpr double ratio = 0.05;
+    static constexpr milliseconds window{10'000};
+    static constexpr milliseconds call_interval{10};
+    static constexpr milliseconds settle_time{1'500};
+    static constexpr standins::service_faults service_faults{0.1, 0.1, 0.1,
+                                                             0.05};
+
+    unsigned seed = number_from("JUJUBESTAND_FAULT_SEED", 20261204);
+    std::mt19937 random{seed};
+    std::map<std::string, sent_call> calls;
+    std::vector<std::unique_ptr<standins::recording_service>> services;
+    standins::delays later{this->base.get()};
+};
+
+} // namespace
+
+// On machines of the users' own, calls ran twice, ran though refused as not
+// run, or were repeated beyond the limit (TWICE, REFUSED, BUDGET).
+TEST_F(faults, calls_keep_their_promises_under_process_faults)
+{
+    constexpr unsigned usual_seconds = 10;
+    this->start();
+    this->play(std::chrono::seconds{
+        number_from("JUJUBESTAND_FAULT_SECONDS", usual_seconds)});
+    std::size_t served = 0;
+    for (auto const& [id, call] : this->calls)
+    {
+        int const status = call.answer->status;
+        served += status == HTTP_OK ? 1 : 0;
+        if (call.is_repeatable)
+            continue;
+        EXPECT_LE(call.runs, 1U) << id << " status " << status;
+        bool const is_promise = status == HTTP_SERVUNAVAIL || status == 429 ||
+                                status == 408 || status == 421;
+        EXPECT_FALSE(is_promise && call.runs > 0) << id << " status " << status;
+    }
+    EXPECT_GT(served, this->calls.size() / 4);
+    auto const in_window = std::min(
+        this->calls.size(), static_cast<std::size_t>(window / call_interval));
+    EXPECT_LE(static_cast<double>(this->most_repeats()),
+              reserve + ratio * static_cast<double>(in_window));
+    RecordProperty("calls", static_cast<int>(this->calls.size()));
+    RecordProperty("repeats", static_cast<int>(this->most_repeats()));
+}
+
+} // namespace jujubestand::programs::test
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -142,6 +142,25 @@
         this->remove_engine(number);
     }
 
+    /// \brief Ends a gateway, if it still runs, and starts it again.
+    void restart_gateway(std::size_t number)
+    {
+        auto& gateway = this->gateways[number];
+        gateway.process->kill();
+        gateway.process = this->process_of(gateway);
+    }
+
+    /// \brief Registers a plain service.
+    void add_service(std::string const& id, address const& where)
+    {
+        nlohmann::json const record{
+            {"service", "books"}, {"address", to_text(where)},
+            {"zone", near},       {"version", "v1"},
+            {"slots", 6},         {"state", "ready"},
+            {"born", 1'000},      {"sequence", ++this->sequence}};
+        this->store.put("keyed.servers", id, record.dump());
+    }
+
     /// \brief Kills all gateways and starts them again with nothing.
     void restart_gateways()
     {
@@ -290,6 +309,10 @@
         return result;
     }
 
+    /// Repeated sends that all gateways may make beside a share of the calls;
+    /// set before the first gateway starts.
+    unsigned retry_reserve = 1'000;
+    double retry_ratio = 0.2;
     standins::base_ptr base;
     loop::timer wake;
     standins::keyed_store store;
@@ -311,7 +334,10 @@
                "\"\ninternal-port-range = [" + port + ", " + port +
                "]\n[listen-addrs]\nfront = \"" + to_text(gateway.callers) +
                "\"\n[platform]\naddress = \"" + to_text(this->store.bound()) +
-               "\"\n[bounds]\nrevoke-ms = 60000\nbudget-slack = 1000\n";
+               "\"\n[bounds]\nrevoke-ms = 60000\nbudget-slack = " +
+               std::to_string(this->retry_reserve) +
+               "\nretry-budget-ratio = " + std::to_string(this->retry_ratio) +
+               "\n";
     }
 
     void start_gateway(std::size_t number)
@@ -322,9 +348,15 @@
         do
             gateway.callers = {where, free_port(where)};
         while (gateway.callers.port == this->internal_port);
+        gateway.process = this->process_of(gateway);
+    }
+
+    std::unique_ptr<bench::child_process>
+    process_of(running_gateway const& gateway) const
+    {
         auto const path = (this->folder / gateway.name).string();
         std::ofstream(path + ".toml") << this->settings_of(gateway);
-        gateway.process = std::make_unique<bench::child_process>(
+        return std::make_unique<bench::child_process>(
             std::vector<std::string>{JUJUBESTAND_BINARY_DIR "/jujubestand_node",
                                      "gateway", "--settings", path + ".toml"},
             path);
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -36,8 +36,10 @@
     return ntohs(local.sin_port);
 }
 
-/// \brief A configuration of two routes to one pool: streams that may be
-/// resumed, and streams that may run once only.
+/// \brief A configuration of two routes to a pool of engines, with streams that
+/// may be resumed and streams that may run once only, and of two to a pool of
+/// plain services, with calls that may run once only and calls that may be
+/// repeated.
 inline std::string configuration()
 {
     nlohmann::json const resumable{
@@ -50,10 +52,20 @@
     once["name"] = "once";
     once["path-prefix"] = "/once/";
     once["resumable"] = false;
-    nlohmann::json const pool{{"name", "engines"}};
-    return nlohmann::json{{"version", 1},
-                          {"routes", nlohmann::json::array({resumable, once})},
-                          {"services", nlohmann::json::array({pool})}}
+    nlohmann::json const plain{
+        {"name", "book"},          {"host", "engines.example"},
+        {"path-prefix", "/book/"}, {"service", "books"},
+        {"kind", "unsafe"},        {"public", true},
+        {"max-attempts", 3},       {"timeout-ms", 4'000}};
+    nlohmann::json status = plain;
+    status["name"] = "status";
+    status["path-prefix"] = "/status/";
+    status["kind"] = "safe";
+    auto const routes = nlohmann::json::array({resumable, once, plain, status});
+    auto const pools =
+        nlohmann::json::array({{{"name", "engines"}}, {{"name", "books"}}});
+    return nlohmann::json{
+        {"version", 1}, {"routes", routes}, {"services", pools}}
         .dump();
 }
 
--- /dev/null
+++ b/standins/service/recording_service.cpp
@@ -0,0 +1,93 @@
+#include <standins/service/recording_service.hpp>
+
+#include <utility>
+
+namespace jujubestand::standins
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds longest_work{40};
+
+void sign(evhttp_request* request, std::string const& id)
+{
+    auto* const headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "X-Request-Id", id.c_str());
+    evhttp_add_header(headers, "X-Response-Stamp", "books");
+}
+
+} // namespace
+
+recording_service::recording_service(event_base* loop, address const& where,
+                                     std::uint64_t seed, service_faults chosen,
+                                     service_events told)
+    : faults(chosen)
+    , events(std::move(told))
+    , random(seed)
+    , server(loop, where)
+    , held(loop)
+    , later(loop)
+{
+    this->server.on(EVHTTP_REQ_POST, "/",
+                    [this](http_call const& call)
+                    {
+                        this->answer(call);
+                    });
+}
+
+address recording_service::bound() const
+{
+    return this->server.bound();
+}
+
+void recording_service::answer(http_call const& call)
+{
+    auto const id = call.header("X-Request-Id");
+    this->events.arrived(id);
+    double luck = std::uniform_real_distribution<double>()(this->random);
+    luck -= this->faults.refused;
+    if (luck < 0)
+    {
+        sign(call.request, id);
+        evhttp_add_header(evhttp_request_get_output_headers(call.request),
+                          "X-Not-Executed", "1");
+        reply(call.request, HTTP_SERVUNAVAIL, "");
+        return;
+    }
+    luck -= this->faults.cut_unrun;
+    if (luck < 0)
+    {
+        this->held.cut_off(call.request);
+        return;
+    }
+    std::uniform_int_distribution<std::int64_t> work_ms(0,
+                                                        longest_work.count());
+    auto const held_call = this->held.hold(call.request, longest_hold, cut);
+    this->later.run(std::chrono::milliseconds{work_ms(this->random)},
+                    [this, held_call, id, luck]
+                    {
+                        this->run(held_call, id, luck);
+                    });
+}
+
+// A call runs even if its caller has left, as a booking does.
+void recording_service::run(std::uint64_t held_call, std::string const& id,
+                            double luck)
+{
+    this->events.run(id);
+    auto* const request = this->held.take(held_call);
+    if (request == nullptr)
+        return;
+    luck -= this->faults.cut_run;
+    if (luck < 0)
+    {
+        this->held.cut_off(request);
+        return;
+    }
+    sign(request, id);
+    bool const is_failed = luck < this->faults.failed;
+    reply(request, is_failed ? HTTP_INTERNAL : HTTP_OK, "done");
+}
+
+} // namespace jujubestand::standins
--- /dev/null
+++ b/standins/service/recording_service.hpp
@@ -0,0 +1,61 @@
+#ifndef JUJUBESTAND_STANDINS_SERVICE_RECORDING_SERVICE_HPP
+#define JUJUBESTAND_STANDINS_SERVICE_RECORDING_SERVICE_HPP
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <standins/support/delays.hpp>
+#include <standins/support/http_server.hpp>
+#include <string>
+
+namespace jujubestand::standins
+{
+
+/// \brief Shares of the calls that go wrong, of 1.
+struct service_faults
+{
+    /// Refused as not run.
+    double refused = 0;
+    /// Cut off before they run.
+    double cut_unrun = 0;
+    /// Cut off after they ran.
+    double cut_run = 0;
+    /// Answered with an error after they ran.
+    double failed = 0;
+};
+
+/// \brief What a recording service tells of its calls.
+struct service_events
+{
+    std::function<void(std::string const& request_id)> arrived;
+    std::function<void(std::string const& request_id)> run;
+};
+
+/// \brief A plain service on the users' platform: runs calls after a short
+/// time, with faults that a seed chooses, and tells of each run.
+class recording_service
+{
+public:
+    recording_service(event_base* loop, address const& where,
+                      std::uint64_t seed, service_faults faults,
+                      service_events events);
+    recording_service(recording_service const&) = delete;
+    recording_service& operator=(recording_service const&) = delete;
+
+    [[nodiscard]] address bound() const;
+
+private:
+    void answer(http_call const& call);
+    void run(std::uint64_t held_call, std::string const& id, double luck);
+
+    service_faults faults;
+    service_events events;
+    std::mt19937_64 random;
+    http_server server;
+    held_requests held;
+    delays later;
+};
+
+} // namespace jujubestand::standins
+
+#endif
