Bound what gateways read of answers without end

Users: bytes that are no answer may come without end, in a head or a body, until the caller closes. Thirty such bodies took a gateway to 217 MB (118 MB in chunks), where its machine has 88, and bytes that begin no response were awaited until the call's time was over. Class: a limit for each answer where only a limit for all bounds memory.

Bodies that are buffered now share 8 MB; past it the largest ones are given up and their connections closed. Discarded bodies end after 64 KB, an incomplete event after 64 KB (1 MB before), the framing of chunks counts, and a response has to begin as one. A given-up attempt may have run.

The fixture's gateways have their retry reserve at once, as they had before the reserve waited for a window: its tests are of one call on a fresh gateway; the faults test sets the window.

--- a/jujubestand/gateway/event_stream.cpp
+++ b/jujubestand/gateway/event_stream.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Limit on the buffered bytes of an incomplete event.
-constexpr std::size_t event_limit_bytes = 1U << 20U;
+constexpr std::size_t event_limit_bytes = 64U << 10U;
 
 // Size of the first event including the blank line that ends it; 0 if the text
 // holds no complete event.
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -165,6 +165,7 @@
     call->response_body.clear();
     call->response_framing = http1::body_framing::none;
     call->is_response_discarded = false;
+    call->discarded_bytes = 0;
     auto const dispatch_decision =
         dispatch::submit(state.dispatch, call->dispatch_call, mono_now());
     state.log->write(
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -66,6 +66,7 @@
     bool is_response_started = false;
     /// The current upstream response is read but not forwarded.
     bool is_response_discarded = false;
+    std::size_t discarded_bytes = 0;
     /// Fingerprints of the call and of the shared parts of its prompt.
     std::vector<quarantine::suspect_key> suspect_keys;
 };
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/gateway/upstream_responses.hpp>
 
+#include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
@@ -95,27 +96,85 @@
 void on_send_end(gateway_state& state, dispatch::call_key key,
                  http1::call_end const& end);
 
+// Ends an attempt whose response is no use or too large; its connection is
+// closed, since nothing else ends bytes without end.
+void give_up_response(gateway_state& state, dispatch::call_key key,
+                      char const* why)
+{
+    active_call const* const call = find_call(state, key);
+    http1::call_end end;
+    end.may_have_sent = true;
+    end.why = reason{reason_code::answer_too_large, why, {}};
+    state.upstream_client->cancel(call->upstream_call);
+    on_send_end(state, key, end);
+}
+
+// The rest of a short response is read so that its connection can be reused.
+void discard(gateway_state& state, active_call& call, std::size_t bytes)
+{
+    constexpr std::size_t limit_bytes = 64U << 10U;
+    call.discarded_bytes += bytes;
+    if (call.discarded_bytes > limit_bytes)
+        give_up_response(state, call.dispatch_call.key,
+                         "response that is discarded is too large");
+}
+
+std::size_t buffered_bytes(gateway_state const& state)
+{
+    std::size_t total = 0;
+    for (auto const& [key, call] : state.active_calls)
+        total += call.response_body.size();
+    return total;
+}
+
+dispatch::call_key largest_response(gateway_state const& state)
+{
+    return std::max_element(state.active_calls.begin(),
+                            state.active_calls.end(),
+                            [](auto const& left, auto const& right)
+                            {
+                                return left.second.response_body.size() <
+                                       right.second.response_body.size();
+                            })
+        ->first;
+}
+
+// Responses are buffered up to a limit for all together; past it the largest
+// ones are given up, so that a few without end don't take the others' room.
+void buffer(gateway_state& state, active_call& call, std::string_view bytes)
+{
+    constexpr std::size_t small_bytes = 64U << 10U;
+    constexpr std::size_t limit_bytes = 8U << 20U;
+    call.response_body += bytes;
+    if (call.response_body.size() <= small_bytes ||
+        buffered_bytes(state) <= limit_bytes)
+        return;
+    while (buffered_bytes(state) > limit_bytes / 2)
+        give_up_response(state, largest_response(state),
+                         "buffered responses are too large");
+}
+
 void on_body(gateway_state& state, dispatch::call_key key,
              std::string_view bytes)
 {
     active_call* const call = find_call(state, key);
-    if (call == nullptr || call->is_response_discarded)
+    if (call == nullptr)
+        return;
+    if (call->is_response_discarded)
+    {
+        discard(state, *call, bytes.size());
         return;
+    }
     if (!is_stream_answer(*call))
     {
-        call->response_body += bytes;
+        buffer(state, *call, bytes);
         return;
     }
     bool const had_output = call->events.response_events > 0;
     std::string const events = on_bytes(call->events, bytes);
     if (call->events.is_broken)
     {
-        http1::call_end end;
-        end.may_have_sent = true;
-        end.why = reason{
-            reason_code::answer_too_large, "server-sent event too large", {}};
-        state.upstream_client->cancel(call->upstream_call);
-        on_send_end(state, key, end);
+        give_up_response(state, key, "server-sent event too large");
         return;
     }
     if (events.empty())
--- a/jujubestand/http1/reader.cpp
+++ b/jujubestand/http1/reader.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/http1/reader.hpp>
 
+#include <array>
 #include <event2/buffer.h>
 #include <http_parser.h>
 #include <limits>
@@ -14,6 +15,9 @@
 
 constexpr std::string_view head_end = "\r\n\r\n";
 
+/// Bytes of framing beside a body of one-byte chunks.
+constexpr std::size_t framing_factor = 8;
+
 reason too_large(reason_code code, char const* text)
 {
     return reason{code, text, {}};
@@ -21,6 +25,16 @@
 
 } // namespace
 
+// Whether the first bytes are those of a response, as far as they came.
+bool may_begin_response(evbuffer* input)
+{
+    constexpr std::string_view beginning = "HTTP/1.";
+    std::array<char, beginning.size()> first{};
+    auto const size = evbuffer_copyout(input, first.data(), first.size());
+    return size >= 0 && beginning.starts_with(std::string_view(
+                            first.data(), static_cast<std::size_t>(size)));
+}
+
 // A response whose head marks no end of its body may still have none, as one
 // with status 204 has.
 body_framing framing_of(http_parser const& parser)
@@ -41,6 +55,8 @@
     message_head head;
     std::string body;
     std::size_t body_bytes = 0;
+    /// Bytes of the body with its chunks' sizes and extensions.
+    std::size_t framed_bytes = 0;
     bool has_head = false;
     bool is_complete = false;
     bool is_value = false;
@@ -149,6 +165,7 @@
     this->head = message_head{};
     this->body.clear();
     this->body_bytes = 0;
+    this->framed_bytes = 0;
     this->has_head = false;
     this->is_complete = false;
     this->is_value = false;
@@ -159,6 +176,9 @@
     auto const found =
         evbuffer_search(input, head_end.data(), head_end.size(), nullptr);
     std::size_t const available = evbuffer_get_length(input);
+    if (this->kind == message_kind::response && !may_begin_response(input))
+        return reason{
+            reason_code::malformed_request, "bytes are no response", {}};
     if (found.pos < 0)
     {
         if (available > this->limits.head_bytes)
@@ -201,7 +221,10 @@
                           {}};
         evbuffer_drain(input, used);
         this->body_bytes += this->body.size() - before;
-        if (this->body_bytes > this->limits.body_bytes)
+        this->framed_bytes += used;
+        if (this->body_bytes > this->limits.body_bytes ||
+            this->framed_bytes > this->limits.head_bytes +
+                                     framing_factor * this->limits.body_bytes)
             return too_large(reason_code::body_too_large, "body too large");
         if (used < size && !this->is_complete)
             return reason{reason_code::malformed_request, "unread bytes", {}};
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -188,6 +188,37 @@
     EXPECT_FALSE(this->call(from, to(peer.where)).end.is_complete);
 }
 
+// Bytes that are no response were awaited until the call's time was over.
+TEST_F(exchange, bytes_that_begin_no_response_end_the_call_at_once)
+{
+    for (std::string const bytes : {"x", "HTTQ", "\r\n\r\n", "HTTP/2 200"})
+    {
+        fixed_peer const peer(bytes, false);
+        client from(this->base.get());
+        auto const seen = this->call(from, to(peer.where));
+        EXPECT_FALSE(seen.end.is_complete);
+        EXPECT_EQ(seen.end.why.text, "bytes are no response") << bytes;
+    }
+}
+
+// Extensions of chunks are no part of the body, and came without end.
+TEST_F(exchange, framing_counts_as_the_body_does)
+{
+    constexpr std::size_t chunks = 64;
+    std::string answer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t chunk = 0; chunk < chunks; ++chunk)
+        answer += "1;" + std::string(1'024, 'e') + "\r\nb\r\n";
+    answer += "0\r\n\r\n";
+    fixed_peer const peer(answer, false);
+    client from(this->base.get());
+    auto request = to(peer.where);
+    request.answer_limit_bytes = 1'024;
+    auto const seen = this->call(from, request);
+    EXPECT_FALSE(seen.end.is_complete);
+    EXPECT_EQ(seen.end.why.code, reason_code::body_too_large);
+}
+
 TEST_F(exchange, nothing_is_sent_where_nobody_listens)
 {
     client from(this->base.get());
--- a/programs/test/faults_test.cpp
+++ b/programs/test/faults_test.cpp
@@ -40,6 +40,7 @@
     {
         this->retry_reserve = reserve;
         this->retry_ratio = ratio;
+        this->retry_window_s = static_cast<unsigned>(window.count() / 1'000);
         this->start_gateways(gateway_count);
         this->add_engine("v1", near);
         for (std::size_t number = 0; number < service_count; ++number)
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -313,6 +313,8 @@
     /// set before the first gateway starts.
     unsigned retry_reserve = 1'000;
     double retry_ratio = 0.2;
+    /// A gateway has its reserve from this age on.
+    unsigned retry_window_s = 0;
     standins::base_ptr base;
     loop::timer wake;
     standins::keyed_store store;
@@ -336,6 +338,7 @@
                "\"\n[platform]\naddress = \"" + to_text(this->store.bound()) +
                "\"\n[bounds]\nrevoke-ms = 60000\nbudget-slack = " +
                std::to_string(this->retry_reserve) +
+               "\nbudget-window-s = " + std::to_string(this->retry_window_s) +
                "\nretry-budget-ratio = " + std::to_string(this->retry_ratio) +
                "\n";
     }
