Bound what evhttp's clients read of a chunk's size without end

Same class as at the gateways: evhttp limits heads and bodies, but reads the line of a chunk's size, and heads before the last one, until its connection's silence. Both clients on evhttp (sidecar and ctl, log and list) now end such an answer as too large once more than a head and a body wait unread.

--- a/jujubestand/http/client.cpp
+++ b/jujubestand/http/client.cpp
@@ -16,6 +16,9 @@
 namespace
 {
 
+/// Bytes of framing beside a body of one-byte chunks.
+constexpr std::size_t framing_factor = 8;
+
 evhttp_cmd_type method_of(std::string const& name)
 {
     if (name == "POST")
@@ -57,6 +60,8 @@
         state* owner = nullptr;
         exchange_id id;
         evhttp_connection* connection = nullptr;
+        /// All that came, with framing.
+        std::size_t received_bytes = 0;
         bool has_head = false;
         bool has_sent = false;
         bool is_over = false;
@@ -83,6 +88,25 @@
         evhttp_connection_set_timeout_tv(row.connection, &limit);
     }
 
+    // evhttp reads the line of a chunk's size, and heads before the last one,
+    // without a limit.
+    static void on_received(evbuffer* input, evbuffer_cb_info const* info,
+                            void* argument)
+    {
+        auto& row = *static_cast<exchange*>(argument);
+        auto const& options = row.owner->options;
+        std::size_t const limit =
+            options.header_limit_bytes + options.body_limit_bytes;
+        row.received_bytes += info->n_added;
+        bool const is_bounded = evbuffer_get_length(input) <= limit &&
+                                row.received_bytes <= framing_factor * limit;
+        if (is_bounded || row.is_over)
+            return;
+        row.end.why =
+            reason{reason_code::answer_too_large, "answer without end", {}};
+        row.owner->finish(row, false);
+    }
+
     static int on_head(evhttp_request* handle, void* argument)
     {
         auto& row = *static_cast<exchange*>(argument);
@@ -187,6 +211,7 @@
         auto* connection = evhttp_connection_base_bufferevent_new(
             this->base, nullptr, buffer, where.host.c_str(), where.port);
         evbuffer_add_cb(bufferevent_get_output(buffer), on_sent, &row);
+        evbuffer_add_cb(bufferevent_get_input(buffer), on_received, &row);
         evhttp_connection_set_retries(connection, 0);
         evhttp_connection_set_max_headers_size(
             connection,
--- a/jujubestand/http/test/exchange_test.cpp
+++ b/jujubestand/http/test/exchange_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 #include <jujubestand/http/client.hpp>
 #include <jujubestand/http/server.hpp>
+#include <jujubestand/http1/test/sockets.hpp>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
 
 namespace jujubestand::http
@@ -303,4 +305,25 @@
     ::close(handle);
 }
 
+// evhttp reads the size of a chunk without a limit: it took all memory.
+TEST_F(exchange_test, the_size_of_a_chunk_without_end_is_given_up)
+{
+    http1::flooding_peer const peer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;");
+    client_options limits;
+    limits.body_limit_bytes = 64U << 10U;
+    this->back = std::make_unique<client>(this->base, limits);
+    this->back->ended.connect(
+        [this](exchange_id, exchange_end const& how)
+        {
+            this->end = how;
+        });
+    request asked;
+    asked.path = "/";
+    std::ignore = this->back->start(peer.where, asked);
+    ASSERT_TRUE(this->run_until_ended());
+    EXPECT_FALSE(this->end->is_complete);
+    EXPECT_EQ(this->end->why.code, reason_code::answer_too_large);
+}
+
 } // namespace jujubestand::http
--- a/jujubestand/http1/test/sockets.hpp
+++ b/jujubestand/http1/test/sockets.hpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
+#include <thread>
+#include <tuple>
 #include <unistd.h>
 
 /// \brief Loops and plain sockets for the tests of this folder.
@@ -45,6 +47,58 @@
 
 using loop_base = std::unique_ptr<event_base, base_deleter>;
 
+/// \brief A server that answers its first caller with a beginning and then with
+/// one letter, up to a limit that no client may take in.
+class flooding_peer
+{
+public:
+    explicit flooding_peer(std::string beginning)
+    {
+        this->socket = listen_anywhere(this->where);
+        listen(this->socket, 1);
+        this->thread = std::thread(
+            [this, beginning = std::move(beginning)]
+            {
+                this->flood(beginning);
+            });
+    }
+    ~flooding_peer()
+    {
+        this->thread.join();
+        close(this->socket);
+    }
+    flooding_peer(flooding_peer const&) = delete;
+    flooding_peer& operator=(flooding_peer const&) = delete;
+
+    address where;
+
+private:
+    void flood(std::string const& beginning) const
+    {
+        constexpr std::size_t flood_bytes = 64U << 20U;
+        int const taken = accept(this->socket, nullptr, nullptr);
+        char request[4096];
+        std::ignore = recv(taken, request, sizeof request, 0);
+        ::send(taken, beginning.data(), beginning.size(), MSG_NOSIGNAL);
+        std::string const filler(64U << 10U, 'x');
+        for (std::size_t sent = 0; sent < flood_bytes; sent += filler.size())
+        {
+            if (::send(taken, filler.data(), filler.size(), MSG_NOSIGNAL) < 0)
+                break;
+        }
+        // Stays until the client closes, which a failing one may never do.
+        timeval const limit{2, 0};
+        setsockopt(taken, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        while (recv(taken, request, sizeof request, 0) > 0)
+        {
+        }
+        close(taken);
+    }
+
+    int socket = -1;
+    std::thread thread;
+};
+
 /// \brief A caller on a plain socket.
 class raw_caller
 {
--- a/jujubestand/platform/http_client.cpp
+++ b/jujubestand/platform/http_client.cpp
@@ -91,6 +91,7 @@
         http_callback done;
         std::optional<evhttp_request_error> error;
         bool sent = false;
+        std::size_t input_limit_bytes = 0;
     };
 
     event_base* base = nullptr;
@@ -107,6 +108,8 @@
     static void on_error(evhttp_request_error error, void* argument);
     static void on_output(evbuffer* buffer, evbuffer_cb_info const* info,
                           void* argument);
+    static void on_input(evbuffer* buffer, evbuffer_cb_info const* info,
+                         void* argument);
     static void on_timeout(evutil_socket_t socket, short what, void* argument);
     static void on_sweep(evutil_socket_t socket, short what, void* argument);
 };
@@ -182,6 +185,20 @@
         found->sent = true;
 }
 
+// evhttp reads the line of a chunk's size without a limit.
+void http_client::state::on_input(evbuffer* buffer,
+                                  evbuffer_cb_info const* /*info*/,
+                                  void* argument)
+{
+    auto const* held = static_cast<context*>(argument);
+    call* found = held->owner->calls.find(held->id);
+    if (found == nullptr || found->error ||
+        evbuffer_get_length(buffer) <= found->input_limit_bytes)
+        return;
+    found->error = EVREQ_HTTP_DATA_TOO_LONG;
+    event_active(found->timer.get(), EV_TIMEOUT, 0);
+}
+
 void http_client::state::on_timeout(evutil_socket_t /*socket*/, short /*what*/,
                                     void* argument)
 {
@@ -243,12 +260,17 @@
     evbuffer_add_cb(
         bufferevent_get_output(evhttp_connection_get_bufferevent(raw)),
         state::on_output, argument);
+    evbuffer_add_cb(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(raw)),
+        state::on_input, argument);
     event_ptr timer(evtimer_new(client.base, state::on_timeout, argument));
     evtimer_add(timer.get(), &limit);
 
     auto const id = client.calls.insert(
         state::call{std::move(held), std::move(connection), std::move(timer),
-                    std::move(done), std::nullopt, false});
+                    std::move(done), std::nullopt, false,
+                    request.answer_limit_bytes +
+                        static_cast<std::size_t>(header_limit_bytes)});
     argument->id = id;
     evhttp_request* const sent = evhttp_request_new(state::on_done, argument);
     evhttp_request_set_error_cb(sent, state::on_error);
--- a/jujubestand/platform/test/clients_test.cpp
+++ b/jujubestand/platform/test/clients_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <jujubestand/http1/test/sockets.hpp>
 #include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/platform/test/fake_log.hpp>
@@ -99,6 +100,20 @@
 
 } // namespace
 
+// evhttp reads the size of a chunk without a limit: it took all memory.
+TEST(http_client, the_size_of_a_chunk_without_end_is_given_up)
+{
+    http1::flooding_peer const peer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;");
+    fake_server loop;
+    http_request request;
+    request.server = peer.where;
+    request.answer_limit_bytes = 64U << 10U;
+    auto const result = fetch(loop, request);
+    EXPECT_EQ(result.status, 0);
+    EXPECT_EQ(result.why.code, reason_code::answer_too_large);
+}
+
 TEST(http_client, returns_status_headers_and_body)
 {
     fake_server server;
