--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -251,6 +251,8 @@
 bool refuse_quarantined(gateway_state& state, dispatch::call_key key)
 {
     active_call const* const call = find_call(state, key);
+    if (call == nullptr)
+        return false;
     auto const now = wall_now();
     auto const until = quarantine::refused_until(state.crashes.evidence,
                                                  call->suspect_keys, now);
