--- a/jujubestand/gateway/crashes.hpp
+++ b/jujubestand/gateway/crashes.hpp
@@ -21,7 +21,8 @@
 /// \brief Records that an upstream has given output for a call.
 void record_answer(gateway_state& state, active_call const& call);
 
-/// \brief Records the end of an attempt, as far as it tells of a crash.
+/// \brief Records the end of an attempt as evidence for or against a crash of
+/// its upstream.
 void record_attempt(gateway_state& state, active_call const& call,
                     dispatch::send_outcome outcome, http1::call_end const& end);
 
@@ -29,8 +30,8 @@
 /// \returns whether the call was refused, and has ended
 bool refuse_quarantined(gateway_state& state, dispatch::call_key key);
 
-/// \brief Settles suspected crashes, looks for culprits and tells the other
-/// gateways and the store.
+/// \brief Settles suspected crashes, looks for culprits, and sends news to the
+/// other gateways and to the store.
 void review_crashes(gateway_state& state);
 
 /// \brief Handles a crash notice of another gateway.
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -92,12 +92,14 @@
     bool is_sent = true;
 };
 
-/// \brief What this gateway knows of calls that crash upstreams, and what it
-/// has yet to tell.
+/// \brief Evidence of this gateway on calls that crash upstreams, and what it has
+/// not sent yet.
 struct crash_watch
 {
     quarantine::evidence evidence;
+    /// When the evidence last changed.
     mono_time changed_at{};
+    /// When evidence or culprits were last sent to the other gateways.
     mono_time announced_at{};
     /// When each culprit that this gateway found is to be written to the store.
     std::map<digest, mono_time> unwritten;
--- a/jujubestand/quarantine/culprits.hpp
+++ b/jujubestand/quarantine/culprits.hpp
@@ -23,7 +23,7 @@
     std::size_t answered_crashes_min = 8;
     /// The same for one that cannot be told from another.
     std::size_t ambiguous_crashes_min = 6;
-    /// How long an answer speaks for a fingerprint.
+    /// How long an answer counts for a fingerprint.
     std::chrono::milliseconds answer_lifetime{60'000};
     /// Age from which a crash counts: the evidence of other processes for it
     /// has arrived by then.
--- a/jujubestand/quarantine/evidence.hpp
+++ b/jujubestand/quarantine/evidence.hpp
@@ -58,7 +58,8 @@
             incarnation_id incarnation, std::vector<suspect_key> const& keys,
             bool has_begun, wall_time now);
 
-/// \brief An upstream answered a request, which speaks for all its keys.
+/// \brief An upstream gave output for a request, so none of its keys crashes
+/// engines.
 /// \returns clearances for the other processes
 [[nodiscard]] notice on_answered(evidence& state,
                                  std::vector<suspect_key> const& keys,
--- a/standins/service/recording_service.cpp
+++ b/standins/service/recording_service.cpp
@@ -21,9 +21,9 @@
 
 recording_service::recording_service(event_base* loop, address const& where,
                                      std::uint64_t seed, service_faults chosen,
-                                     service_events told)
+                                     service_events callbacks)
     : faults(chosen)
-    , events(std::move(told))
+    , events(std::move(callbacks))
     , random(seed)
     , server(loop, where)
     , held(loop)
--- a/standins/service/recording_service.hpp
+++ b/standins/service/recording_service.hpp
@@ -24,7 +24,7 @@
     double failed = 0;
 };
 
-/// \brief What a recording service tells of its calls.
+/// \brief Callbacks of a recording service.
 struct service_events
 {
     std::function<void(std::string const& request_id)> arrived;
@@ -32,7 +32,7 @@
 };
 
 /// \brief A plain service on the users' platform: runs calls after a short
-/// time, with faults that a seed chooses, and tells of each run.
+/// time, with faults that a seed chooses, and calls back for each run.
 class recording_service
 {
 public:
