--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -92,8 +92,8 @@
     bool is_sent = true;
 };
 
-/// \brief Evidence of this gateway on calls that crash upstreams, and what it has
-/// not sent yet.
+/// \brief Evidence of this gateway on calls that crash upstreams, and what it
+/// has not sent yet.
 struct crash_watch
 {
     quarantine::evidence evidence;
