--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -48,10 +48,6 @@
 protected:
     static constexpr milliseconds limit{10'000};
 
-    /// Gateways prefer engines of their own data centre.
-    static constexpr char const* near = "almaty";
-    static constexpr char const* far = "shymkent";
-
     gateways_test()
         : base(standins::make_base())
         , wake(this->base.get(), [] {})
@@ -153,12 +149,8 @@
     /// \brief Registers a plain service.
     void add_service(std::string const& id, address const& where)
     {
-        nlohmann::json const record{
-            {"service", "books"}, {"address", to_text(where)},
-            {"zone", near},       {"version", "v1"},
-            {"slots", 6},         {"state", "ready"},
-            {"born", 1'000},      {"sequence", ++this->sequence}};
-        this->store.put("keyed.servers", id, record.dump());
+        this->store.put("keyed.servers", id,
+                        service_record(where, ++this->sequence));
     }
 
     /// \brief Kills all gateways and starts them again with nothing.
@@ -309,8 +301,7 @@
         return result;
     }
 
-    /// Repeated sends that all gateways may make beside a share of the calls;
-    /// set before the first gateway starts.
+    /// Limits of repeated sends; set before the first gateway starts.
     unsigned retry_reserve = 1'000;
     double retry_ratio = 0.2;
     /// A gateway has its reserve from this age on.
@@ -330,13 +321,9 @@
     // The bounds are wide, so that a slow machine changes nothing.
     std::string settings_of(running_gateway const& gateway) const
     {
-        auto const port = std::to_string(this->internal_port);
-        return "node-name = \"" + gateway.name + "\"\nzone = \"" + near +
-               "\"\nip = \"" + gateway.callers.host +
-               "\"\ninternal-port-range = [" + port + ", " + port +
-               "]\n[listen-addrs]\nfront = \"" + to_text(gateway.callers) +
-               "\"\n[platform]\naddress = \"" + to_text(this->store.bound()) +
-               "\"\n[bounds]\nrevoke-ms = 60000\nbudget-slack = " +
+        return settings_text(gateway.name, gateway.callers, this->internal_port,
+                             this->store.bound()) +
+               "[bounds]\nrevoke-ms = 60000\nbudget-slack = " +
                std::to_string(this->retry_reserve) +
                "\nbudget-window-s = " + std::to_string(this->retry_window_s) +
                "\nretry-budget-ratio = " + std::to_string(this->retry_ratio) +
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -69,6 +69,32 @@
         .dump();
 }
 
+/// Gateways prefer engines of their own data centre.
+inline constexpr char const* near = "almaty";
+inline constexpr char const* far = "shymkent";
+
+/// \brief Settings of a gateway but for its bounds.
+inline std::string settings_text(std::string const& name,
+                                 address const& callers, std::uint16_t internal,
+                                 address const& store)
+{
+    auto const port = std::to_string(internal);
+    return "node-name = \"" + name + "\"\nzone = \"" + near + "\"\nip = \"" +
+           callers.host + "\"\ninternal-port-range = [" + port + ", " + port +
+           "]\n[listen-addrs]\nfront = \"" + to_text(callers) +
+           "\"\n[platform]\naddress = \"" + to_text(store) + "\"\n";
+}
+
+/// \brief Record of a plain service.
+inline std::string service_record(address const& where, std::uint64_t sequence)
+{
+    return nlohmann::json{{"service", "books"}, {"address", to_text(where)},
+                          {"zone", near},       {"version", "v1"},
+                          {"slots", 6},         {"state", "ready"},
+                          {"born", 1'000},      {"sequence", sequence}}
+        .dump();
+}
+
 } // namespace jujubestand::programs::test
 
 #endif
