--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -49,6 +49,7 @@
           to_name(http1::body_framing_names, call->response_framing)},
          {"partial_bytes",
           static_cast<std::int64_t>(call->events.partial.size())},
+         {"limit", to_text(call->response_head.limit)},
          {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                          mono_now() - call->arrived_at)
                          .count()}});
@@ -84,7 +85,10 @@
     if (!call->is_response_started)
         call->response_head = std::move(answer);
     else
+    {
         call->response_head.is_not_run = answer.is_not_run;
+        call->response_head.limit = answer.limit;
+    }
 }
 
 bool is_stream_answer(active_call const& call)
@@ -271,6 +275,7 @@
          {"partial_bytes",
           static_cast<std::int64_t>(call->events.partial.size())},
          {"events", static_cast<std::int64_t>(call->events.response_events)},
+         {"limit", to_text(call->response_head.limit)},
          {"why", why.text},
          {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
     if (why_not == reason_code::none)
--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -6,6 +6,7 @@
 #include <jujubestand/core/address.hpp>
 #include <jujubestand/http/message.hpp>
 #include <jujubestand/traffic/prompt.hpp>
+#include <jujubestand/traffic/stated_limit.hpp>
 #include <map>
 #include <optional>
 #include <string>
@@ -73,6 +74,8 @@
     bool is_encoded = false;
     /// Version of the weights it ran on, if reported.
     std::optional<std::uint64_t> weights;
+    /// What the upstream states on the calls that it takes.
+    stated_limit limit;
     /// Fields that go on to the caller as they are.
     std::vector<http::field> passed;
 };
--- /dev/null
+++ b/jujubestand/traffic/stated_limit.hpp
@@ -0,0 +1,40 @@
+#ifndef JUJUBESTAND_TRAFFIC_STATED_LIMIT_HPP
+#define JUJUBESTAND_TRAFFIC_STATED_LIMIT_HPP
+
+#include <array>
+#include <cstdint>
+#include <jujubestand/core/enum_table.hpp>
+#include <string>
+
+namespace jujubestand::traffic
+{
+
+/// \brief Whether an answer states a limit on the calls to its upstream.
+enum class limit_statement : std::uint8_t
+{
+    none,      ///< the upstream limits nothing
+    named,     ///< the upstream limits the calls that it takes
+    malformed, ///< a limit is stated that can't be read
+};
+
+inline constexpr std::array<enum_name<limit_statement>, 3>
+    limit_statement_names{{
+        {limit_statement::none, "none"},
+        {limit_statement::named, "named"},
+        {limit_statement::malformed, "malformed"},
+    }};
+
+/// \brief What an answer states on the calls that its upstream takes.
+struct stated_limit
+{
+    limit_statement statement = limit_statement::none;
+    /// For `named`: calls a second, from all instances together.
+    double calls_per_second = 0;
+};
+
+/// \brief The limit as text for the log: `none`, `malformed` or the number.
+[[nodiscard]] std::string to_text(stated_limit const& limit);
+
+} // namespace jujubestand::traffic
+
+#endif
