Add failing tests of limits that upstreams state (LIMIT)

What callers and upstreams see: upstreams that state a limit of calls a second get every call as before. The stand-ins state limits, changed, malformed and ended ones, when a test says so; the fixture lists gateways that answer nothing and puts another engine in the place of one.

--- /dev/null
+++ b/programs/test/call_limits_test.cpp
@@ -0,0 +1,396 @@
+#include <algorithm>
+#include <csignal>
+#include <map>
+#include <programs/test/gateways_fixture.hpp>
+#include <random>
+#include <standins/service/recording_service.hpp>
+
+// Upstreams state in their answers how many calls a second they take from all
+// gateways together. Checks what the upstreams receive and callers see.
+namespace jujubestand::programs::test
+{
+
+namespace
+{
+
+// The bounds of the rule: from so long after an upstream first stated its
+// limit, no more than so many calls in any window.
+constexpr milliseconds contact{3'000};
+constexpr milliseconds window{4'000};
+constexpr double excess_ratio = 1.5;
+constexpr double excess_calls = 5;
+
+double calls_allowed(double per_second)
+{
+    return excess_ratio * per_second * static_cast<double>(window.count()) /
+               1'000 +
+           excess_calls;
+}
+
+class call_limits : public gateways_test
+{
+protected:
+    struct sent_call
+    {
+        mono_time sent_at{};
+        answer_ptr answer;
+        std::optional<mono_time> ended_at;
+    };
+
+    /// \brief Starts gateways before engines and services.
+    void start(std::size_t gateway_count, std::size_t engine_count,
+               std::size_t service_count = 0)
+    {
+        this->start_gateways(gateway_count);
+        this->list_unreachable_gateways(this->unreachable_gateways);
+        for (std::size_t number = 0; number < engine_count; ++number)
+        {
+            this->add_engine("v1", near);
+            this->watch_engine(number);
+        }
+        for (std::size_t number = 0; number < service_count; ++number)
+            this->add_limited_service(number);
+        this->wait_ready();
+        this->started_at = mono_now();
+    }
+
+    void watch_engine(std::size_t number)
+    {
+        auto& watched = this->engines[number];
+        watched.engine->on_stream(
+            [this, id = watched.id](standins::stream_request const&)
+            {
+                this->arrivals[id].push_back(mono_now());
+            });
+    }
+
+    void add_limited_service(std::size_t number)
+    {
+        auto const id = "book-" + std::to_string(number);
+        standins::service_events events;
+        events.arrived = [this, id](std::string const& request)
+        {
+            this->arrivals[id].push_back(mono_now());
+            ++this->arrivals_by_call[request];
+        };
+        events.run = [](std::string const&) {};
+        this->services.push_back(std::make_unique<standins::recording_service>(
+            this->base.get(), address{host(first_service + number), 0},
+            seed + number, standins::service_faults{}, events));
+        this->add_service(id, this->services.back()->bound());
+    }
+
+    void send(std::size_t gateway, std::string const& target)
+    {
+        auto const id = "call-" + std::to_string(this->calls.size());
+        stream_call asked{id, "", ""};
+        asked.target = target;
+        bool const is_prompt = target.starts_with("/chat/");
+        if (is_prompt)
+            asked.parts = "aaaa:30,c" + std::to_string(this->random() % 7) +
+                          ":40," + std::to_string(1'000 + this->calls.size()) +
+                          ":10";
+        auto& call = this->calls[id];
+        call.sent_at = mono_now();
+        call.answer = this->ask(gateway, asked);
+    }
+
+    std::size_t any_gateway()
+    {
+        return this->random() % this->gateways.size();
+    }
+
+    /// \brief Sends calls at random gateways for some time.
+    void play(milliseconds duration, std::string const& target,
+              milliseconds interval)
+    {
+        this->play(duration, target, interval,
+                   [this]
+                   {
+                       return this->any_gateway();
+                   });
+    }
+
+    void play(milliseconds duration, std::string const& target,
+              milliseconds interval,
+              std::function<std::size_t()> const& gateway)
+    {
+        auto const end = mono_now() + duration;
+        auto next = mono_now();
+        while (mono_now() < end)
+        {
+            this->send(gateway(), target);
+            next += interval;
+            this->run_until(
+                [&]
+                {
+                    this->note_ends();
+                    return mono_now() >= next;
+                },
+                duration);
+        }
+    }
+
+    void note_ends()
+    {
+        for (auto& [id, call] : this->calls)
+        {
+            if (!call.ended_at && call.answer->end)
+                call.ended_at = mono_now();
+        }
+    }
+
+    /// \brief Most calls that an upstream got in any window that ends between
+    /// two times.
+    [[nodiscard]] std::size_t most_calls(std::string const& upstream,
+                                         mono_time from, mono_time until)
+    {
+        auto const& times = this->arrivals[upstream];
+        std::size_t most = 0;
+        for (auto last = times.begin(); last != times.end(); ++last)
+        {
+            if (*last < from || *last > until)
+                continue;
+            auto const first =
+                std::upper_bound(times.begin(), last, *last - window);
+            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+        }
+        return most;
+    }
+
+    std::size_t most_calls(std::string const& upstream, mono_time named_at)
+    {
+        return this->most_calls(upstream, named_at + contact, mono_now());
+    }
+
+    [[nodiscard]] std::size_t calls_between(std::string const& upstream,
+                                            mono_time from, mono_time until)
+    {
+        auto const& times = this->arrivals[upstream];
+        return static_cast<std::size_t>(
+            std::count_if(times.begin(), times.end(),
+                          [&](mono_time time)
+                          {
+                              return time >= from && time < until;
+                          }));
+    }
+
+    /// \brief Share of the calls sent from a time on that were served whole.
+    [[nodiscard]] double served_after(mono_time time) const
+    {
+        double sent = 0;
+        double served = 0;
+        for (auto const& [id, call] : this->calls)
+        {
+            if (call.sent_at < time || !call.answer->end)
+                continue;
+            ++sent;
+            served +=
+                call.answer->status == HTTP_OK && call.answer->end->is_complete
+                    ? 1
+                    : 0;
+        }
+        return sent == 0 ? 0 : served / sent;
+    }
+
+    /// \brief Waits until no call is open.
+    void settle()
+    {
+        this->run_until(
+            [this]
+            {
+                this->note_ends();
+                return std::all_of(this->calls.begin(), this->calls.end(),
+                                   [](auto const& row)
+                                   {
+                                       return row.second.ended_at.has_value();
+                                   });
+            });
+    }
+
+    /// \brief Checks that calls which were rejected didn't reach a service, say
+    /// when to come back, and were rejected soon.
+    void check_rejections(mono_time from)
+    {
+        constexpr milliseconds at_once{500};
+        std::size_t rejected = 0;
+        std::size_t late = 0;
+        for (auto const& [id, call] : this->calls)
+        {
+            if (call.sent_at < from || call.answer->status == HTTP_OK)
+                continue;
+            ++rejected;
+            EXPECT_EQ(call.answer->status, HTTP_SERVUNAVAIL) << id;
+            EXPECT_EQ(this->arrivals_by_call.count(id), 0U) << id;
+            EXPECT_NE(call.answer->field("Retry-After"), "") << id;
+            if (call.ended_at && *call.ended_at - call.sent_at > at_once)
+                ++late;
+        }
+        EXPECT_GT(rejected, 0U);
+        EXPECT_LE(late, rejected / 20);
+        RecordProperty("rejected", static_cast<int>(rejected));
+        RecordProperty("rejected_late", static_cast<int>(late));
+    }
+
+    static constexpr unsigned seed = 20261204;
+    static constexpr std::size_t first_service = 200;
+    static constexpr milliseconds usual_interval{15};
+
+    std::size_t unreachable_gateways = 0;
+    mono_time started_at{};
+    std::mt19937 random{seed};
+    std::map<std::string, sent_call> calls;
+    std::map<std::string, std::vector<mono_time>> arrivals;
+    std::map<std::string, std::size_t> arrivals_by_call;
+    std::vector<std::unique_ptr<standins::recording_service>> services;
+    standins::delays later{this->base.get()};
+};
+
+} // namespace
+
+// Engines that stated a limit for all gateways together went on getting every
+// call (LIMIT).
+TEST_F(call_limits, gateways_keep_the_limit_of_an_engine_together)
+{
+    this->start(4, 4);
+    this->play(milliseconds{1'500}, "/chat/new", usual_interval);
+    this->engines[0].engine->name_limit("1.2");
+    this->engines[1].engine->name_limit("0.5");
+    auto const named_at = mono_now();
+    this->play(milliseconds{9'000}, "/chat/new", usual_interval);
+    EXPECT_LE(this->most_calls("engine-0", named_at), calls_allowed(1.2));
+    EXPECT_LE(this->most_calls("engine-1", named_at), calls_allowed(0.5));
+    EXPECT_GE(this->served_after(named_at), 0.99);
+}
+
+// All services of a pool stated limits, and calls waited for one until their
+// deadline, or went there all the same.
+TEST_F(call_limits, a_pool_takes_what_its_limits_allow_and_rejects_the_rest)
+{
+    constexpr double limit_each = 5;
+    this->start(4, 1, 3);
+    for (auto const& service : this->services)
+        service->name_limit("5");
+    auto const named_at = mono_now();
+    this->play(milliseconds{10'000}, "/book/new", milliseconds{20});
+    auto const end = mono_now();
+    constexpr milliseconds measured{6'000};
+    double used = 0;
+    for (std::size_t number = 0; number < this->services.size(); ++number)
+    {
+        auto const id = "book-" + std::to_string(number);
+        EXPECT_LE(this->most_calls(id, named_at), calls_allowed(limit_each));
+        used +=
+            static_cast<double>(this->calls_between(id, end - measured, end));
+    }
+    double const share =
+        used / (limit_each * 3 * static_cast<double>(measured.count()) / 1'000);
+    EXPECT_GE(share, 0.8);
+    RecordProperty("share_of_limit_used", std::to_string(share));
+    this->settle();
+    this->check_rejections(named_at);
+}
+
+// A gateway without calls for the engine, then one that was restarted, then one
+// that stood still: none had been told of the limit by the engine itself.
+TEST_F(call_limits, the_limit_holds_for_gateways_that_have_not_heard_it)
+{
+    this->start(4, 3);
+    auto const only = [this](std::size_t count)
+    {
+        return [this, count]
+        {
+            return this->random() % count;
+        };
+    };
+    for (auto const& engine : this->engines)
+        engine.engine->name_limit("1.2");
+    this->engines[2].engine->name_limit("");
+    auto const named_at = mono_now();
+    this->play(milliseconds{2'000}, "/chat/new", usual_interval, only(2));
+    this->gateways[1].process->signal(SIGSTOP);
+    this->play(milliseconds{2'000}, "/chat/new", usual_interval, only(1));
+    this->gateways[1].process->signal(SIGCONT);
+    this->restart_gateway(0);
+    this->play(milliseconds{2'000}, "/chat/new", usual_interval,
+               [this]
+               {
+                   return 1 + this->random() % 3;
+               });
+    this->play(milliseconds{3'000}, "/chat/new", usual_interval);
+    EXPECT_LE(this->most_calls("engine-0", named_at), calls_allowed(1.2));
+    EXPECT_LE(this->most_calls("engine-1", named_at), calls_allowed(1.2));
+}
+
+// Gateways that reached none of the others took a whole limit each.
+TEST_F(call_limits, the_limit_holds_where_gateways_reach_few_of_the_others)
+{
+    this->unreachable_gateways = 12;
+    this->start(3, 5);
+    for (std::size_t number = 0; number < 4; ++number)
+        this->engines[number].engine->name_limit("1.2");
+    auto const named_at = mono_now();
+    this->play(milliseconds{9'000}, "/chat/new", usual_interval);
+    for (std::size_t number = 0; number < 4; ++number)
+        EXPECT_LE(
+            this->most_calls("engine-" + std::to_string(number), named_at),
+            calls_allowed(1.2))
+            << number;
+    EXPECT_GE(this->served_after(named_at), 0.99);
+}
+
+// A limit that falls, rises, is malformed in between and ends: the last one
+// that could be read holds, and its end lets no wave through.
+TEST_F(call_limits, a_limit_changes_is_malformed_and_ends_without_a_wave)
+{
+    this->start(3, 1, 1);
+    auto& service = *this->services[0];
+    std::string const id = "book-0";
+    constexpr milliseconds interval{10};
+    service.name_limit("10");
+    auto const named_at = mono_now();
+    this->play(milliseconds{5'000}, "/book/new", interval);
+    service.name_limit("1.2");
+    auto const lowered_at = mono_now();
+    this->play(milliseconds{5'500}, "/book/new", interval);
+    service.name_limit("1.2 a second");
+    this->play(milliseconds{3'500}, "/book/new", interval);
+    auto const ended_at = mono_now();
+    service.name_limit("");
+    this->play(milliseconds{1'500}, "/book/new", interval);
+    EXPECT_LE(this->most_calls(id, named_at + contact, lowered_at),
+              calls_allowed(10));
+    EXPECT_LE(this->most_calls(id, lowered_at + contact + window, ended_at),
+              calls_allowed(1.2));
+    constexpr std::size_t wave = 20;
+    constexpr milliseconds wave_time{500};
+    EXPECT_LE(this->calls_between(id, ended_at, ended_at + wave_time), wave);
+    this->play(milliseconds{4'000}, "/book/new", interval);
+    auto const recovered_from = mono_now() - milliseconds{1'000};
+    EXPECT_GE(this->calls_between(id, recovered_from, mono_now()), 80U);
+    this->settle();
+    EXPECT_GE(this->served_after(recovered_from), 0.99);
+}
+
+// The limit of an engine was kept for the one that replaced it, or the reverse.
+TEST_F(call_limits, a_limit_is_of_one_engine_and_not_of_its_address)
+{
+    this->start(3, 2);
+    this->engines[0].engine->name_limit("0.5");
+    auto const named_at = mono_now();
+    this->play(milliseconds{8'000}, "/chat/new", usual_interval);
+    EXPECT_LE(this->most_calls("engine-0", named_at), calls_allowed(0.5));
+    this->replace_engine(0);
+    this->watch_engine(0);
+    this->play(milliseconds{3'000}, "/chat/new", usual_interval);
+    auto const until = mono_now();
+    auto const& next = this->engines[0].id;
+    EXPECT_GE(this->calls_between(next, until - milliseconds{2'000}, until),
+              20U);
+    this->engines[0].engine->name_limit("0.5");
+    auto const next_named_at = mono_now();
+    this->play(milliseconds{8'000}, "/chat/new", usual_interval);
+    EXPECT_LE(this->most_calls(next, next_named_at), calls_allowed(0.5));
+}
+
+} // namespace jujubestand::programs::test
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -37,6 +37,7 @@
     std::string id;
     std::string version;
     std::string data_centre;
+    std::uint64_t born_ms = 0;
     std::unique_ptr<standins::stream_engine> engine;
     std::unique_ptr<standins::status_agent> agent;
 };
@@ -102,6 +103,7 @@
         added.id = "engine-" + std::to_string(number);
         added.version = version;
         added.data_centre = data_centre;
+        added.born_ms = 1'000 + number;
         added.engine = std::make_unique<standins::stream_engine>(
             this->base.get(), address{where, 0}, version);
         added.agent = std::make_unique<standins::status_agent>(
@@ -111,6 +113,21 @@
         return number;
     }
 
+    /// \brief Puts another engine in the place of one: at its address, under
+    /// another id.
+    void replace_engine(std::size_t number)
+    {
+        auto& replaced = this->engines[number];
+        auto const where = replaced.engine->bound();
+        this->remove_engine(number);
+        replaced.engine.reset();
+        replaced.id += "-next";
+        replaced.born_ms += 1'000;
+        replaced.engine = std::make_unique<standins::stream_engine>(
+            this->base.get(), where, replaced.version);
+        this->write_engine(number, "ready");
+    }
+
     void write_engine(std::size_t number, std::string const& state)
     {
         auto const& written = this->engines[number];
@@ -123,7 +140,7 @@
             {"slots", 4},
             {"state", state},
             {"sequence", ++this->sequence},
-            {"born", 1'000 + number},
+            {"born", written.born_ms},
             {"models", nlohmann::json::array({model})}};
         this->store.put("keyed.servers", written.id, record.dump());
     }
@@ -176,6 +193,15 @@
             this->start_gateway(number);
     }
 
+    /// \brief Lists further gateways that answer nothing; before the first
+    /// engine.
+    void list_unreachable_gateways(std::size_t count)
+    {
+        for (std::size_t number = 0; number < count; ++number)
+            this->gateway_hosts.push_back(
+                host(first_unreachable_number + number));
+    }
+
     /// \brief Waits until each gateway accepts calls and knows the others.
     void wait_ready()
     {
@@ -316,6 +342,7 @@
 private:
     static constexpr std::size_t store_number = 1;
     static constexpr std::size_t first_gateway_number = 10;
+    static constexpr std::size_t first_unreachable_number = 50;
     static constexpr std::size_t first_engine_number = 100;
 
     // The bounds are wide, so that a slow machine changes nothing.
--- a/standins/service/recording_service.cpp
+++ b/standins/service/recording_service.cpp
@@ -10,13 +10,6 @@
 
 constexpr std::chrono::milliseconds longest_work{40};
 
-void sign(evhttp_request* request, std::string const& id)
-{
-    auto* const headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "X-Request-Id", id.c_str());
-    evhttp_add_header(headers, "X-Response-Stamp", "books");
-}
-
 } // namespace
 
 recording_service::recording_service(event_base* loop, address const& where,
@@ -36,6 +29,20 @@
                     });
 }
 
+void recording_service::name_limit(std::string text)
+{
+    this->limit = std::move(text);
+}
+
+void recording_service::sign(evhttp_request* request,
+                             std::string const& id) const
+{
+    auto* const headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "X-Request-Id", id.c_str());
+    evhttp_add_header(headers, "X-Response-Stamp", "books");
+    add_call_limit(request, this->limit);
+}
+
 address recording_service::bound() const
 {
     return this->server.bound();
@@ -49,7 +56,7 @@
     luck -= this->faults.refused;
     if (luck < 0)
     {
-        sign(call.request, id);
+        this->sign(call.request, id);
         evhttp_add_header(evhttp_request_get_output_headers(call.request),
                           "X-Not-Executed", "1");
         reply(call.request, HTTP_SERVUNAVAIL, "");
@@ -85,7 +92,7 @@
         this->held.cut_off(request);
         return;
     }
-    sign(request, id);
+    this->sign(request, id);
     bool const is_failed = luck < this->faults.failed;
     reply(request, is_failed ? HTTP_INTERNAL : HTTP_OK, "done");
 }
--- a/standins/service/recording_service.hpp
+++ b/standins/service/recording_service.hpp
@@ -42,14 +42,20 @@
     recording_service(recording_service const&) = delete;
     recording_service& operator=(recording_service const&) = delete;
 
+    /// \brief States a limit in new answers, as this text; empty: none.
+    void name_limit(std::string text);
+
     [[nodiscard]] address bound() const;
 
 private:
     void answer(http_call const& call);
     void run(std::uint64_t held_call, std::string const& id, double luck);
 
+    void sign(evhttp_request* request, std::string const& id) const;
+
     service_faults faults;
     service_events events;
+    std::string limit;
     std::mt19937_64 random;
     http_server server;
     held_requests held;
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -24,16 +24,6 @@
     request->minor = 0;
 }
 
-void begin_answer(http_call const& call, std::string const& version)
-{
-    auto* const headers = evhttp_request_get_output_headers(call.request);
-    auto const id = call.header("X-Request-Id");
-    evhttp_add_header(headers, "Content-Type", "text/event-stream");
-    evhttp_add_header(headers, "X-Request-Id", id.c_str());
-    evhttp_add_header(headers, "X-Response-Stamp", version.c_str());
-    evhttp_send_reply_start(call.request, HTTP_OK, "OK");
-}
-
 void send(evhttp_request* request, std::string const& bytes)
 {
     evbuffer* const chunk = evbuffer_new();
@@ -85,6 +75,11 @@
     this->crashed = std::move(action);
 }
 
+void stream_engine::name_limit(std::string text)
+{
+    this->limit = std::move(text);
+}
+
 void stream_engine::on_stream(std::function<void(stream_request const&)> action)
 {
     this->sent = std::move(action);
@@ -128,6 +123,17 @@
     return this->server.bound();
 }
 
+void stream_engine::begin_answer(http_call const& call) const
+{
+    auto* const headers = evhttp_request_get_output_headers(call.request);
+    auto const id = call.header("X-Request-Id");
+    evhttp_add_header(headers, "Content-Type", "text/event-stream");
+    evhttp_add_header(headers, "X-Request-Id", id.c_str());
+    evhttp_add_header(headers, "X-Response-Stamp", this->version.c_str());
+    add_call_limit(call.request, this->limit);
+    evhttp_send_reply_start(call.request, HTTP_OK, "OK");
+}
+
 void stream_engine::answer(http_call const& call)
 {
     auto const from = call.header("Last-Event-Id");
@@ -138,7 +144,7 @@
     if (this->crashes_on(call))
     {
         this->watch(call.request);
-        begin_answer(call, this->version);
+        this->begin_answer(call);
         send(call.request, this->event(1).substr(0, 1));
         this->later.run(crash_delay, this->crashed);
         return;
@@ -148,7 +154,7 @@
         this->watch(call.request);
     if (!this->is_framed)
         leave_unframed(call.request);
-    begin_answer(call, this->version);
+    this->begin_answer(call);
     std::string events;
     for (auto number = number_of(from) + 1; number <= this->last_event;
          ++number)
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -52,6 +52,10 @@
     /// \param crashed called from the loop; has to destroy the engine
     void crash_on(std::string part, std::function<void()> crashed);
 
+    /// \brief States a limit in the heads of new answers, as this text; empty:
+    /// none.
+    void name_limit(std::string text);
+
     /// \brief Calls back for each stream that the engine is sent.
     void on_stream(std::function<void(stream_request const&)> sent);
 
@@ -72,6 +76,7 @@
     };
 
     void answer(http_call const& call);
+    void begin_answer(http_call const& call) const;
     [[nodiscard]] bool crashes_on(http_call const& call) const;
     [[nodiscard]] std::string event(std::uint64_t number) const;
     void watch(evhttp_request* request);
@@ -81,6 +86,7 @@
     std::uint64_t last_event = stream_events;
     std::size_t partial_bytes = 0;
     bool is_framed = true;
+    std::string limit;
     std::string crash_part;
     std::function<void()> crashed;
     std::function<void(stream_request const&)> sent;
--- a/standins/support/http_server.cpp
+++ b/standins/support/http_server.cpp
@@ -176,6 +176,13 @@
 
 // The shutdown makes libevent see the end of the connection by itself, after
 // the running callback, and free both ends of its own state.
+void add_call_limit(evhttp_request* request, std::string const& limit)
+{
+    if (!limit.empty())
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "Server-Limit", limit.c_str());
+}
+
 void cut(evhttp_request* request)
 {
     auto* connection = evhttp_request_get_connection(request);
--- a/standins/support/http_server.hpp
+++ b/standins/support/http_server.hpp
@@ -83,6 +83,10 @@
 void reply(evhttp_request* request, int status, std::string_view body,
            char const* content_type = "application/json");
 
+/// \brief States a limit on the calls a second in the head of an answer, as it
+/// is; empty: none.
+void add_call_limit(evhttp_request* request, std::string const& limit);
+
 /// \brief Cuts the caller's connection without an answer.
 void cut(evhttp_request* request);
 
