Keep the limits that upstreams state together (LIMIT)

What callers and upstreams saw: engines that state a limit of calls a second, for all gateways together, got 14 to 19 calls in 4 s for 1 and 1.2 a second. Cause: no process read the statement. Ruled out: retries, resumed streams and waiting calls (0 of 53 sends).

Change: each answer of an upstream is read. Gateways tell each other of limits. One gateway, chosen by rendezvous hashing over the upstream's id, issues a permit for each call from a token bucket; without a permit no call, retry, migration or resumed stream goes there, and no memory is fetched from there. An issuer that hears nobody issues none. Calls of a pool whose upstreams all have limits are refused at once, as not run, where their turn can't come in half of the time that they have; Retry-After is when the calls ahead of them will have been sent. After its end a limit rises over 4 s. Why it works: permits are counted in one place, and expire 1 s after they were requested, so restarts, pauses and lost messages lose permits and double none.

--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -75,6 +75,7 @@
     {event_number::cache_events_gap, "cache_events_gap"},
     {event_number::circuit_opened, "circuit_opened"},
     {event_number::circuit_closed, "circuit_closed"},
+    {event_number::limit_changed, "limit_changed"},
 });
 
 bool needs_quotes(std::string const& value)
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -104,6 +104,7 @@
     cache_events_gap = 2000,
     circuit_opened = 2001,
     circuit_closed = 2002,
+    limit_changed = 2003,
 };
 
 /// \brief Names of all events, in the order of their numbers.
--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -81,7 +81,8 @@
     double best_score = -1;
     for (auto const& [key, target] : dispatcher.upstreams)
     {
-        if (target.record.pool != pool ||
+        // An upstream with a limit is no home: permits come and go.
+        if (target.record.pool != pool || limits::applies(target.limit, now) ||
             !is_available(dispatcher, target, now))
             continue;
         double const score =
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -4,6 +4,8 @@
 #include <jujubestand/dispatch/choice.hpp>
 #include <jujubestand/dispatch/parts.hpp>
 #include <jujubestand/dispatch/standing.hpp>
+#include <jujubestand/dispatch/upstreams.hpp>
+#include <map>
 
 namespace jujubestand::dispatch
 {
@@ -55,6 +57,7 @@
 {
     upstream& target = dispatcher.upstreams.at(chosen.upstream);
     ++target.open_calls;
+    count_send(dispatcher, target, now);
     open_send in_flight;
     in_flight.upstream = chosen.upstream;
     in_flight.sent_at = now;
@@ -140,14 +143,67 @@
     return tokens / (dispatcher.limits.prefill_tokens_per_ms * engines);
 }
 
+/// The queue of a pool, as far as a call in it is concerned.
+struct pool_queue
+{
+    /// Calls a second that leave it; empty: not bound by limits.
+    std::optional<double> rate;
+    /// Calls that leave it before the call.
+    std::size_t ahead = 0;
+};
+
+// Refuses a call of a pool whose upstreams all have limits if its turn comes
+// later than in this share of the time that it has left. Retry-After is the
+// time in which the calls ahead of it will have been sent.
+std::optional<decision> refuse_limited(state const& dispatcher,
+                                       call const& request,
+                                       pool_queue const& queue,
+                                       double wait_share, mono_time now)
+{
+    if (!queue.rate)
+        return std::nullopt;
+    std::chrono::duration<double> const limit =
+        dispatcher.limits.limited_retry_limit;
+    std::chrono::duration<double> wait = limit;
+    if (*queue.rate > 0)
+        wait = std::min(
+            wait, std::chrono::duration<double>(
+                      static_cast<double>(queue.ahead + 1) / *queue.rate));
+    std::chrono::duration<double> const time_left =
+        request.deadline - now - dispatcher.limits.service_time_min;
+    if (wait <= time_left * wait_share)
+        return std::nullopt;
+    return refuse(request,
+                  reason{reason_code::upstream_limited,
+                         "limits of the upstreams leave no room in time",
+                         request.pool},
+                  std::max(dispatcher.limits.return_margin,
+                           std::chrono::ceil<std::chrono::milliseconds>(wait)));
+}
+
+// The queue that a new call would wait in.
+pool_queue queue_of(state const& dispatcher, call const& request, mono_time now)
+{
+    pool_queue result;
+    result.rate = limited_rate(dispatcher, request.pool, now);
+    for (auto const& [key, other] : dispatcher.waiting)
+        result.ahead += other.pool == request.pool && !precedes(request, other);
+    return result;
+}
+
 } // namespace
 
 decision submit(state& dispatcher, call const& request, mono_time now)
 {
+    record_need(dispatcher, request.pool, now);
     if (auto const refusal = refuse_hopeless(dispatcher, request, now))
         return *refusal;
     if (auto const chosen = choose(dispatcher, request, now))
         return send(dispatcher, request, *chosen, now);
+    if (auto const refusal = refuse_limited(
+            dispatcher, request, queue_of(dispatcher, request, now),
+            dispatcher.limits.limited_wait_share, now))
+        return *refusal;
     if (dispatcher.waiting.size() >= dispatcher.limits.waiting_limit)
         return refuse(
             request, reason{reason_code::queue_full, "too many calls wait", {}},
@@ -173,12 +229,26 @@
                   return precedes(*left, *right);
               });
     std::vector<decision> result;
+    std::map<std::string, pool_queue> queues;
     for (call const* request : ordered_calls)
     {
+        auto const [queue, is_first] = queues.try_emplace(request->pool);
+        if (is_first)
+        {
+            record_need(dispatcher, request->pool, now);
+            queue->second.rate = limited_rate(dispatcher, request->pool, now);
+        }
         if (auto const refusal = refuse_hopeless(dispatcher, *request, now))
             result.push_back(*refusal);
         else if (auto const chosen = choose(dispatcher, *request, now))
             result.push_back(send(dispatcher, *request, *chosen, now));
+        // The rate is an estimate: what waits already is refused only once
+        // its turn can't come in time at all.
+        else if (auto const limited = refuse_limited(dispatcher, *request,
+                                                     queue->second, 1.0, now))
+            result.push_back(*limited);
+        else
+            ++queue->second.ahead;
     }
     for (auto const& decided : result)
         dispatcher.waiting.erase(decided.call);
--- a/jujubestand/dispatch/parts.cpp
+++ b/jujubestand/dispatch/parts.cpp
@@ -97,7 +97,8 @@
 }
 
 // One source for each version of the weights, since cached parts of one version
-// can't be used with another.
+// can't be used with another. A fetch is a request to its source, so an engine
+// with a limit is none.
 std::vector<part_source> find_sources(state const& dispatcher,
                                       call const& request,
                                       prompt_split const& split, mono_time now)
@@ -106,6 +107,7 @@
     for (auto const& [key, target] : dispatcher.upstreams)
     {
         if (target.record.pool != request.pool ||
+            limits::applies(target.limit, now) ||
             !is_available(dispatcher, target, now))
             continue;
         auto const weights =
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -44,6 +44,9 @@
     if (target.record.is_leaving || target.is_replaced ||
         target.avoid_until > now)
         return false;
+    if (limits::applies(target.limit, now) &&
+        !limits::has_permit(target.permits, now))
+        return false;
     return !has_fresh_report(dispatcher, target, now) || !target.load->is_down;
 }
 
@@ -88,6 +91,25 @@
                       }));
 }
 
+std::optional<double> limited_rate(state const& dispatcher,
+                                   std::string const& pool, mono_time now)
+{
+    std::optional<double> result;
+    for (auto const& [key, target] : dispatcher.upstreams)
+    {
+        if (target.record.pool != pool || target.record.is_leaving ||
+            target.is_replaced)
+            continue;
+        if (!limits::applies(target.limit, now))
+            return std::nullopt;
+        result = result.value_or(0) +
+                 limits::expected_rate(target.permits,
+                                       limits::rate_of(*target.limit, now),
+                                       dispatcher.gateways);
+    }
+    return result;
+}
+
 weights_status check_weights(state const& dispatcher, upstream const& target,
                              std::string const& model, mono_time now)
 {
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -2,6 +2,8 @@
 #define JUJUBESTAND_DISPATCH_STANDING_HPP
 
 #include <jujubestand/dispatch/types.hpp>
+#include <optional>
+#include <string>
 #include <vector>
 
 /// \brief Availability of upstreams and of their weights.
@@ -12,7 +14,8 @@
 [[nodiscard]] bool has_fresh_report(state const& dispatcher,
                                     upstream const& target, mono_time now);
 
-/// \brief Whether an upstream accepts calls, regardless of free capacity.
+/// \brief Whether an upstream accepts calls, regardless of free capacity; one
+/// with a limit accepts them only while this gateway has a permit.
 [[nodiscard]] bool is_available(state const& dispatcher, upstream const& target,
                                 mono_time now);
 
@@ -33,6 +36,12 @@
                                           std::string const& pool,
                                           mono_time now);
 
+/// \brief Calls a second that this gateway can expect to send to a pool whose
+/// upstreams all have limits; empty if one has none, or if there is no
+/// upstream.
+[[nodiscard]] std::optional<double>
+limited_rate(state const& dispatcher, std::string const& pool, mono_time now);
+
 /// \brief Whether a call may begin on an engine's weights, and at what cost.
 struct weights_status
 {
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -7,6 +7,8 @@
 #include <jujubestand/core/enum_table.hpp>
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
+#include <jujubestand/limits/permit_holder.hpp>
+#include <jujubestand/limits/upstream_limit.hpp>
 #include <jujubestand/status/cache_view.hpp>
 #include <jujubestand/status/engine_report.hpp>
 #include <jujubestand/traffic/prompt.hpp>
@@ -80,9 +82,16 @@
     std::chrono::milliseconds service_time_min{60};
     /// Time that a caller needs to retry before its own timeout.
     std::chrono::milliseconds return_margin{50};
+    /// Calls wait for upstreams with limits for up to this share of the time
+    /// that they have left; the rest is for serving them.
+    double limited_wait_share = 0.5;
+    /// Longest Retry-After of calls that are refused for limits.
+    std::chrono::milliseconds limited_retry_limit{10'000};
     std::chrono::milliseconds avoid_base{250};
     std::chrono::milliseconds avoid_limit{2'000};
     std::chrono::milliseconds failure_half_life{2'500};
+    /// Time in which the recent sends to an upstream are counted.
+    std::chrono::milliseconds sends_memory{4'000};
     /// An older report does not reflect the current load.
     std::chrono::milliseconds report_age_limit{1'500};
     std::size_t waiting_limit = 2'000;
@@ -215,6 +224,13 @@
     double failures = 0;
     mono_time failures_at{};
     mono_time avoid_until{};
+    /// Calls a second that the upstream takes from all gateways together.
+    std::optional<limits::upstream_limit> limit;
+    /// Permits of this gateway while there is a limit.
+    limits::permit_holder permits;
+    /// Sends of this process at `sends_at`; decays by `sends_memory`.
+    double sends = 0;
+    mono_time sends_at{};
 };
 
 /// \brief A store of cached parts as seen by this process.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -93,6 +93,16 @@
         requests.erase(requests.begin(), first_allowed - 1);
 }
 
+// Sends of this process within about `sends_memory`.
+double recent_sends(state const& dispatcher, upstream const& target,
+                    mono_time now)
+{
+    std::chrono::duration<double, std::milli> const age = now - target.sends_at;
+    auto const memory =
+        static_cast<double>(dispatcher.limits.sends_memory.count());
+    return target.sends * std::exp(-std::max(0.0, age.count()) / memory);
+}
+
 // Two upstreams can't share an address: the one that started later owns it.
 void mark_replaced(state& dispatcher, upstream& added,
                    traffic::upstream_record const& record)
@@ -132,6 +142,8 @@
         target.failures = 0;
         target.is_replaced = false;
         target.avoid_until = mono_time{};
+        target.limit.reset();
+        target.sends = 0;
     }
     if (is_new)
         mark_replaced(dispatcher, target, record);
@@ -197,6 +209,43 @@
     remove_redundant(requests, since - dispatcher.limits.weights_lag);
 }
 
+limits::limit_change on_limit_statement(state& dispatcher,
+                                        upstream_key target_key,
+                                        limits::statement const& stated,
+                                        bool is_own, wall_time wall_now,
+                                        mono_time now)
+{
+    upstream* const target = find(dispatcher, target_key);
+    if (target == nullptr)
+        return limits::limit_change::none;
+    bool const was_limited = limits::applies(target->limit, now);
+    auto const change =
+        is_own ? limits::on_own_statement(target->limit, stated, now)
+               : limits::on_reported_statement(target->limit, stated, wall_now,
+                                               now);
+    if (!was_limited && limits::applies(target->limit, now))
+        target->permits = limits::begin_holding(
+            target->permits, recent_sends(dispatcher, *target, now), now);
+    return change;
+}
+
+void record_need(state& dispatcher, std::string const& pool, mono_time now)
+{
+    for (auto& [key, target] : dispatcher.upstreams)
+    {
+        if (target.record.pool == pool && limits::applies(target.limit, now))
+            target.permits.needed_at = now;
+    }
+}
+
+void count_send(state const& dispatcher, upstream& target, mono_time now)
+{
+    target.sends = recent_sends(dispatcher, target, now) + 1;
+    target.sends_at = now;
+    if (limits::applies(target.limit, now))
+        limits::use_permit(target.permits);
+}
+
 void on_first_output(state& dispatcher, call_key call)
 {
     auto const found = dispatcher.sends.find(call);
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -35,6 +35,23 @@
 void on_wanted_weights(state& dispatcher, std::string const& model,
                        std::uint64_t version, mono_time since);
 
+/// \brief Applies a statement of an upstream on its limit.
+/// \param is_own this process received it from the upstream itself
+/// \param wall_now the time of day; limits times that other processes state
+limits::limit_change on_limit_statement(state& dispatcher,
+                                        upstream_key target_key,
+                                        limits::statement const& stated,
+                                        bool is_own, wall_time wall_now,
+                                        mono_time now);
+
+/// \brief Records that calls could go to a pool, so that permits for its
+/// upstreams are of use.
+void record_need(state& dispatcher, std::string const& pool, mono_time now);
+
+/// \brief Records a send in the count of recent sends and uses a permit where
+/// one is needed.
+void count_send(state const& dispatcher, upstream& target, mono_time now);
+
 /// \brief Records that the first output of a send has arrived.
 void on_first_output(state& dispatcher, call_key call);
 
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
@@ -158,6 +159,7 @@
     if (!answer)
         return;
     auto const now = mono_now();
+    state.limits.heard_at = now;
     if (answer->request_sent_at_us != 0)
         on_query_answered(state.status_queries, sender.host);
     auto const* const known_upstream =
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
+#include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
@@ -249,6 +250,8 @@
     for (auto const& dispatch_decision :
          dispatch::decide_waiting(state.dispatch, mono_now()))
         apply_decision(state, dispatch_decision);
+    // Permits that are granted here are used by the next review.
+    request_permits(state);
     schedule_review(state);
 }
 
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
+#include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/migration.hpp>
@@ -112,6 +113,7 @@
             on_peer_datagram(state, sender, bytes);
             on_origin_datagram(state, sender, bytes);
             on_crash_datagram(state, bytes);
+            on_limit_datagram(state, sender, bytes);
         });
 }
 
@@ -177,6 +179,7 @@
     review_suspended_calls(state);
     expire_origin_queries(state);
     review_crashes(state);
+    review_limits(state);
     query_agents(state);
     query_peers(state);
 }
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/dispatch/parts.hpp>
 #include <jujubestand/dispatch/standing.hpp>
+#include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/retries.hpp>
@@ -102,6 +103,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(weights.lag)
               .count()},
          {"cached", static_cast<std::int64_t>(dispatch_decision.cached_tokens)},
+         {"limited",
+          limits::applies(target_upstream.limit, now) ? "yes" : "no"},
          {"fetch", dispatch_decision.fetch_from
                        ? to_text(*dispatch_decision.fetch_from)
                        : "none"}});
@@ -155,6 +158,8 @@
     auto const dispatch_decision = dispatch::submit(
         state.dispatch, find_call(state, key)->dispatch_call, mono_now());
     apply_decision(state, dispatch_decision);
+    if (request_permits(state))
+        review_waiting(state);
     schedule_review(state);
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -11,6 +11,7 @@
 #include <jujubestand/gateway/stream_origins.hpp>
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/server.hpp>
+#include <jujubestand/limits/permit_issuer.hpp>
 #include <jujubestand/logs/log.hpp>
 #include <jujubestand/loop/datagrams.hpp>
 #include <jujubestand/loop/timer.hpp>
@@ -105,6 +106,20 @@
     std::map<digest, mono_time> unwritten;
 };
 
+/// \brief What a gateway does about the limits of upstreams for all gateways.
+struct limit_exchange
+{
+    /// Permits that this gateway issues.
+    limits::permit_issuer issuer;
+    /// When this gateway last sent the limit of an upstream to the others.
+    std::map<dispatch::upstream_key, mono_time> announced_at;
+    /// Upstreams whose malformed limit was logged.
+    std::set<dispatch::upstream_key> malformed;
+    /// Last message of an agent or another gateway.
+    mono_time heard_at{};
+    mono_time reviewed_at{};
+};
+
 /// \brief State of a gateway process.
 struct gateway_state
 {
@@ -121,6 +136,7 @@
     /// Culprits that gateways found, so that a restart forgets none.
     std::unique_ptr<follow::follower> quarantine_topic;
     crash_watch crashes;
+    limit_exchange limits;
     /// Status datagrams to and from agents and other gateways.
     std::unique_ptr<loop::datagrams> datagrams;
     /// Serves store records to other gateways.
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
@@ -75,9 +76,14 @@
         dispatch::on_weights_seen(state.dispatch, send->second.upstream,
                                   call->dispatch_call.model_prompt->model,
                                   *answer.weights);
-    if (!answer.other_upstream.empty() &&
-        answer.other_upstream != call->upstream)
+    bool const is_misdirected = !answer.other_upstream.empty() &&
+                                answer.other_upstream != call->upstream;
+    if (is_misdirected)
         dispatch::on_misdirected(state.dispatch, call->upstream_key);
+    // Only what is surely an answer of the upstream can end a limit.
+    else if (answer.is_signed || answer.is_not_run ||
+             answer.limit.statement != traffic::limit_statement::none)
+        on_stated_limit(state, call->upstream_key, answer.limit);
     bool const is_usable =
         answer.is_signed && !answer.is_encoded && !answer.is_not_run;
     call->is_response_discarded =
--- /dev/null
+++ b/jujubestand/limits/permit_issuer.cpp
@@ -0,0 +1,159 @@
+#include <jujubestand/limits/permit_issuer.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <jujubestand/placement/rendezvous.hpp>
+
+namespace jujubestand::limits
+{
+
+namespace
+{
+
+/// Interval of the requests of all gateways together while none is granted.
+constexpr std::chrono::milliseconds request_spacing{40};
+
+/// A gateway without a request for this long, and for the time that its
+/// requests are spread over, needs no permits.
+constexpr std::chrono::milliseconds requester_memory{2'000};
+
+/// Retry interval of requests that the wrong gateway received.
+constexpr std::chrono::milliseconds denied_retry{200};
+
+/// Calls that were sent before the limit was known count if they are reported
+/// within this time, and delay the first permit by no more than `debt_limit`.
+constexpr std::chrono::milliseconds report_time{1'000};
+constexpr std::chrono::duration<double> debt_limit{2};
+
+/// Time in which a gateway counts the calls that it sent before.
+constexpr std::chrono::duration<double> sent_before_time{4};
+
+constexpr std::chrono::minutes unused_memory{1};
+
+microseconds spread_of(std::size_t requesters)
+{
+    return request_spacing * static_cast<std::int64_t>(requesters);
+}
+
+// Calls beyond the limit that were sent before it was known.
+double debt_of(double sent_before, double rate)
+{
+    return std::clamp(sent_before - rate * sent_before_time.count(), 0.0,
+                      rate * debt_limit.count());
+}
+
+void count_sent_before(issued_permits& issued, permit_requester& requester,
+                       double sent_before, double rate, mono_time now)
+{
+    if (requester.is_counted || now - issued.since > report_time)
+        return;
+    requester.is_counted = true;
+    double const before = debt_of(issued.sent_before, rate);
+    issued.sent_before += std::max(0.0, sent_before);
+    issued.bucket.tokens -= debt_of(issued.sent_before, rate) - before;
+}
+
+void remove_silent(issued_permits& issued, mono_time now)
+{
+    auto const memory = requester_memory + spread_of(issued.requesters.size());
+    std::erase_if(issued.requesters,
+                  [&](auto const& row)
+                  {
+                      return now - row.second.requested_at > memory;
+                  });
+}
+
+// A new issuer can't tell what the one before it granted last, so its bucket
+// starts empty.
+issued_permits& find_issued(permit_issuer& issuer,
+                            permit_request const& request, mono_time now)
+{
+    auto& issued = issuer.upstreams[request.limit.upstream];
+    bool const is_new = issued.since == mono_time{};
+    if (is_new || issued.incarnation != request.limit.incarnation)
+    {
+        issued = {};
+        issued.incarnation = request.limit.incarnation;
+        issued.since = now;
+        issued.bucket.filled_at = now;
+    }
+    return issued;
+}
+
+// Tokens are divided among the gateways that request them.
+std::uint32_t grant(issued_permits& issued, std::uint32_t wanted)
+{
+    if (issued.bucket.tokens < 1)
+        return 0;
+    double const share = std::floor(
+        issued.bucket.tokens / static_cast<double>(issued.requesters.size()));
+    auto const granted = std::min(
+        std::max(wanted, 1U), static_cast<std::uint32_t>(std::max(1.0, share)));
+    issued.bucket.tokens -= granted;
+    return granted;
+}
+
+} // namespace
+
+permit_answer issue(permit_issuer& issuer, std::string const& host,
+                    permit_request const& request, double rate, mono_time now,
+                    double draw)
+{
+    auto& issued = find_issued(issuer, request, now);
+    auto& requester = issued.requesters[host];
+    requester.requested_at = now;
+    remove_silent(issued, now);
+    fill(issued.bucket, rate, now);
+    count_sent_before(issued, requester, request.sent_before, rate, now);
+    permit_answer answer;
+    answer.limit = request.limit;
+    answer.number = request.number;
+    answer.granted = grant(issued, request.wanted);
+    answer.calls_per_second =
+        rate / static_cast<double>(issued.requesters.size());
+    if (answer.granted > 0)
+        return answer;
+    auto const spread = spread_of(issued.requesters.size());
+    auto const wait = time_to_token(issued.bucket, rate) +
+                      scaled(draw * static_cast<double>(spread.count()));
+    answer.retry_in_us = wait.count();
+    return answer;
+}
+
+permit_answer deny(permit_request const& request)
+{
+    permit_answer answer;
+    answer.limit = request.limit;
+    answer.number = request.number;
+    answer.retry_in_us = microseconds{denied_retry}.count();
+    return answer;
+}
+
+void remove_unused(permit_issuer& issuer, mono_time now)
+{
+    std::erase_if(issuer.upstreams,
+                  [now](auto const& row)
+                  {
+                      return now - row.second.bucket.filled_at > unused_memory;
+                  });
+}
+
+std::optional<std::string> issuer_of(std::vector<std::string> const& hosts,
+                                     upstream_id const& upstream)
+{
+    auto const key = placement::name_hash_of(upstream.text);
+    std::optional<std::string> best;
+    double best_score = 0;
+    for (auto const& host : hosts)
+    {
+        double const score = placement::rendezvous_score(
+            key, placement::name_hash_of(host), 1.0);
+        if (best && score <= best_score)
+            continue;
+        best = host;
+        best_score = score;
+    }
+    return best;
+}
+
+} // namespace jujubestand::limits
--- /dev/null
+++ b/jujubestand/limits/token_bucket.cpp
@@ -0,0 +1,34 @@
+#include <jujubestand/limits/token_bucket.hpp>
+
+#include <algorithm>
+
+namespace jujubestand::limits
+{
+
+namespace
+{
+
+/// Tokens are kept for this long, and at least one is.
+constexpr std::chrono::duration<double> kept_for{0.2};
+
+} // namespace
+
+void fill(token_bucket& bucket, double tokens_per_second, mono_time now)
+{
+    double const capacity = std::max(1.0, tokens_per_second * kept_for.count());
+    std::chrono::duration<double> const passed =
+        std::max(microseconds{0}, now - bucket.filled_at);
+    bucket.tokens =
+        std::min(bucket.tokens + tokens_per_second * passed.count(), capacity);
+    bucket.filled_at = now;
+}
+
+microseconds time_to_token(token_bucket const& bucket, double tokens_per_second)
+{
+    if (bucket.tokens >= 1)
+        return microseconds{0};
+    constexpr double us_per_second = 1e6;
+    return scaled((1 - bucket.tokens) / tokens_per_second * us_per_second);
+}
+
+} // namespace jujubestand::limits
--- /dev/null
+++ b/jujubestand/limits/token_bucket.hpp
@@ -0,0 +1,27 @@
+#ifndef JUJUBESTAND_LIMITS_TOKEN_BUCKET_HPP
+#define JUJUBESTAND_LIMITS_TOKEN_BUCKET_HPP
+
+#include <jujubestand/core/time.hpp>
+
+namespace jujubestand::limits
+{
+
+/// \brief A token bucket whose rate may change; a token is the right to send
+/// one call.
+struct token_bucket
+{
+    /// Negative while calls that were sent already are made up for.
+    double tokens = 0;
+    mono_time filled_at{};
+};
+
+/// \brief Adds the tokens since the last time.
+void fill(token_bucket& bucket, double tokens_per_second, mono_time now);
+
+/// \brief Time until the bucket holds a whole token.
+[[nodiscard]] microseconds time_to_token(token_bucket const& bucket,
+                                         double tokens_per_second);
+
+} // namespace jujubestand::limits
+
+#endif
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_STATUS_MESSAGES_HPP
 
 #include <cstdint>
+#include <jujubestand/limits/permit_messages.hpp>
 #include <jujubestand/quarantine/strike.hpp>
 #include <jujubestand/status/cache_view.hpp>
 #include <map>
@@ -180,6 +181,33 @@
     MSGPACK_DEFINE_ARRAY(format, evidence, culprits)
 };
 
+/// \brief Notice of a gateway on the limit of an upstream.
+struct limit_notice
+{
+    std::uint32_t format = format_version;
+    limits::limit_record limit;
+
+    MSGPACK_DEFINE_ARRAY(format, limit)
+};
+
+/// \brief Request of a gateway to the one that issues an upstream's permits.
+struct permit_query
+{
+    std::uint32_t format = format_version;
+    limits::permit_request request;
+
+    MSGPACK_DEFINE_ARRAY(format, request)
+};
+
+/// \brief Response to a `permit_query`.
+struct permit_response
+{
+    std::uint32_t format = format_version;
+    limits::permit_answer answer;
+
+    MSGPACK_DEFINE_ARRAY(format, answer)
+};
+
 /// \brief Hash of a list of gateways; depends on the order.
 [[nodiscard]] std::uint64_t
 hash_of(std::vector<std::string> const& gateways) noexcept;
@@ -195,6 +223,9 @@
     origin_query = 'o',
     origin_response = 's',
     crash_notice = 'c',
+    limit_notice = 'l',
+    permit_query = 'w',
+    permit_response = 'g',
 };
 
 /// \brief Kind of a message type.
@@ -224,6 +255,16 @@
 inline constexpr message_kind kind_of<crash_notice> =
     message_kind::crash_notice;
 
+template <>
+inline constexpr message_kind kind_of<limit_notice> =
+    message_kind::limit_notice;
+template <>
+inline constexpr message_kind kind_of<permit_query> =
+    message_kind::permit_query;
+template <>
+inline constexpr message_kind kind_of<permit_response> =
+    message_kind::permit_response;
+
 /// \brief Serializes a message as one datagram, with its kind.
 template <class Message>
 [[nodiscard]] std::string to_datagram(Message const& message);
--- a/programs/test/call_limits_test.cpp
+++ b/programs/test/call_limits_test.cpp
@@ -375,7 +375,7 @@
 // The limit of an engine was kept for the one that replaced it, or the reverse.
 TEST_F(call_limits, a_limit_is_of_one_engine_and_not_of_its_address)
 {
-    this->start(3, 2);
+    this->start(3, 1);
     this->engines[0].engine->name_limit("0.5");
     auto const named_at = mono_now();
     this->play(milliseconds{8'000}, "/chat/new", usual_interval);
@@ -385,8 +385,8 @@
     this->play(milliseconds{3'000}, "/chat/new", usual_interval);
     auto const until = mono_now();
     auto const& next = this->engines[0].id;
-    EXPECT_GE(this->calls_between(next, until - milliseconds{2'000}, until),
-              20U);
+    auto const from = until - milliseconds{2'000};
+    EXPECT_GE(this->calls_between(next, from, until), 100U);
     this->engines[0].engine->name_limit("0.5");
     auto const next_named_at = mono_now();
     this->play(milliseconds{8'000}, "/chat/new", usual_interval);
