Read limits in what engines answer to their agents (LIMIT)

What upstreams saw: an engine that states a limit got the first calls of each gateway until one was answered, and the orders of its agent on top of the limit. Cause: agents read no head of an answer. The same class as in gateways. Change: agents read what reports, cache events and answers to orders state and tell gateways at once; only the kind of answer that named a limit can end it. An order needs a permit, which the issuing gateway keeps for it before calls; with no gateway that answers, an agent keeps the limit among its own orders.

--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/agent/answers.hpp>
 
 #include <algorithm>
+#include <jujubestand/agent/call_limit.hpp>
 #include <jujubestand/agent/weights.hpp>
 
 namespace jujubestand::agent
@@ -29,6 +30,7 @@
     response.request_sent_at_us = request.sent_at_us;
     response.agent = state.settings.name;
     response.is_engine_reachable = state.is_reachable;
+    response.limit = report_limit(state);
     remove_stale(state.gateways, now);
     response.gateways = hosts_if_changed(state.gateways, request.gateways_hash);
     auto const& known = state.operator_topic->known();
@@ -61,7 +63,11 @@
 {
     for (auto const& [model, version] : request.requested_versions)
         on_requested_version(state, model, version, now);
+    if (state.upstream != request.upstream ||
+        state.upstream_incarnation != request.upstream_incarnation)
+        forget_limit(state);
     state.upstream = request.upstream;
+    state.upstream_incarnation = request.upstream_incarnation;
     state.weights.pool_index = request.pool_index;
     state.weights.pool_size = std::max(1U, request.pool_size);
 }
@@ -90,7 +96,8 @@
     bool const is_usable = state.is_reachable && state.report &&
                            !state.report->is_busy &&
                            !is_preparing(state.weights, *state.report, now);
-    if (is_usable == state.was_usable)
+    bool const is_limit_news = std::exchange(state.is_limit_news, false);
+    if (is_usable == state.was_usable && !is_limit_news)
         return;
     state.was_usable = is_usable;
     status::status_request empty_request;
@@ -106,7 +113,10 @@
 {
     auto const request = status::from_datagram<status::status_request>(bytes);
     if (!request)
+    {
+        on_permit_datagram(state, bytes);
         return;
+    }
     auto const now = mono_now();
     if (!state.first_request_at)
         state.first_request_at = now;
--- a/jujubestand/agent/answers.hpp
+++ b/jujubestand/agent/answers.hpp
@@ -9,10 +9,11 @@
 {
 
 /// \brief Pushes a status message to all known gateways if the engine became
-/// usable or unusable since the last call.
+/// usable or unusable, or stated another limit, since the last call.
 void notify_gateways(agent_state& state);
 
-/// \brief Handles a status request from a gateway.
+/// \brief Handles a status request from a gateway, or the answer to a request
+/// of this agent.
 void on_status_request(agent_state& state, address const& sender,
                        std::string_view bytes);
 
--- a/jujubestand/agent/engine.cpp
+++ b/jujubestand/agent/engine.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/agent/engine.hpp>
 
 #include <jujubestand/agent/answers.hpp>
+#include <jujubestand/agent/call_limit.hpp>
 #include <jujubestand/agent/weights.hpp>
 #include <jujubestand/http1/text_call.hpp>
 #include <platform/calls.hpp>
@@ -25,6 +26,8 @@
     if (state.is_reachable == is_reachable)
         return;
     state.is_reachable = is_reachable;
+    if (!is_reachable)
+        forget_limit(state);
     state.log->write(is_reachable ? event_number::engine_reachable
                                   : event_number::engine_unreachable,
                      {}, {{"why", to_text(why)}});
@@ -59,9 +62,13 @@
     state.report = report;
     state.reported_at = state.report_requested_at;
     set_reachable(state, true, {});
-    update_running_calls(state.weights, report->running_ids, mono_now());
-    if (auto const due = next_order(state.weights, *report, mono_now()))
+    auto const now = mono_now();
+    update_running_calls(state.weights, report->running_ids, now);
+    state.weights.is_order_permitted = has_order_permit(state, now);
+    if (auto const due = next_order(state.weights, *report, now))
         send_order(state, *due);
+    else if (state.weights.is_permit_awaited)
+        request_order_permit(state, now);
 }
 
 void list_cache(agent_state& state)
@@ -110,13 +117,18 @@
     auto request = platform::report_request(*state.settings.upstream);
     request.timeout = report_timeout;
     request.connect_timeout = report_timeout;
-    http1::ask_for_text(*state.http_client, std::move(request),
-                        [&state](std::optional<std::string> const& body)
-                        {
-                            state.is_report_in_flight = false;
-                            on_report(state, body.value_or(""));
-                            notify_gateways(state);
-                        });
+    http1::ask_for_text(
+        *state.http_client, std::move(request),
+        [&state](std::optional<std::string> const& body)
+        {
+            state.is_report_in_flight = false;
+            on_report(state, body.value_or(""));
+            notify_gateways(state);
+        },
+        [&state](http1::message_head const& head)
+        {
+            on_stated_limit(state, limit_source::report, head);
+        });
 }
 
 void request_cache_events(agent_state& state)
@@ -124,11 +136,16 @@
     auto request = platform::cache_events_request(
         *state.settings.upstream, state.cache.next, cache_poll_timeout);
     request.timeout = 2 * cache_poll_timeout;
-    http1::ask_for_text(*state.http_client, std::move(request),
-                        [&state](std::optional<std::string> const& body)
-                        {
-                            on_cache_events(state, body);
-                        });
+    http1::ask_for_text(
+        *state.http_client, std::move(request),
+        [&state](std::optional<std::string> const& body)
+        {
+            on_cache_events(state, body);
+        },
+        [&state](http1::message_head const& head)
+        {
+            on_stated_limit(state, limit_source::cache_events, head);
+        });
 }
 
 } // namespace jujubestand::agent
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -143,6 +143,7 @@
 std::optional<order>
 next_order(rollout& state, status::engine_report const& report, mono_time now)
 {
+    state.is_permit_awaited = false;
     if (!state.fence || report.is_busy)
         return std::nullopt;
     for (auto& [model, requested] : state.requested_versions)
@@ -172,6 +173,11 @@
         if (now < requested.notice_at + state.limits.notice_period ||
             is_waiting_for_queue(state, requested, report, now))
             continue;
+        if (!state.is_order_permitted)
+        {
+            state.is_permit_awaited = true;
+            return std::nullopt;
+        }
         state.ordered_at = now;
         state.ordered_version = requested.version;
         return order{model, requested.version, *state.fence,
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -70,6 +70,11 @@
     /// Running calls of the engine, by id, and when each was first reported.
     std::map<std::uint64_t, mono_time> running_calls;
     std::uint64_t ordered_version = 0;
+    /// False while the engine limits the calls that it takes and this agent
+    /// has no permit.
+    bool is_order_permitted = true;
+    /// An order is due but for its permit.
+    bool is_permit_awaited = false;
 };
 
 /// \brief Order to the engine to load a version.
--- a/jujubestand/agent/state.hpp
+++ b/jujubestand/agent/state.hpp
@@ -5,6 +5,8 @@
 #include <jujubestand/agent/rollout.hpp>
 #include <jujubestand/follow/follower.hpp>
 #include <jujubestand/http1/server.hpp>
+#include <jujubestand/limits/permit_holder.hpp>
+#include <jujubestand/limits/upstream_limit.hpp>
 #include <jujubestand/logs/log.hpp>
 #include <jujubestand/loop/datagrams.hpp>
 #include <jujubestand/loop/timer.hpp>
@@ -16,6 +18,14 @@
 namespace jujubestand::agent
 {
 
+/// \brief Kind of an engine's answer that states a limit.
+enum class limit_source : std::uint8_t
+{
+    report,       ///< to a request for its report
+    cache_events, ///< to a request for changes of its cache
+    order,        ///< to an order
+};
+
 /// \brief State of an agent process.
 struct agent_state
 {
@@ -36,7 +46,18 @@
     bool is_reachable = false;
     unsigned report_failures = 0;
     rollout weights;
+    /// The engine's id and the start of its process, as gateways name them.
     std::string upstream;
+    std::uint64_t upstream_incarnation = 0;
+    /// Calls a second that the engine takes from all instances together.
+    std::optional<limits::upstream_limit> limit;
+    /// Kind of the answers that named the limit.
+    std::optional<limit_source> limited_by;
+    /// Permits for orders while there is a limit.
+    limits::permit_holder order_permits;
+    mono_time order_sent_at{};
+    /// Gateways have not been notified of the limit.
+    bool is_limit_news = false;
     status::cache_view cache;
     std::optional<loop::timer> cache_timer;
     gateway_table gateways;
--- a/jujubestand/agent/test/rollout_test.cpp
+++ b/jujubestand/agent/test/rollout_test.cpp
@@ -74,6 +74,19 @@
     EXPECT_EQ(issued_order->fence, 7U);
 }
 
+// An order was sent on top of the calls that the engine had limited.
+TEST(rollout, an_order_waits_for_its_permit)
+{
+    auto state = ready(0, 9);
+    record_request(state, "m", 2, at(1'000));
+    state.is_order_permitted = false;
+    EXPECT_EQ(first_order(state, engine(1, 0), 1'000), -1);
+    EXPECT_TRUE(state.is_permit_awaited);
+    state.is_order_permitted = true;
+    EXPECT_TRUE(next_order(state, engine(1, 0), at(22'000)));
+    EXPECT_FALSE(state.is_permit_awaited);
+}
+
 TEST(rollout, a_lost_order_is_repeated_for_the_same_state_only)
 {
     auto state = ready(0, 9);
--- a/jujubestand/agent/weights.cpp
+++ b/jujubestand/agent/weights.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/agent/weights.hpp>
 
+#include <jujubestand/agent/call_limit.hpp>
 #include <platform/calls.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
@@ -116,11 +117,13 @@
     order.upstream = state.upstream;
     auto request = platform::order_request(*state.settings.upstream, order);
     request.timeout = order_timeout;
+    use_order_permit(state, mono_now());
     auto const status = std::make_shared<int>(0);
     http1::call_events events;
-    events.on_head = [status](http1::message_head const& head)
+    events.on_head = [&state, status](http1::message_head const& head)
     {
         *status = head.status;
+        on_stated_limit(state, limit_source::order, head);
     };
     events.on_body = [](std::string_view) {};
     events.on_end = [&state, load_order, status](http1::call_end const&)
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -56,6 +56,7 @@
 struct engine_query_data
 {
     std::string id;
+    std::uint64_t incarnation = 0;
     status::cache_position cache;
     std::uint32_t index = 0;
     std::uint32_t engine_count = 1;
@@ -75,7 +76,8 @@
             dispatch::find_by_host(state.dispatch, host) != &known_upstream)
             continue;
         auto& count = pools[known_upstream.record.pool];
-        hosts[host] = {id, known_upstream.cache.position, count, 1};
+        hosts[host] = {id, known_upstream.record.born_ms,
+                       known_upstream.cache.position, count, 1};
         if (!known_upstream.record.is_leaving)
             ++count;
     }
@@ -145,6 +147,7 @@
             continue;
         query.cache = engine.cache;
         query.upstream = engine.id;
+        query.upstream_incarnation = engine.incarnation;
         query.pool_index = engine.index;
         query.pool_size = engine.engine_count;
         state.datagrams->send(address{host, state.settings.internal_port},
@@ -174,6 +177,8 @@
             migrate_streams(state, known_upstream->key);
         dispatch::on_cache_delta(state.dispatch, known_upstream->key,
                                  answer->cache);
+        if (answer->limit.is_known)
+            on_agent_limit(state, known_upstream->key, answer->limit);
     }
     if (!answer->gateways.empty())
         set_gateways(state, answer->gateways, now);
--- a/jujubestand/gateway/call_limits.cpp
+++ b/jujubestand/gateway/call_limits.cpp
@@ -5,7 +5,6 @@
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/calls.hpp>
-#include <jujubestand/status/messages.hpp>
 
 namespace jujubestand::gateway
 {
@@ -292,8 +291,16 @@
 }
 
 void on_agent_limit(gateway_state& state, dispatch::upstream_key upstream,
-                    limits::statement const& stated)
+                    status::limit_report const& report)
 {
+    bool const is_valid = std::isfinite(report.calls_per_second) &&
+                          report.calls_per_second >= 0 && report.age_ms >= 0;
+    if (!is_valid)
+        return;
+    limits::statement stated;
+    if (report.is_named)
+        stated.calls_per_second = report.calls_per_second;
+    stated.stated_at = wall_now() - std::chrono::milliseconds{report.age_ms};
     apply(state, upstream, stated, false, "agent");
 }
 
--- a/jujubestand/gateway/call_limits.hpp
+++ b/jujubestand/gateway/call_limits.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_GATEWAY_CALL_LIMITS_HPP
 
 #include <jujubestand/gateway/state.hpp>
+#include <jujubestand/status/messages.hpp>
 #include <jujubestand/traffic/stated_limit.hpp>
 #include <string_view>
 
@@ -16,7 +17,7 @@
 
 /// \brief Applies what an upstream stated in an answer to its agent.
 void on_agent_limit(gateway_state& state, dispatch::upstream_key upstream,
-                    limits::statement const& stated);
+                    status::limit_report const& report);
 
 /// \brief Requests permits that calls could use.
 /// \returns whether this gateway granted itself some
--- a/jujubestand/http1/text_call.cpp
+++ b/jujubestand/http1/text_call.cpp
@@ -6,11 +6,12 @@
 namespace jujubestand::http1
 {
 
-call_id ask_for_text(client& from, client_request request, text_done done)
+call_id ask_for_text(client& from, client_request request, text_done done,
+                     head_seen seen)
 {
     auto const body = std::make_shared<std::string>();
     call_events events;
-    events.on_head = [](message_head const&) {};
+    events.on_head = std::move(seen);
     events.on_body = [body](std::string_view bytes)
     {
         *body += bytes;
--- a/jujubestand/http1/text_call.hpp
+++ b/jujubestand/http1/text_call.hpp
@@ -12,9 +12,15 @@
 /// \brief Takes the body of a complete answer, or nothing.
 using text_done = std::function<void(std::optional<std::string> const&)>;
 
+/// \brief Takes the head of an answer.
+using head_seen = std::function<void(message_head const&)>;
+
 /// \brief Starts a call for a body that is of use only as a whole.
 /// \param done called once, from the loop
-call_id ask_for_text(client& from, client_request request, text_done done);
+/// \param seen called with the head, before `done`
+call_id ask_for_text(
+    client& from, client_request request, text_done done,
+    head_seen seen = [](message_head const&) {});
 
 } // namespace jujubestand::http1
 
--- a/jujubestand/limits/permit_holder.cpp
+++ b/jujubestand/limits/permit_holder.cpp
@@ -97,10 +97,15 @@
     ++holder.unanswered;
 }
 
+bool is_issuer_unreachable(permit_holder const& holder) noexcept
+{
+    return holder.unanswered >= unanswered_limit;
+}
+
 double expected_rate(permit_holder const& holder, double rate,
                      std::uint32_t gateways)
 {
-    if (holder.unanswered >= unanswered_limit)
+    if (is_issuer_unreachable(holder))
         return 0;
     return std::min(
         rate, holder.calls_per_second.value_or(rate / std::max(1U, gateways)));
--- a/jujubestand/limits/permit_holder.hpp
+++ b/jujubestand/limits/permit_holder.hpp
@@ -58,6 +58,9 @@
 /// \brief Counts a request as unanswered after some time.
 void expire_request(permit_holder& holder, mono_time now);
 
+/// \brief Whether the issuer has not answered the last requests.
+[[nodiscard]] bool is_issuer_unreachable(permit_holder const& holder) noexcept;
+
 /// \brief Calls a second that this gateway can expect to send.
 /// \param rate of all gateways together
 [[nodiscard]] double expected_rate(permit_holder const& holder, double rate,
--- a/jujubestand/limits/permit_issuer.cpp
+++ b/jujubestand/limits/permit_issuer.cpp
@@ -30,6 +30,9 @@
 
 constexpr std::chrono::minutes unused_memory{1};
 
+/// A permit that is due for an order is kept for this long.
+constexpr std::chrono::milliseconds reservation_time{500};
+
 microseconds spread_of(std::size_t requesters)
 {
     return request_spacing * static_cast<std::int64_t>(requesters);
@@ -80,6 +83,24 @@
     return issued;
 }
 
+// The next permit goes to an order that waits for one: it comes once, and calls
+// would take each permit before it.
+void reserve_for_order(issued_permits& issued, std::string const& host,
+                       double rate, mono_time now)
+{
+    if (now < issued.reserved_until)
+        return;
+    issued.reserved_for = host;
+    issued.reserved_until =
+        now + time_to_token(issued.bucket, rate) + reservation_time;
+}
+
+bool is_reserved_for_other(issued_permits const& issued,
+                           std::string const& host, mono_time now)
+{
+    return now < issued.reserved_until && issued.reserved_for != host;
+}
+
 // Tokens are divided among the gateways that request them.
 std::uint32_t grant(issued_permits& issued, std::uint32_t wanted)
 {
@@ -108,14 +129,23 @@
     permit_answer answer;
     answer.limit = request.limit;
     answer.number = request.number;
-    answer.granted = grant(issued, request.wanted);
+    bool const is_reserved = is_reserved_for_other(issued, host, now);
+    if (!is_reserved)
+        answer.granted = grant(issued, request.wanted);
     answer.calls_per_second =
         rate / static_cast<double>(issued.requesters.size());
     if (answer.granted > 0)
+    {
+        if (issued.reserved_for == host)
+            issued.reserved_until = now;
         return answer;
-    auto const spread = spread_of(issued.requesters.size());
-    auto const wait = time_to_token(issued.bucket, rate) +
-                      scaled(draw * static_cast<double>(spread.count()));
+    }
+    auto wait = time_to_token(issued.bucket, rate);
+    if (request.is_for_order)
+        reserve_for_order(issued, host, rate, now);
+    else
+        wait += scaled(draw * static_cast<double>(
+                                  spread_of(issued.requesters.size()).count()));
     answer.retry_in_us = wait.count();
     return answer;
 }
--- a/jujubestand/limits/permit_issuer.hpp
+++ b/jujubestand/limits/permit_issuer.hpp
@@ -34,6 +34,10 @@
     double sent_before = 0;
     /// By IP address.
     std::map<std::string, permit_requester> requesters;
+    /// The next permit is for this requester's order, until the time is over;
+    /// empty: for anybody.
+    std::string reserved_for;
+    mono_time reserved_until{};
 };
 
 /// \brief State of a gateway as an issuer of permits, by upstream.
@@ -43,7 +47,7 @@
 };
 
 /// \brief Decides on a request for permits.
-/// \param host IP address of the requesting gateway
+/// \param host IP address of the requester
 /// \param rate calls a second that all gateways together may send
 /// \param draw uniform in [0, 1); spreads the next requests
 [[nodiscard]] permit_answer issue(permit_issuer& issuer,
--- a/jujubestand/limits/permit_messages.hpp
+++ b/jujubestand/limits/permit_messages.hpp
@@ -23,7 +23,8 @@
                          stated_at_ms)
 };
 
-/// \brief Request of a gateway for permits to send calls to an upstream.
+/// \brief Request of a gateway, or of an upstream's agent, for permits to send
+/// calls or orders to an upstream.
 struct permit_request
 {
     limit_record limit;
@@ -32,8 +33,10 @@
     std::uint32_t wanted = 1;
     /// Calls that the gateway sent there shortly before it knew of the limit.
     double sent_before = 0;
+    /// For an order to the upstream, which goes before calls.
+    bool is_for_order = false;
 
-    MSGPACK_DEFINE_ARRAY(limit, number, wanted, sent_before)
+    MSGPACK_DEFINE_ARRAY(limit, number, wanted, sent_before, is_for_order)
 };
 
 /// \brief Answer to a `permit_request`.
--- a/jujubestand/limits/test/permits_test.cpp
+++ b/jujubestand/limits/test/permits_test.cpp
@@ -104,6 +104,26 @@
     EXPECT_GE(granted_until(issuer, 2'000, 4'000, request_of(2)), 3U);
 }
 
+// Calls took each permit before the order of an agent, which asks less often.
+TEST(permit_issuer, keeps_the_next_permit_for_an_order)
+{
+    permit_issuer issuer;
+    granted_until(issuer, 0, 1'100, request_of());
+    auto order = request_of();
+    order.is_for_order = true;
+    auto const denied = issue(issuer, "a1", order, rate, at(1'105), 0.9);
+    EXPECT_EQ(denied.granted, 0U);
+    int const due_ms = 1'106 + static_cast<int>(denied.retry_in_us / 1'000);
+    EXPECT_EQ(granted_until(issuer, 1'110, due_ms + 50, request_of()), 0U);
+    EXPECT_EQ(issue(issuer, "a1", order, rate, at(due_ms + 60), 0).granted, 1U);
+    EXPECT_GE(granted_until(issuer, due_ms + 70, due_ms + 700, request_of()),
+              1U);
+    // An agent that has gone holds up nobody for long.
+    (void)issue(issuer, "a1", order, rate, at(due_ms + 701), 0);
+    EXPECT_GE(granted_until(issuer, due_ms + 701, due_ms + 2'700, request_of()),
+              2U);
+}
+
 TEST(permit_issuer, spreads_the_requests_of_many_gateways)
 {
     permit_issuer issuer;
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -45,10 +45,28 @@
     double link_mbps = 0;
     /// `hash_of` of the list of gateways that the sender has.
     std::uint64_t gateways_hash = 0;
+    /// Start of the engine's process, as it is registered.
+    std::uint64_t upstream_incarnation = 0;
 
     MSGPACK_DEFINE_ARRAY(format, sent_at_us, gateway, operator_end,
                          staleness_us, cache, requested_versions, upstream,
-                         pool_index, pool_size, link_mbps, gateways_hash)
+                         pool_index, pool_size, link_mbps, gateways_hash,
+                         upstream_incarnation)
+};
+
+/// \brief What an engine stated to its agent on the calls that it takes.
+struct limit_report
+{
+    /// False if no answer has named a limit.
+    bool is_known = false;
+    /// False if the limit has ended.
+    bool is_named = false;
+    /// Calls a second from all instances together.
+    double calls_per_second = 0;
+    /// Time since the last statement.
+    std::int64_t age_ms = 0;
+
+    MSGPACK_DEFINE_ARRAY(is_known, is_named, calls_per_second, age_ms)
 };
 
 /// \brief Status of an agent's engine and of the agent's copy of the operator's
@@ -83,12 +101,13 @@
     std::vector<std::string> gateways;
     /// Changes of the engine's cache after the position in the request.
     cache_delta cache;
+    limit_report limit;
 
     MSGPACK_DEFINE_ARRAY(format, request_sent_at_us, agent, is_engine_reachable,
                          is_preparing, load_due_us, is_busy, versions, queued,
                          running, prefilling, memory_used, memory_total,
                          report_age_ms, operator_end, staleness_us, gateways,
-                         cache)
+                         cache, limit)
 };
 
 /// \brief Request of a gateway to another one for the state of its copies.
--- a/programs/test/call_limits_test.cpp
+++ b/programs/test/call_limits_test.cpp
@@ -393,4 +393,44 @@
     EXPECT_LE(this->most_calls(next, next_named_at), calls_allowed(0.5));
 }
 
+// No call had gone to the engine since it stated its limit, so no gateway knew
+// it: the first calls of each gateway went there all at once.
+TEST_F(call_limits, a_limit_is_learnt_from_the_agent_before_any_call)
+{
+    this->start(4, 2);
+    this->start_agent(0);
+    this->engines[0].engine->name_limit("1.2");
+    auto const named_at = mono_now();
+    for (std::size_t gateway = 0; gateway < this->gateways.size(); ++gateway)
+        this->wait_logged(gateway, "limit_changed", 0);
+    this->play(milliseconds{8'000}, "/chat/new", usual_interval);
+    EXPECT_LE(this->most_calls("engine-0", named_at, mono_now()),
+              calls_allowed(1.2));
+    EXPECT_GE(this->served_after(named_at), 0.99);
+    this->engines[0].engine->name_limit("");
+    this->play(milliseconds{5'500}, "/chat/new", usual_interval);
+    auto const end = mono_now();
+    EXPECT_GE(this->calls_between("engine-0", end - milliseconds{1'000}, end),
+              5U);
+}
+
+// An order is a request too: agents sent theirs on top of the limit.
+TEST_F(call_limits, orders_need_permits_and_get_them)
+{
+    this->start(2, 2);
+    this->start_agent(0);
+    this->engines[0].engine->name_limit("0.5");
+    auto const named_at = mono_now();
+    this->play(milliseconds{4'000}, "/chat/new", usual_interval);
+    this->name_weights(2);
+    this->play(milliseconds{6'000}, "/chat/new", usual_interval);
+    auto const& orders = this->engines[0].engine->orders();
+    EXPECT_EQ(orders.size(), 1U);
+    auto& received = this->arrivals["engine-0"];
+    received.insert(received.end(), orders.begin(), orders.end());
+    std::sort(received.begin(), received.end());
+    EXPECT_LE(this->most_calls("engine-0", named_at, mono_now()),
+              calls_allowed(0.5));
+}
+
 } // namespace jujubestand::programs::test
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -31,7 +31,8 @@
     std::unique_ptr<bench::child_process> process;
 };
 
-/// \brief An engine, its agent and its id.
+/// \brief An engine, its agent and its id. The agent is a stand-in or a
+/// process.
 struct running_engine
 {
     std::string id;
@@ -40,6 +41,7 @@
     std::uint64_t born_ms = 0;
     std::unique_ptr<standins::stream_engine> engine;
     std::unique_ptr<standins::status_agent> agent;
+    std::unique_ptr<bench::child_process> agent_process;
 };
 
 /// \brief Gateway processes among stand-ins for the platform's store, engines
@@ -72,6 +74,7 @@
         if (HasFailure())
             this->print_logs();
         this->gateways.clear();
+        this->engines.clear();
         std::filesystem::remove_all(this->folder);
     }
 
@@ -113,6 +116,22 @@
         return number;
     }
 
+    /// \brief Puts an agent process in the place of an engine's stand-in for
+    /// one; not for the last engine.
+    void start_agent(std::size_t number)
+    {
+        auto& engine = this->engines[number];
+        engine.agent.reset();
+        auto const path = (this->folder / ("side-" + engine.id)).string();
+        std::ofstream(path + ".toml")
+            << agent_settings_text(engine.id, engine.engine->bound(),
+                                   this->internal_port, this->store.bound());
+        engine.agent_process = std::make_unique<bench::child_process>(
+            std::vector<std::string>{JUJUBESTAND_BINARY_DIR "/jujubestand_node",
+                                     "agent", "--settings", path + ".toml"},
+            path);
+    }
+
     /// \brief Puts another engine in the place of one: at its address, under
     /// another id.
     void replace_engine(std::size_t number)
@@ -145,6 +164,13 @@
         this->store.put("keyed.servers", written.id, record.dump());
     }
 
+    /// \brief Requests weights of the engines' model.
+    void name_weights(std::uint64_t version)
+    {
+        nlohmann::json const record{{"model", "m1"}, {"version", version}};
+        this->store.put("keyed.op", "version/m1", record.dump());
+    }
+
     /// \brief Destroys an engine as a crash does: its connections break, its
     /// agent loses it, its record goes.
     void crash_engine(std::size_t number)
@@ -406,13 +432,22 @@
     void print_logs() const
     {
         for (auto const& gateway : this->gateways)
+            print_log(*gateway.process);
+        for (auto const& engine : this->engines)
         {
-            for (char const* ending : {".out", ".err"})
-            {
-                std::ifstream file(gateway.process->output() + ending);
-                std::cerr << gateway.name << ending << '\n' << file.rdbuf();
-                std::cerr.clear();
-            }
+            if (engine.agent_process)
+                print_log(*engine.agent_process);
+        }
+    }
+
+    static void print_log(bench::child_process const& process)
+    {
+        for (char const* ending : {".out", ".err"})
+        {
+            auto const path = process.output() + ending;
+            std::ifstream file(path);
+            std::cerr << path << '\n' << file.rdbuf();
+            std::cerr.clear();
         }
     }
 
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -85,6 +85,19 @@
            "\"\n[platform]\naddress = \"" + to_text(store) + "\"\n";
 }
 
+/// \brief Settings of the agent beside an engine.
+inline std::string agent_settings_text(std::string const& name,
+                                       address const& engine,
+                                       std::uint16_t internal,
+                                       address const& store)
+{
+    auto const port = std::to_string(internal);
+    return "node-name = \"side-" + name + "\"\nzone = \"" + near +
+           "\"\nip = \"" + engine.host + "\"\napp = \"" + to_text(engine) +
+           "\"\ninternal-port-range = [" + port + ", " + port +
+           "]\n[platform]\naddress = \"" + to_text(store) + "\"\n";
+}
+
 /// \brief Record of a plain service.
 inline std::string service_record(address const& where, std::uint64_t sequence)
 {
--- a/standins/keyed/keyed_store.cpp
+++ b/standins/keyed/keyed_store.cpp
@@ -122,9 +122,15 @@
 void keyed_store::handle_append(http_call const& call)
 {
     auto const record = call.body().substr(length_bytes);
-    auto const key_bytes = static_cast<unsigned char>(record.at(0));
     auto const topic = call.text("topic");
-    this->put(topic, record.substr(1, key_bytes), record.substr(1 + key_bytes));
+    if (topic.starts_with("keyed."))
+    {
+        auto const key_bytes = static_cast<unsigned char>(record.at(0));
+        this->put(topic, record.substr(1, key_bytes),
+                  record.substr(1 + key_bytes));
+    }
+    else
+        this->topics[topic].records.push_back(record);
     auto const end = this->topics[topic].records.size();
     nlohmann::json const body{{"offset", end - 1}, {"end", end}};
     reply(call.request, HTTP_OK, body.dump());
--- a/standins/keyed/keyed_store.hpp
+++ b/standins/keyed/keyed_store.hpp
@@ -11,8 +11,9 @@
 namespace jujubestand::standins
 {
 
-/// \brief The platform's store as far as a gateway uses it: keyed topics of one
-/// partition, written by the test itself and by gateways.
+/// \brief The platform's store as far as gateways and agents use it: topics of
+/// one partition, keyed ones and others, written by the test itself and by
+/// them.
 class keyed_store
 {
 public:
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/http_struct.h>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace jujubestand::standins
@@ -45,6 +46,23 @@
                     {
                         this->answer(call);
                     });
+    this->server.on(EVHTTP_REQ_GET, "/report",
+                    [this](http_call const& call)
+                    {
+                        this->report(call);
+                    });
+    this->server.on(EVHTTP_REQ_GET, "/kv-events",
+                    [](http_call const& call)
+                    {
+                        reply(call.request, HTTP_OK,
+                              R"({"boot-epoch":1,"next":0,"lost":false,)"
+                              R"("events":[]})");
+                    });
+    this->server.on(EVHTTP_REQ_POST, "/order",
+                    [this](http_call const& call)
+                    {
+                        this->take_order(call);
+                    });
 }
 
 stream_engine::~stream_engine()
@@ -113,6 +131,32 @@
     return "id: " + text + "\ndata: " + this->version + ' ' + text + "\n\n";
 }
 
+void stream_engine::report(http_call const& call)
+{
+    nlohmann::json const model{{"name", "m1"}, {"version", this->weights}};
+    nlohmann::json const body{
+        {"stage", "both"}, {"models", nlohmann::json::array({model})},
+        {"busy", false},   {"sequence", this->order_times.size()},
+        {"queued", 0},     {"active", 0},
+        {"kv-used", 0},    {"kv-total", 90'000}};
+    add_call_limit(call.request, this->limit);
+    reply(call.request, HTTP_OK, body.dump());
+}
+
+void stream_engine::take_order(http_call const& call)
+{
+    constexpr int accepted = 202;
+    this->order_times.push_back(mono_now());
+    this->weights = nlohmann::json::parse(call.body()).at("version");
+    add_call_limit(call.request, this->limit);
+    reply(call.request, accepted, "");
+}
+
+std::vector<mono_time> const& stream_engine::orders() const noexcept
+{
+    return this->order_times;
+}
+
 std::vector<stream_request> const& stream_engine::seen() const noexcept
 {
     return this->requests;
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <jujubestand/core/time.hpp>
 #include <map>
 #include <standins/support/delays.hpp>
 #include <standins/support/http_server.hpp>
@@ -23,7 +24,8 @@
 };
 
 /// \brief An engine that answers each POST with a stream of numbered events;
-/// each event names the engine's software version.
+/// each event names the engine's software version. Its agent gets reports, no
+/// changes of its cache, and loads of weights that take no time.
 class stream_engine
 {
 public:
@@ -65,6 +67,9 @@
     /// \brief Ends the paused streams where they are, as if they were whole.
     void truncate_streams();
 
+    /// \brief Times at which it was sent orders.
+    [[nodiscard]] std::vector<mono_time> const& orders() const noexcept;
+
     [[nodiscard]] std::vector<stream_request> const& seen() const noexcept;
     [[nodiscard]] address bound() const;
 
@@ -76,6 +81,8 @@
     };
 
     void answer(http_call const& call);
+    void report(http_call const& call);
+    void take_order(http_call const& call);
     void begin_answer(http_call const& call) const;
     [[nodiscard]] bool crashes_on(http_call const& call) const;
     [[nodiscard]] std::string event(std::uint64_t number) const;
@@ -94,6 +101,8 @@
     std::uint64_t next_id = 1;
     std::map<std::uint64_t, paused_stream> paused;
     std::vector<stream_request> requests;
+    std::uint64_t weights = 1;
+    std::vector<mono_time> order_times;
 };
 
 } // namespace jujubestand::standins
