Keep the limit of a sidecar's upstream in its queue (LIMIT)

What upstreams saw: behind a sidecar as well, an upstream that states a limit got every request that its slots allowed. The same class as in gateways; a sidecar is the one sender to its upstream, so it keeps the limit alone. Change: answers to calls and load reports are read (upstream.limit_header); the queue starts requests from a token bucket at that rate, counts those started shortly before, and takes the wait for a token into what it tells probes and into its refusals. The count of recent calls, the debt for them and the parsing of the statement stand once, for gateways and sidecars.

--- a/jujubestand/admission/queue.cpp
+++ b/jujubestand/admission/queue.cpp
@@ -45,6 +45,28 @@
            ahead_tokens_limit(state);
 }
 
+/// Whether the engine's limit lets a request start.
+bool has_start_token(queue_state& state, mono_time now)
+{
+    if (!limits::applies(state.limit, now))
+        return true;
+    limits::fill(state.start_tokens, limits::rate_of(*state.limit, now), now);
+    return state.start_tokens.tokens >= 1;
+}
+
+/// Time until a new request behind this many others may start.
+microseconds wait_for_limit(queue_state const& state, std::size_t ahead,
+                            mono_time now)
+{
+    if (!limits::applies(state.limit, now))
+        return microseconds{0};
+    double const rate = limits::rate_of(*state.limit, now);
+    auto bucket = state.start_tokens;
+    limits::fill(bucket, rate, now);
+    bucket.tokens -= static_cast<double>(ahead);
+    return limits::time_to_token(bucket, rate);
+}
+
 /// Drops expired requests as soon as they expire instead of when they reach
 /// the front, so that the caller gets the error early.
 void drop_expired(queue_state& state, mono_time now, schedule_result& into)
@@ -198,6 +220,21 @@
         state.prefill_us_per_token = report.prefill_us_per_token;
 }
 
+// This process alone sends requests to its engine, so it keeps the limit alone.
+limits::limit_change apply_limit(queue_state& state,
+                                 limits::statement const& stated, mono_time now)
+{
+    bool const was_limited = limits::applies(state.limit, now);
+    auto const change = limits::on_own_statement(state.limit, stated, now);
+    if (was_limited || !limits::applies(state.limit, now))
+        return change;
+    double const debt =
+        limits::debt_of(limits::value_of(state.recent_starts, now),
+                        limits::rate_of(*state.limit, now));
+    state.start_tokens = {-debt, now};
+    return change;
+}
+
 microseconds expected_wait(queue_state const& state, std::uint8_t priority,
                            mono_time now)
 {
@@ -210,11 +247,13 @@
     }
     microseconds const compute =
         prefill_time(state, tokens) + stalled_time(state, now);
+    microseconds const limited =
+        std::max(compute, wait_for_limit(state, items, now));
     std::size_t const occupied = state.running.size() + items;
     if (occupied < state.slots)
-        return compute;
+        return limited;
     auto const excess = static_cast<double>(occupied - state.slots + 1);
-    return std::max(compute, scaled(excess * state.slot_turnover_us));
+    return std::max(limited, scaled(excess * state.slot_turnover_us));
 }
 
 offer_result offer(queue_state& state, queue_item const& offered, mono_time now)
@@ -265,10 +304,13 @@
         if (priority_class == nullptr)
             break;
         queue_item const* const front = front_of(state, *priority_class);
-        if (front == nullptr || !has_room(state, *front))
+        if (front == nullptr || !has_room(state, *front) ||
+            !has_start_token(state, now))
             break;
         queue_item const item = *front;
         pop_front(state, *priority_class, item);
+        state.start_tokens.tokens -= 1;
+        limits::add_call(state.recent_starts, now);
         state.prefilling_tokens += item.tokens;
         if (state.running.empty())
             state.last_progress = now;
@@ -287,6 +329,18 @@
     return state.expiries.begin()->at;
 }
 
+std::optional<mono_time> next_schedule(queue_state const& state, mono_time now)
+{
+    auto const expiry_at = next_expiry(state);
+    if (!expiry_at || !limits::applies(state.limit, now))
+        return expiry_at;
+    // A token that is there already waits for something else.
+    auto const token_in = wait_for_limit(state, 0, now);
+    if (token_in.count() == 0)
+        return expiry_at;
+    return std::min(*expiry_at, now + token_in);
+}
+
 bool cancel(queue_state& state, request_id const& request)
 {
     auto const found = state.waiting.find(request);
--- a/jujubestand/admission/queue.hpp
+++ b/jujubestand/admission/queue.hpp
@@ -9,6 +9,9 @@
 #include <jujubestand/core/ids.hpp>
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
+#include <jujubestand/limits/recent_count.hpp>
+#include <jujubestand/limits/token_bucket.hpp>
+#include <jujubestand/limits/upstream_limit.hpp>
 #include <map>
 #include <optional>
 #include <set>
@@ -163,6 +166,11 @@
     /// Time of the engine's last output, or of the first start after it was
     /// idle.
     mono_time last_progress;
+    /// Requests a second that the engine states it takes, and the tokens to
+    /// start them.
+    std::optional<limits::upstream_limit> limit;
+    limits::token_bucket start_tokens;
+    limits::recent_count recent_starts;
 };
 
 /// \brief Figures last reported by the engine.
@@ -176,6 +184,10 @@
 /// current value unchanged.
 void apply_report(queue_state& state, engine_report const& report);
 
+/// \brief Applies what an answer of the engine states on its limit.
+limits::limit_change
+apply_limit(queue_state& state, limits::statement const& stated, mono_time now);
+
 /// \brief Expected time until the engine begins the prefill of a new request
 /// of this priority.
 [[nodiscard]] microseconds expected_wait(queue_state const& state,
@@ -189,12 +201,17 @@
 /// the expired ones.
 ///
 /// Call after each offer, first token and finished request, and at
-/// `next_expiry`.
+/// `next_schedule`.
 [[nodiscard]] schedule_result schedule(queue_state& state, mono_time now);
 
 /// \brief Expiry of the waiting request that expires first, if any.
 [[nodiscard]] std::optional<mono_time> next_expiry(queue_state const& state);
 
+/// \brief When `schedule` has to be called next even if nothing happens: at
+/// the next expiry, or once the engine's limit lets a request start.
+[[nodiscard]] std::optional<mono_time> next_schedule(queue_state const& state,
+                                                     mono_time now);
+
 /// \brief Removes a waiting request.
 /// \returns whether it was waiting; if so, it has not been started and will
 /// not be
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -57,7 +57,7 @@
 {
     upstream& target = dispatcher.upstreams.at(chosen.upstream);
     ++target.open_calls;
-    count_send(dispatcher, target, now);
+    count_send(target, now);
     open_send in_flight;
     in_flight.upstream = chosen.upstream;
     in_flight.sent_at = now;
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -8,6 +8,7 @@
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
 #include <jujubestand/limits/permit_holder.hpp>
+#include <jujubestand/limits/recent_count.hpp>
 #include <jujubestand/limits/upstream_limit.hpp>
 #include <jujubestand/status/cache_view.hpp>
 #include <jujubestand/status/engine_report.hpp>
@@ -90,8 +91,6 @@
     std::chrono::milliseconds avoid_base{250};
     std::chrono::milliseconds avoid_limit{2'000};
     std::chrono::milliseconds failure_half_life{2'500};
-    /// Time in which the recent sends to an upstream are counted.
-    std::chrono::milliseconds sends_memory{4'000};
     /// An older report does not reflect the current load.
     std::chrono::milliseconds report_age_limit{1'500};
     std::size_t waiting_limit = 2'000;
@@ -228,9 +227,8 @@
     std::optional<limits::upstream_limit> limit;
     /// Permits of this gateway while there is a limit.
     limits::permit_holder permits;
-    /// Sends of this process at `sends_at`; decays by `sends_memory`.
-    double sends = 0;
-    mono_time sends_at{};
+    /// Sends of this process.
+    limits::recent_count sends;
 };
 
 /// \brief A store of cached parts as seen by this process.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -93,16 +93,6 @@
         requests.erase(requests.begin(), first_allowed - 1);
 }
 
-// Sends of this process within about `sends_memory`.
-double recent_sends(state const& dispatcher, upstream const& target,
-                    mono_time now)
-{
-    std::chrono::duration<double, std::milli> const age = now - target.sends_at;
-    auto const memory =
-        static_cast<double>(dispatcher.limits.sends_memory.count());
-    return target.sends * std::exp(-std::max(0.0, age.count()) / memory);
-}
-
 // Two upstreams can't share an address: the one that started later owns it.
 void mark_replaced(state& dispatcher, upstream& added,
                    traffic::upstream_record const& record)
@@ -143,7 +133,7 @@
         target.is_replaced = false;
         target.avoid_until = mono_time{};
         target.limit.reset();
-        target.sends = 0;
+        target.sends = {};
     }
     if (is_new)
         mark_replaced(dispatcher, target, record);
@@ -225,7 +215,7 @@
                                                now);
     if (!was_limited && limits::applies(target->limit, now))
         target->permits = limits::begin_holding(
-            target->permits, recent_sends(dispatcher, *target, now), now);
+            target->permits, limits::value_of(target->sends, now), now);
     return change;
 }
 
@@ -238,10 +228,9 @@
     }
 }
 
-void count_send(state const& dispatcher, upstream& target, mono_time now)
+void count_send(upstream& target, mono_time now)
 {
-    target.sends = recent_sends(dispatcher, target, now) + 1;
-    target.sends_at = now;
+    limits::add_call(target.sends, now);
     if (limits::applies(target.limit, now))
         limits::use_permit(target.permits);
 }
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -50,7 +50,7 @@
 
 /// \brief Records a send in the count of recent sends and uses a permit where
 /// one is needed.
-void count_send(state const& dispatcher, upstream& target, mono_time now);
+void count_send(upstream& target, mono_time now);
 
 /// \brief Records that the first output of a send has arrived.
 void on_first_output(state& dispatcher, call_key call);
--- a/jujubestand/limits/permit_holder.cpp
+++ b/jujubestand/limits/permit_holder.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/limits/permit_holder.hpp>
 
 #include <algorithm>
+#include <jujubestand/limits/recent_count.hpp>
 
 namespace jujubestand::limits
 {
@@ -21,9 +22,6 @@
 /// After so many unanswered requests the issuer counts as unreachable.
 constexpr unsigned unanswered_limit = 3;
 
-/// Time over which calls sent before the limit was known are forgotten.
-constexpr std::chrono::seconds sent_before_memory{4};
-
 } // namespace
 
 permit_holder begin_holding(permit_holder const& before, double sent_before,
@@ -62,7 +60,7 @@
     request.limit = limit;
     request.number = ++holder.last_number;
     request.wanted = wanted;
-    bool const counts = now - holder.named_at < sent_before_memory;
+    bool const counts = now - holder.named_at < recent_time;
     request.sent_before = counts ? holder.sent_before : 0;
     return request;
 }
--- a/jujubestand/limits/permit_issuer.cpp
+++ b/jujubestand/limits/permit_issuer.cpp
@@ -21,12 +21,8 @@
 constexpr std::chrono::milliseconds denied_retry{200};
 
 /// Calls that were sent before the limit was known count if they are reported
-/// within this time, and delay the first permit by no more than `debt_limit`.
+/// within this time.
 constexpr std::chrono::milliseconds report_time{1'000};
-constexpr std::chrono::duration<double> debt_limit{2};
-
-/// Time in which a gateway counts the calls that it sent before.
-constexpr std::chrono::duration<double> sent_before_time{4};
 
 constexpr std::chrono::minutes unused_memory{1};
 
@@ -38,13 +34,6 @@
     return request_spacing * static_cast<std::int64_t>(requesters);
 }
 
-// Calls beyond the limit that were sent before it was known.
-double debt_of(double sent_before, double rate)
-{
-    return std::clamp(sent_before - rate * sent_before_time.count(), 0.0,
-                      rate * debt_limit.count());
-}
-
 void count_sent_before(issued_permits& issued, permit_requester& requester,
                        double sent_before, double rate, mono_time now)
 {
--- a/jujubestand/limits/token_bucket.cpp
+++ b/jujubestand/limits/token_bucket.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/limits/token_bucket.hpp>
 
 #include <algorithm>
+#include <jujubestand/limits/recent_count.hpp>
 
 namespace jujubestand::limits
 {
@@ -11,6 +12,10 @@
 /// Tokens are kept for this long, and at least one is.
 constexpr std::chrono::duration<double> kept_for{0.2};
 
+/// Calls sent before the limit was known delay the first one by no more than
+/// this.
+constexpr std::chrono::duration<double> debt_limit{2};
+
 } // namespace
 
 void fill(token_bucket& bucket, double tokens_per_second, mono_time now)
@@ -23,6 +28,13 @@
     bucket.filled_at = now;
 }
 
+double debt_of(double sent_before, double tokens_per_second)
+{
+    std::chrono::duration<double> const counted = recent_time;
+    return std::clamp(sent_before - tokens_per_second * counted.count(), 0.0,
+                      tokens_per_second * debt_limit.count());
+}
+
 microseconds time_to_token(token_bucket const& bucket, double tokens_per_second)
 {
     if (bucket.tokens >= 1)
--- a/jujubestand/limits/token_bucket.hpp
+++ b/jujubestand/limits/token_bucket.hpp
@@ -18,6 +18,10 @@
 /// \brief Adds the tokens since the last time.
 void fill(token_bucket& bucket, double tokens_per_second, mono_time now);
 
+/// \brief Tokens that are owed for calls which were sent before the limit was
+/// known, within `recent_time`.
+[[nodiscard]] double debt_of(double sent_before, double tokens_per_second);
+
 /// \brief Time until the bucket holds a whole token.
 [[nodiscard]] microseconds time_to_token(token_bucket const& bucket,
                                          double tokens_per_second);
--- a/jujubestand/settings/settings.cpp
+++ b/jujubestand/settings/settings.cpp
@@ -65,6 +65,9 @@
     if (!text.empty() && !kind)
         section.fail("kind", "\"engine\" or \"service\"");
     into.kind = kind.value_or(upstream_kind::engine);
+    auto const limit_header = section.optional_text("limit_header");
+    if (!limit_header.empty())
+        into.limit_header = limit_header;
     section.done();
 }
 
--- a/jujubestand/settings/settings.hpp
+++ b/jujubestand/settings/settings.hpp
@@ -76,6 +76,9 @@
     upstream_id upstream;
     upstream_kind kind = upstream_kind::engine;
     std::optional<address> upstream_address;
+    /// Header field in which the upstream states how many requests a second it
+    /// takes.
+    std::string limit_header = "Server-Limit";
 
     // [[team]], entries only
     std::vector<team> teams;
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -34,6 +34,7 @@
     auto const found = this->by_exchange.find(key_of(exchange));
     if (found == this->by_exchange.end())
         return;
+    this->note_limit(head, false);
     call& of = *this->calls.find(found->second);
     of.has_head = true;
     of.answer =
--- a/jujubestand/sidecar/engine_side.cpp
+++ b/jujubestand/sidecar/engine_side.cpp
@@ -1,6 +1,7 @@
 // What the sidecar learns of its engine, and what it tells of it.
 
 #include <jujubestand/sidecar/sidecar_state.hpp>
+#include <jujubestand/traffic/stated_limit.hpp>
 
 namespace jujubestand::sidecar
 {
@@ -13,6 +14,11 @@
     this->watch.emplace(this->shared->base, *read.upstream_address,
                         std::chrono::milliseconds(read.load_poll_ms));
     this->watch->reported.connect(sigc::mem_fun(*this, &state::on_report));
+    this->watch->headed.connect(
+        [this](http::response_head const& head)
+        {
+            this->note_limit(head, true);
+        });
     this->watch->changed.connect(sigc::mem_fun(*this, &state::on_cache_event));
     this->watch->lost.connect(
         [this](reason const&)
@@ -22,6 +28,37 @@
     this->watch->start();
 }
 
+// Reports may state the limit and answers not, or the reverse: only the kind
+// that named it can end it.
+void sidecar::state::note_limit(http::response_head const& head, bool is_report)
+{
+    using traffic::limit_statement;
+    auto const stated =
+        traffic::read_limit(head.headers, this->shared->settings.limit_header);
+    bool const is_named = stated.statement == limit_statement::named;
+    bool const is_end = stated.statement == limit_statement::none &&
+                        this->is_limit_of_reports == is_report;
+    if (!is_named && !is_end)
+        return;
+    limits::statement own;
+    own.stated_at = wall_now();
+    if (is_named)
+    {
+        own.calls_per_second = stated.calls_per_second;
+        this->is_limit_of_reports = is_report;
+    }
+    auto const change = admission::apply_limit(this->queue, own, mono_now());
+    if (change == limits::limit_change::none)
+        return;
+    process::note(
+        *this->shared, event_number::limit_changed, {}, {},
+        {{"upstream", this->shared->settings.upstream.text},
+         {"change", std::string(to_name(limits::limit_change_names, change))},
+         {"per_second", to_text(stated)},
+         {"source", "answer"}});
+    this->wait_for_expiry();
+}
+
 void sidecar::state::on_report(engine_report const& report)
 {
     bool const is_new = take_report(this->engine, report, mono_now());
@@ -29,6 +66,8 @@
                        report.weights_version);
     admission::apply_report(this->queue,
                             {report.slots, report.prefill_us_per_token});
+    if (is_new)
+        this->queue.limit.reset();
     if (is_new)
         process::note(
             *this->shared, event_number::engine_restarted, {}, {},
--- a/jujubestand/sidecar/engine_watch.cpp
+++ b/jujubestand/sidecar/engine_watch.cpp
@@ -70,6 +70,12 @@
                      this->follow_events();
                  })
 {
+    this->client.head.connect(
+        [this](http::exchange_id exchange, http::response_head const& head)
+        {
+            if (this->load == exchange)
+                this->headed.emit(head);
+        });
     this->client.data.connect(sigc::mem_fun(*this, &engine_watch::on_data));
     this->client.ended.connect(sigc::mem_fun(*this, &engine_watch::on_ended));
 }
--- a/jujubestand/sidecar/engine_watch.hpp
+++ b/jujubestand/sidecar/engine_watch.hpp
@@ -36,6 +36,8 @@
 
     /// \brief The engine told its load.
     sigc::signal<void(engine_report)> reported;
+    /// \brief The head of an answer with a load report.
+    sigc::signal<void(http::response_head const&)> headed;
     /// \brief The engine's cache changed.
     sigc::signal<void(cache_event)> changed;
     /// \brief The engine did not tell its load.
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -227,7 +227,7 @@
 
 void sidecar::state::wait_for_expiry()
 {
-    auto const at = admission::next_expiry(this->queue);
+    auto const at = admission::next_schedule(this->queue, mono_now());
     if (!at || *at == mono_time::max())
     {
         this->expiry_timer.stop();
--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -47,6 +47,8 @@
     prefix::belief belief;
     engine_view engine;
     std::optional<engine_watch> watch;
+    /// The engine's load reports, and not its answers, named its limit.
+    bool is_limit_of_reports = false;
     loop::timer expiry_timer;
     bool is_draining = false;
 
@@ -78,6 +80,7 @@
     // engine_side.cpp
     void watch_engine();
     void note_progress(call_id id);
+    void note_limit(http::response_head const& head, bool is_report);
     void on_report(engine_report const& report);
     void on_cache_event(cache_event const& event);
     void on_probe(link::stream_id stream, link::frame const& frame);
--- a/jujubestand/traffic/stated_limit.hpp
+++ b/jujubestand/traffic/stated_limit.hpp
@@ -4,7 +4,10 @@
 #include <array>
 #include <cstdint>
 #include <jujubestand/core/enum_table.hpp>
+#include <jujubestand/http/message.hpp>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace jujubestand::traffic
 {
@@ -32,6 +35,12 @@
     double calls_per_second = 0;
 };
 
+/// \brief The limit that the fields of an answer state. A limit is a decimal
+/// number without sign or exponent, and is stated once.
+/// \param name of the field
+[[nodiscard]] stated_limit read_limit(std::vector<http::field> const& fields,
+                                      std::string_view name);
+
 /// \brief The limit as text for the log: `none`, `malformed` or the number.
 [[nodiscard]] std::string to_text(stated_limit const& limit);
 
