Estimate waits for limited pools from what the issuer says (LIMIT)

Causes: the first gateway that asks is granted the whole limit, and queues calls by it, until the others ask; calls queue while the issuer has said that none is granted yet; a token that is due waits 30 ms for the next request while the bucket is full. Change: the share that a gateway expects begins at 1 / gateways, falls at once and rises slowly; the time to the next permit counts; buckets hold 0.5 s.

--- a/jujubestand/agent/call_limit.cpp
+++ b/jujubestand/agent/call_limit.cpp
@@ -58,7 +58,7 @@
     auto const change = limits::on_own_statement(state.limit, own, now);
     if (!was_limited && limits::applies(state.limit, now))
         state.order_permits =
-            limits::begin_holding(state.order_permits, 0, now);
+            limits::begin_holding(state.order_permits, 0, 1, now);
     if (change == limits::limit_change::none)
         return;
     state.is_limit_news = true;
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -146,12 +146,25 @@
 /// The queue of a pool, as far as a call in it is concerned.
 struct pool_queue
 {
-    /// Calls a second that leave it; empty: not bound by limits.
-    std::optional<double> rate;
+    /// How calls leave it; empty: not bound by limits.
+    std::optional<limited_flow> flow;
     /// Calls that leave it before the call.
     std::size_t ahead = 0;
 };
 
+// Time until a call of a queue is sent, up to a limit.
+std::chrono::duration<double> wait_of(limited_flow const& flow,
+                                      std::size_t ahead,
+                                      std::chrono::duration<double> limit)
+{
+    if (flow.calls_per_second <= 0)
+        return limit;
+    std::chrono::duration<double> const interval{1 / flow.calls_per_second};
+    std::chrono::duration<double> const first =
+        std::max<std::chrono::duration<double>>(flow.first_in, interval);
+    return std::min(limit, first + static_cast<double>(ahead) * interval);
+}
+
 // Refuses a call of a pool whose upstreams all have limits if its turn comes
 // later than in this share of the time that it has left. Retry-After is the
 // time in which the calls ahead of it will have been sent.
@@ -160,15 +173,10 @@
                                        pool_queue const& queue,
                                        double wait_share, mono_time now)
 {
-    if (!queue.rate)
+    if (!queue.flow)
         return std::nullopt;
-    std::chrono::duration<double> const limit =
-        dispatcher.limits.limited_retry_limit;
-    std::chrono::duration<double> wait = limit;
-    if (*queue.rate > 0)
-        wait = std::min(
-            wait, std::chrono::duration<double>(
-                      static_cast<double>(queue.ahead + 1) / *queue.rate));
+    auto const wait = wait_of(*queue.flow, queue.ahead,
+                              dispatcher.limits.limited_retry_limit);
     std::chrono::duration<double> const time_left =
         request.deadline - now - dispatcher.limits.service_time_min;
     if (wait <= time_left * wait_share)
@@ -185,7 +193,7 @@
 pool_queue queue_of(state const& dispatcher, call const& request, mono_time now)
 {
     pool_queue result;
-    result.rate = limited_rate(dispatcher, request.pool, now);
+    result.flow = find_flow(dispatcher, request.pool, now);
     for (auto const& [key, other] : dispatcher.waiting)
         result.ahead += other.pool == request.pool && !precedes(request, other);
     return result;
@@ -236,7 +244,7 @@
         if (is_first)
         {
             record_need(dispatcher, request->pool, now);
-            queue->second.rate = limited_rate(dispatcher, request->pool, now);
+            queue->second.flow = find_flow(dispatcher, request->pool, now);
         }
         if (auto const refusal = refuse_hopeless(dispatcher, *request, now))
             result.push_back(*refusal);
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -91,10 +91,10 @@
                       }));
 }
 
-std::optional<double> limited_rate(state const& dispatcher,
-                                   std::string const& pool, mono_time now)
+std::optional<limited_flow> find_flow(state const& dispatcher,
+                                      std::string const& pool, mono_time now)
 {
-    std::optional<double> result;
+    std::optional<limited_flow> result;
     for (auto const& [key, target] : dispatcher.upstreams)
     {
         if (target.record.pool != pool || target.record.is_leaving ||
@@ -102,10 +102,12 @@
             continue;
         if (!limits::applies(target.limit, now))
             return std::nullopt;
-        result = result.value_or(0) +
-                 limits::expected_rate(target.permits,
-                                       limits::rate_of(*target.limit, now),
-                                       dispatcher.gateways);
+        if (!result)
+            result = limited_flow{};
+        result->calls_per_second += limits::expected_rate(
+            target.permits, limits::rate_of(*target.limit, now));
+        result->first_in = std::min(
+            result->first_in, limits::time_to_permit(target.permits, now));
     }
     return result;
 }
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -36,11 +36,18 @@
                                           std::string const& pool,
                                           mono_time now);
 
-/// \brief Calls a second that this gateway can expect to send to a pool whose
-/// upstreams all have limits; empty if one has none, or if there is no
-/// upstream.
-[[nodiscard]] std::optional<double>
-limited_rate(state const& dispatcher, std::string const& pool, mono_time now);
+/// \brief What this gateway can expect to send to a pool.
+struct limited_flow
+{
+    double calls_per_second = 0;
+    /// Time until the first call.
+    microseconds first_in = microseconds::max();
+};
+
+/// \brief The flow of calls to a pool whose upstreams all have limits; empty if
+/// one has none, or if there is no upstream.
+[[nodiscard]] std::optional<limited_flow>
+find_flow(state const& dispatcher, std::string const& pool, mono_time now);
 
 /// \brief Whether a call may begin on an engine's weights, and at what cost.
 struct weights_status
--- a/jujubestand/dispatch/test/limits_test.cpp
+++ b/jujubestand/dispatch/test/limits_test.cpp
@@ -33,7 +33,7 @@
     auto& target = engine(dispatcher, number);
     target.permits.permits = permits;
     target.permits.valid_until = at(ms + 1'000);
-    target.permits.calls_per_second = 1;
+    target.permits.share = 1;
 }
 
 } // namespace
@@ -106,6 +106,19 @@
     EXPECT_TRUE(decide_waiting(dispatcher, at(10)).empty());
 }
 
+// Calls waited for permits that the issuer had said would not come in time.
+TEST(call_limits, the_time_to_the_first_permit_counts)
+{
+    auto dispatcher = fleet(1);
+    name_limit(dispatcher, 1, 10);
+    EXPECT_EQ(submit(dispatcher, prompt_call(1, 77), at(0)).next_action,
+              action::hold);
+    engine(dispatcher, 1).permits.next_request_at = at(3'000);
+    auto const refused = submit(dispatcher, prompt_call(2, 77), at(0));
+    EXPECT_EQ(refused.next_action, action::refuse);
+    EXPECT_GE(refused.retry_after, std::chrono::milliseconds{3'000});
+}
+
 TEST(call_limits, a_gateway_without_an_issuer_refuses_at_once)
 {
     auto dispatcher = fleet(1);
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -215,7 +215,8 @@
                                                now);
     if (!was_limited && limits::applies(target->limit, now))
         target->permits = limits::begin_holding(
-            target->permits, limits::value_of(target->sends, now), now);
+            target->permits, limits::value_of(target->sends, now),
+            dispatcher.gateways, now);
     return change;
 }
 
--- a/jujubestand/gateway/call_limits.cpp
+++ b/jujubestand/gateway/call_limits.cpp
@@ -183,9 +183,8 @@
 {
     apply_record(state, answer.limit);
     auto* const target = find_upstream(state, answer.limit);
-    return target != nullptr && is_valid(answer.limit) &&
-           std::isfinite(answer.calls_per_second) &&
-           limits::on_answer(target->permits, answer, now);
+    return target != nullptr && is_valid(answer.limit) && answer.share >= 0 &&
+           answer.share <= 1 && limits::on_answer(target->permits, answer, now);
 }
 
 std::uint32_t permits_wanted(gateway_state const& state,
--- a/jujubestand/limits/permit_holder.cpp
+++ b/jujubestand/limits/permit_holder.cpp
@@ -22,15 +22,29 @@
 /// After so many unanswered requests the issuer counts as unreachable.
 constexpr unsigned unanswered_limit = 3;
 
+/// Part by which the share rises towards a larger one with each answer: a
+/// limit has just begun for the gateways that have not requested permits yet.
+constexpr double share_rise = 0.2;
+
+// Calls queue up by the expected share, so it falls at once.
+void update_share(permit_holder& holder, double share)
+{
+    if (share <= 0)
+        return;
+    double const difference = share - holder.share;
+    holder.share += difference < 0 ? difference : difference * share_rise;
+}
+
 } // namespace
 
 permit_holder begin_holding(permit_holder const& before, double sent_before,
-                            mono_time now)
+                            std::uint32_t gateways, mono_time now)
 {
     permit_holder result;
     result.last_number = before.last_number;
     result.needed_at = before.needed_at;
     result.sent_before = sent_before;
+    result.share = 1.0 / std::max(1U, gateways);
     result.named_at = now;
     return result;
 }
@@ -73,8 +87,7 @@
     auto const requested_at = *holder.requested_at;
     holder.requested_at.reset();
     holder.unanswered = 0;
-    if (answer.calls_per_second > 0)
-        holder.calls_per_second = answer.calls_per_second;
+    update_share(holder, answer.share);
     if (answer.granted == 0)
     {
         holder.next_request_at =
@@ -95,18 +108,21 @@
     ++holder.unanswered;
 }
 
+microseconds time_to_permit(permit_holder const& holder, mono_time now)
+{
+    if (has_permit(holder, now))
+        return microseconds{0};
+    return std::max(microseconds{0}, holder.next_request_at - now);
+}
+
 bool is_issuer_unreachable(permit_holder const& holder) noexcept
 {
     return holder.unanswered >= unanswered_limit;
 }
 
-double expected_rate(permit_holder const& holder, double rate,
-                     std::uint32_t gateways)
+double expected_rate(permit_holder const& holder, double rate)
 {
-    if (is_issuer_unreachable(holder))
-        return 0;
-    return std::min(
-        rate, holder.calls_per_second.value_or(rate / std::max(1U, gateways)));
+    return is_issuer_unreachable(holder) ? 0 : rate * holder.share;
 }
 
 } // namespace jujubestand::limits
--- a/jujubestand/limits/permit_holder.hpp
+++ b/jujubestand/limits/permit_holder.hpp
@@ -23,8 +23,8 @@
     unsigned unanswered = 0;
     /// Last time at which a call could have gone to the upstream.
     std::optional<mono_time> needed_at;
-    /// Calls a second that the issuer grants; empty before its first answer.
-    std::optional<double> calls_per_second;
+    /// Share of the limit that this gateway can expect.
+    double share = 1;
     /// Calls sent there shortly before the limit was known, and when it was.
     double sent_before = 0;
     mono_time named_at{};
@@ -32,8 +32,11 @@
 
 /// \brief Starts without permits, when a limit becomes known.
 /// \param sent_before calls that this gateway sent there shortly before
+/// \param gateways that share the limit, as far as is known
 [[nodiscard]] permit_holder begin_holding(permit_holder const& before,
-                                          double sent_before, mono_time now);
+                                          double sent_before,
+                                          std::uint32_t gateways,
+                                          mono_time now);
 
 /// \brief Whether a call may be sent.
 [[nodiscard]] bool has_permit(permit_holder const& holder, mono_time now);
@@ -58,13 +61,16 @@
 /// \brief Counts a request as unanswered after some time.
 void expire_request(permit_holder& holder, mono_time now);
 
+/// \brief Time until a permit may be granted, as far as the issuer has said.
+[[nodiscard]] microseconds time_to_permit(permit_holder const& holder,
+                                          mono_time now);
+
 /// \brief Whether the issuer has not answered the last requests.
 [[nodiscard]] bool is_issuer_unreachable(permit_holder const& holder) noexcept;
 
 /// \brief Calls a second that this gateway can expect to send.
 /// \param rate of all gateways together
-[[nodiscard]] double expected_rate(permit_holder const& holder, double rate,
-                                   std::uint32_t gateways);
+[[nodiscard]] double expected_rate(permit_holder const& holder, double rate);
 
 } // namespace jujubestand::limits
 
--- a/jujubestand/limits/permit_issuer.cpp
+++ b/jujubestand/limits/permit_issuer.cpp
@@ -121,8 +121,7 @@
     bool const is_reserved = is_reserved_for_other(issued, host, now);
     if (!is_reserved)
         answer.granted = grant(issued, request.wanted);
-    answer.calls_per_second =
-        rate / static_cast<double>(issued.requesters.size());
+    answer.share = 1 / static_cast<double>(issued.requesters.size());
     if (answer.granted > 0)
     {
         if (issued.reserved_for == host)
--- a/jujubestand/limits/permit_messages.hpp
+++ b/jujubestand/limits/permit_messages.hpp
@@ -47,10 +47,10 @@
     /// Permits granted; 0: ask again after `retry_in_us`.
     std::uint32_t granted = 0;
     std::int64_t retry_in_us = 0;
-    /// Calls a second that the gateway can expect to be granted.
-    double calls_per_second = 0;
+    /// Share of the limit that the gateway can expect, up to 1; 0: unknown.
+    double share = 0;
 
-    MSGPACK_DEFINE_ARRAY(limit, number, granted, retry_in_us, calls_per_second)
+    MSGPACK_DEFINE_ARRAY(limit, number, granted, retry_in_us, share)
 };
 
 } // namespace jujubestand::limits
--- a/jujubestand/limits/test/fleet_test.cpp
+++ b/jujubestand/limits/test/fleet_test.cpp
@@ -72,7 +72,7 @@
         this->limit.is_named = true;
         this->limit.calls_per_second = this->plan.calls_per_second;
         for (auto& gateway : this->gateways)
-            gateway.holder = begin_holding({}, 0, start);
+            gateway.holder = begin_holding({}, 0, 1, start);
     }
 
     fleet_result run()
@@ -118,7 +118,8 @@
     {
         auto& gateway = this->gateways[this->random() % this->gateways.size()];
         if (this->draw() < 0.5)
-            gateway = {begin_holding({}, 0, now), {}, now + milliseconds{300}};
+            gateway = {
+                begin_holding({}, 0, 1, now), {}, now + milliseconds{300}};
         else
             gateway.paused_until = now + milliseconds{2'000};
     }
--- a/jujubestand/limits/test/permits_test.cpp
+++ b/jujubestand/limits/test/permits_test.cpp
@@ -40,7 +40,7 @@
 
 permit_holder needing_holder(int ms)
 {
-    auto holder = begin_holding({}, 0, at(ms));
+    auto holder = begin_holding({}, 0, 4, at(ms));
     holder.needed_at = at(ms);
     return holder;
 }
@@ -50,7 +50,7 @@
     permit_answer answer;
     answer.number = request.number;
     answer.granted = permits;
-    answer.calls_per_second = 1;
+    answer.share = 0.125;
     return answer;
 }
 
@@ -79,9 +79,8 @@
     for (int ms = 0; ms < 10'000; ms += 10)
         granted += issue(issuer, "g1", request_of(), rate, at(ms), 0).granted;
     EXPECT_GE(granted, 18U);
-    EXPECT_NEAR(
-        issue(issuer, "g1", request_of(), rate, at(10'000), 0).calls_per_second,
-        rate, 0.01);
+    EXPECT_NEAR(issue(issuer, "g1", request_of(), rate, at(10'000), 0).share, 1,
+                0.01);
 }
 
 // Calls that had been sent just before the limit was known came on top of it.
@@ -151,7 +150,7 @@
 
 TEST(permit_holder, requests_only_while_calls_could_use_a_permit)
 {
-    auto holder = begin_holding({}, 0, at(0));
+    auto holder = begin_holding({}, 0, 4, at(0));
     EXPECT_FALSE(is_request_due(holder, at(0)));
     holder.needed_at = at(0);
     EXPECT_TRUE(is_request_due(holder, at(100)));
@@ -196,7 +195,7 @@
 TEST(permit_holder, expects_nothing_of_an_issuer_that_does_not_answer)
 {
     auto holder = needing_holder(0);
-    EXPECT_NEAR(expected_rate(holder, 8, 4), 2, 0.01);
+    EXPECT_NEAR(expected_rate(holder, 8), 2, 0.01);
     for (int ms = 0; ms < 3'000; ms += 10)
     {
         holder.needed_at = at(ms);
@@ -204,14 +203,30 @@
         if (is_request_due(holder, at(ms)))
             (void)begin_request(holder, {}, 1, at(ms));
     }
-    EXPECT_EQ(expected_rate(holder, 8, 4), 0);
+    EXPECT_EQ(expected_rate(holder, 8), 0);
     EXPECT_FALSE(has_permit(holder, at(3'000)));
     holder.needed_at = at(3'400);
     expire_request(holder, at(3'400));
     EXPECT_TRUE(is_request_due(holder, at(3'700)));
     auto const request = begin_request(holder, {}, 1, at(3'700));
     EXPECT_TRUE(on_answer(holder, granting(request, 1), at(3'710)));
-    EXPECT_NEAR(expected_rate(holder, 8, 4), 1, 0.01);
+    EXPECT_NEAR(expected_rate(holder, 8), 1, 0.01);
+}
+
+// Calls queued up by the whole limit at a gateway that asked first, and were
+// refused late once the others asked as well.
+TEST(permit_holder, its_share_falls_at_once_and_rises_slowly)
+{
+    auto holder = needing_holder(0);
+    EXPECT_NEAR(expected_rate(holder, 8), 2, 0.01);
+    auto answer = granting(begin_request(holder, {}, 1, at(0)), 1);
+    answer.share = 1;
+    on_answer(holder, answer, at(10));
+    EXPECT_LE(expected_rate(holder, 8), 4);
+    answer = granting(begin_request(holder, {}, 1, at(20)), 1);
+    answer.share = 0.125;
+    on_answer(holder, answer, at(30));
+    EXPECT_NEAR(expected_rate(holder, 8), 1, 0.01);
 }
 
 // A limit that was named again let permits from before be used.
@@ -219,7 +234,7 @@
 {
     auto holder = needing_holder(0);
     auto const request = begin_request(holder, {}, 3, at(0));
-    auto next = begin_holding(holder, 7, at(10));
+    auto next = begin_holding(holder, 7, 4, at(10));
     EXPECT_FALSE(on_answer(next, granting(request, 3), at(20)));
     EXPECT_FALSE(has_permit(next, at(20)));
     EXPECT_NEAR(begin_request(next, {}, 1, at(30)).sent_before, 7, 0.01);
--- a/jujubestand/limits/token_bucket.cpp
+++ b/jujubestand/limits/token_bucket.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-/// Tokens are kept for this long, and at least one is.
-constexpr std::chrono::duration<double> kept_for{0.2};
+/// Tokens are kept for this long, and at least one is, so that few are lost
+/// while they wait for the next request.
+constexpr std::chrono::duration<double> kept_for{0.5};
 
 /// Calls sent before the limit was known delay the first one by no more than
 /// this.
--- a/programs/test/call_limits_test.cpp
+++ b/programs/test/call_limits_test.cpp
@@ -35,6 +35,8 @@
         mono_time sent_at{};
         answer_ptr answer;
         std::optional<mono_time> ended_at;
+        /// Came back after a rejection, at the time that it was told.
+        bool is_return = false;
     };
 
     /// \brief Starts gateways before engines and services.
@@ -80,7 +82,7 @@
         this->add_service(id, this->services.back()->bound());
     }
 
-    void send(std::size_t gateway, std::string const& target)
+    sent_call& send(std::size_t gateway, std::string const& target)
     {
         auto const id = "call-" + std::to_string(this->calls.size());
         stream_call asked{id, "", ""};
@@ -93,6 +95,7 @@
         auto& call = this->calls[id];
         call.sent_at = mono_now();
         call.answer = this->ask(gateway, asked);
+        return call;
     }
 
     std::size_t any_gateway()
@@ -135,9 +138,43 @@
     {
         for (auto& [id, call] : this->calls)
         {
-            if (!call.ended_at && call.answer->end)
-                call.ended_at = mono_now();
+            if (call.ended_at || !call.answer->end)
+                continue;
+            call.ended_at = mono_now();
+            bool const returns = this->returning_each > 0 &&
+                                 call.answer->status == HTTP_SERVUNAVAIL &&
+                                 ++this->rejections % this->returning_each == 0;
+            if (returns)
+                this->come_back(call.answer->field("Retry-After"));
+        }
+    }
+
+    /// \brief Sends a call of the same kind after a time in seconds.
+    void come_back(std::string const& retry_after)
+    {
+        constexpr double ms_per_s = 1'000;
+        this->later.run(
+            milliseconds{static_cast<int>(std::stod(retry_after) * ms_per_s)},
+            [this]
+            {
+                this->send(this->any_gateway(), "/book/new").is_return = true;
+            });
+    }
+
+    /// \brief Share of the calls that were served, of those that came back or
+    /// of the others.
+    [[nodiscard]] double share_served(bool is_return) const
+    {
+        double sent = 0;
+        double served = 0;
+        for (auto const& [id, call] : this->calls)
+        {
+            if (call.is_return != is_return || !call.answer->end)
+                continue;
+            ++sent;
+            served += call.answer->status == HTTP_OK ? 1 : 0;
         }
+        return sent == 0 ? 0 : served / sent;
     }
 
     /// \brief Most calls that an upstream got in any window that ends between
@@ -237,6 +274,9 @@
     static constexpr milliseconds usual_interval{15};
 
     std::size_t unreachable_gateways = 0;
+    /// One in so many rejected calls comes back; 0: none.
+    std::size_t returning_each = 0;
+    std::size_t rejections = 0;
     mono_time started_at{};
     std::mt19937 random{seed};
     std::map<std::string, sent_call> calls;
@@ -268,6 +308,7 @@
 TEST_F(call_limits, a_pool_takes_what_its_limits_allow_and_rejects_the_rest)
 {
     constexpr double limit_each = 5;
+    this->returning_each = 10;
     this->start(4, 1, 3);
     for (auto const& service : this->services)
         service->name_limit("5");
@@ -289,6 +330,8 @@
     RecordProperty("share_of_limit_used", std::to_string(share));
     this->settle();
     this->check_rejections(named_at);
+    RecordProperty("served_new", std::to_string(this->share_served(false)));
+    RecordProperty("served_returned", std::to_string(this->share_served(true)));
 }
 
 // A gateway without calls for the engine, then one that was restarted, then one
