Let a gateway that starts query the limits that others know (LIMIT)

What upstreams saw: each start of a gateway brought calls to upstreams with limits until an answer or the next notice told of them. Cause: a gateway that has just started knows no limit; notices come once a second, and it learns of the other gateways with its first tick. Change: agents are queried as soon as the upstreams are known, and three other gateways as soon as an agent has named them; they respond with the limits that they know. Ruled out: a pause of the issuer, two issuers (no log of either).

--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -180,8 +180,12 @@
         if (answer->limit.is_known)
             on_agent_limit(state, known_upstream->key, answer->limit);
     }
+    bool const is_first_list =
+        state.gateway_hosts.empty() && !answer->gateways.empty();
     if (!answer->gateways.empty())
         set_gateways(state, answer->gateways, now);
+    if (is_first_list)
+        query_limits(state);
     apply_proof(state, sender.host, *answer);
     schedule_review(state);
 }
--- a/jujubestand/gateway/call_limits.cpp
+++ b/jujubestand/gateway/call_limits.cpp
@@ -27,6 +27,10 @@
 /// After a gap like this between reviews the process has stood still.
 constexpr std::chrono::milliseconds pause_limit{1'000};
 
+/// Gateways that one which has just started queries: datagrams may be lost, and
+/// others may have just started as well.
+constexpr std::size_t query_targets = 3;
+
 /// Most permits of one request.
 constexpr std::uint32_t wanted_limit = 8;
 
@@ -82,13 +86,18 @@
     return hosts;
 }
 
+std::string notice_of(dispatch::upstream const& target, mono_time now)
+{
+    status::limit_notice notice;
+    notice.limit = record_of(target, now);
+    return status::to_datagram(notice);
+}
+
 void announce(gateway_state& state, dispatch::upstream const& target,
               mono_time now)
 {
     state.limits.announced_at[target.key] = now;
-    status::limit_notice notice;
-    notice.limit = record_of(target, now);
-    auto const datagram = status::to_datagram(notice);
+    auto const datagram = notice_of(target, now);
     for (auto const& host : other_gateways(state, now))
         state.datagrams->send(address{host, state.settings.internal_port},
                               datagram);
@@ -219,6 +228,16 @@
     return false;
 }
 
+void on_limit_query(gateway_state& state, address const& sender)
+{
+    auto const now = mono_now();
+    for (auto const& [key, target] : state.dispatch.upstreams)
+    {
+        if (limits::applies(target.limit, now))
+            state.datagrams->send(sender, notice_of(target, now));
+    }
+}
+
 void on_permit_query(gateway_state& state, address const& sender,
                      limits::permit_request const& request)
 {
@@ -317,11 +336,27 @@
     return is_granted;
 }
 
+void query_limits(gateway_state& state)
+{
+    auto hosts = other_gateways(state, mono_now());
+    std::shuffle(hosts.begin(), hosts.end(), state.random_engine);
+    if (hosts.size() > query_targets)
+        hosts.resize(query_targets);
+    for (auto const& host : hosts)
+        state.datagrams->send(address{host, state.settings.internal_port},
+                              status::to_datagram(status::limit_query{}));
+}
+
 void review_limits(gateway_state& state)
 {
     auto const now = mono_now();
     reset_after_pause(state, now);
     limits::remove_unused(state.limits.issuer, now);
+    std::erase_if(state.limits.announced_at,
+                  [&](auto const& row)
+                  {
+                      return !state.dispatch.upstreams.contains(row.first);
+                  });
     for (auto& [key, target] : state.dispatch.upstreams)
     {
         if (!limits::applies(target.limit, now))
@@ -338,6 +373,8 @@
 {
     if (auto const notice = status::from_datagram<status::limit_notice>(bytes))
         apply_record(state, notice->limit);
+    else if (status::from_datagram<status::limit_query>(bytes))
+        on_limit_query(state, sender);
     else if (auto const query =
                  status::from_datagram<status::permit_query>(bytes))
         on_permit_query(state, sender, query->request);
--- a/jujubestand/gateway/call_limits.hpp
+++ b/jujubestand/gateway/call_limits.hpp
@@ -19,6 +19,10 @@
 void on_agent_limit(gateway_state& state, dispatch::upstream_key upstream,
                     status::limit_report const& report);
 
+/// \brief Queries a few other gateways for the limits that they know; for a
+/// gateway that has just learnt of them.
+void query_limits(gateway_state& state);
+
 /// \brief Requests permits that calls could use.
 /// \returns whether this gateway granted itself some
 bool request_permits(gateway_state& state);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -91,6 +91,9 @@
                               std::optional<mono_time>)
                            {
                                apply_upstream_records(shared, changes);
+                               // Agents tell who the other gateways are.
+                               if (shared.gateway_hosts.empty())
+                                   query_agents(shared);
                            }));
     state.quarantine_topic = std::make_unique<follow::follower>(
         state.base, *state.store,
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -209,6 +209,15 @@
     MSGPACK_DEFINE_ARRAY(format, limit)
 };
 
+/// \brief Query of a gateway that has just started for the limits that another
+/// one knows; the response is a notice of each.
+struct limit_query
+{
+    std::uint32_t format = format_version;
+
+    MSGPACK_DEFINE_ARRAY(format)
+};
+
 /// \brief Request of a gateway to the one that issues an upstream's permits.
 struct permit_query
 {
@@ -243,6 +252,7 @@
     origin_response = 's',
     crash_notice = 'c',
     limit_notice = 'l',
+    limit_query = 'm',
     permit_query = 'w',
     permit_response = 'g',
 };
@@ -278,6 +288,8 @@
 inline constexpr message_kind kind_of<limit_notice> =
     message_kind::limit_notice;
 template <>
+inline constexpr message_kind kind_of<limit_query> = message_kind::limit_query;
+template <>
 inline constexpr message_kind kind_of<permit_query> =
     message_kind::permit_query;
 template <>
--- a/programs/test/call_limits_test.cpp
+++ b/programs/test/call_limits_test.cpp
@@ -365,6 +365,26 @@
     EXPECT_LE(this->most_calls("engine-1", named_at), calls_allowed(1.2));
 }
 
+// A gateway that was restarted again and again sent calls to a service until an
+// answer told it of the limit.
+TEST_F(call_limits, a_restarted_gateway_learns_limits_before_its_first_calls)
+{
+    this->start(3, 1, 1);
+    this->services[0]->name_limit("0.5");
+    auto const named_at = mono_now();
+    this->play(milliseconds{1'000}, "/book/new", usual_interval);
+    for (int restarts = 0; restarts < 14; ++restarts)
+    {
+        this->restart_gateway(0);
+        this->play(milliseconds{500}, "/book/new", usual_interval,
+                   []
+                   {
+                       return 0;
+                   });
+    }
+    EXPECT_LE(this->most_calls("book-0", named_at), calls_allowed(0.5));
+}
+
 // Gateways that reached none of the others took a whole limit each.
 TEST_F(call_limits, the_limit_holds_where_gateways_reach_few_of_the_others)
 {
--- a/programs/test/faults_test.cpp
+++ b/programs/test/faults_test.cpp
@@ -1,30 +1,18 @@
 #include <algorithm>
-#include <csignal>
-#include <cstdlib>
 #include <map>
-#include <programs/test/gateways_fixture.hpp>
-#include <random>
+#include <programs/test/faulty_gateways.hpp>
 #include <standins/service/recording_service.hpp>
 
 // Gateway processes that are killed, stopped, paused and started again in
 // series, before plain services that refuse, fail and break off. Checks what
-// callers and services see. JUJUBESTAND_FAULT_SEED plays another seed,
-// JUJUBESTAND_FAULT_SECONDS another time.
+// callers and services see.
 namespace jujubestand::programs::test
 {
 
 namespace
 {
 
-unsigned number_from(char const* variable, unsigned otherwise)
-{
-    char const* const text = std::getenv(variable);
-    return text == nullptr
-               ? otherwise
-               : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
-}
-
-class faults : public gateways_test
+class faults : public faulty_gateways_test
 {
 protected:
     struct sent_call
@@ -75,57 +63,13 @@
         call.answer = this->ask(this->random() % gateway_count, asked);
     }
 
-    /// \brief Does one thing to one gateway.
-    void disturb()
-    {
-        auto const number = this->random() % gateway_count;
-        auto& process = *this->gateways[number].process;
-        switch (this->random() % 3)
-        {
-        case 0:
-            this->restart_gateway(number);
-            break;
-        case 1:
-            process.begin_stop();
-            this->later.run(std::chrono::milliseconds{this->random() % 1'500},
-                            [this, number]
-                            {
-                                this->restart_gateway(number);
-                            });
-            break;
-        default:
-            process.signal(SIGSTOP);
-            this->later.run(std::chrono::milliseconds{this->random() % 1'500},
-                            [this, number]
-                            {
-                                this->gateways[number].process->signal(SIGCONT);
-                            });
-            break;
-        }
-    }
-
     void play(milliseconds duration)
     {
-        auto const end = mono_now() + duration;
-        auto next_fault = mono_now();
-        while (mono_now() < end)
-        {
-            this->send();
-            if (mono_now() >= next_fault)
-            {
-                this->disturb();
-                next_fault +=
-                    std::chrono::milliseconds{100 + this->random() % 700};
-            }
-            this->run_until(
-                []
-                {
-                    return false;
-                },
-                call_interval);
-        }
-        for (auto const& gateway : this->gateways)
-            gateway.process->signal(SIGCONT);
+        this->play_faults(duration, call_interval,
+                          [this]
+                          {
+                              this->send();
+                          });
         // What a refused call promised must hold afterwards as well.
         this->run_until(
             []
@@ -168,11 +112,8 @@
     static constexpr standins::service_faults service_faults{0.1, 0.1, 0.1,
                                                              0.05};
 
-    unsigned seed = number_from("JUJUBESTAND_FAULT_SEED", 20261204);
-    std::mt19937 random{seed};
     std::map<std::string, sent_call> calls;
     std::vector<std::unique_ptr<standins::recording_service>> services;
-    standins::delays later{this->base.get()};
 };
 
 } // namespace
@@ -183,8 +124,7 @@
 {
     constexpr unsigned usual_seconds = 10;
     this->start();
-    this->play(std::chrono::seconds{
-        number_from("JUJUBESTAND_FAULT_SECONDS", usual_seconds)});
+    this->play(play_time(usual_seconds));
     std::size_t served = 0;
     for (auto const& [id, call] : this->calls)
     {
