--- a/jujubestand/follow/test/topic_test.cpp
+++ b/jujubestand/follow/test/topic_test.cpp
@@ -58,6 +58,38 @@
     EXPECT_TRUE(peer.next < 9 || live_keys(peer) == live_keys(fresh));
 }
 
+// The list must reach a peer as a whole: only then do its removals show.
+TEST(topic, a_fresh_list_removes_keys_of_a_peer_that_has_older_records)
+{
+    auto peer = listed();
+    topic fresh;
+    on_listing(fresh, {{{"a", "1", 3}, {"c", "1", 7}}, 9}, at(200));
+    auto const changes = on_peer_records(peer, changes_since(fresh, peer.next),
+                                         peer.next, at(200));
+    ASSERT_EQ(changes.size(), 2U);
+    EXPECT_EQ(changes[0].key, "c");
+    EXPECT_EQ(changes[1].key, "b");
+    EXPECT_TRUE(changes[1].value.empty());
+    EXPECT_EQ(peer.next, 9U);
+    // From the list on, the changes alone are enough.
+    on_page(fresh, {{{"c", "2", 9}}, 10}, at(300));
+    EXPECT_FALSE(changes_since(fresh, 9).is_complete);
+    EXPECT_EQ(changes_since(fresh, 9).records.size(), 1U);
+}
+
+// A key that was written after the list was made is not in it.
+TEST(topic, a_complete_list_of_a_peer_removes_nothing_that_is_newer)
+{
+    auto state = listed();
+    on_page(state, {{{"d", "1", 6}}, 7}, at(200));
+    topic fresh;
+    on_listing(fresh, {{{"a", "1", 3}, {"b", "1", 4}}, 6}, at(100));
+    EXPECT_TRUE(changes_since(fresh, 2).is_complete);
+    EXPECT_TRUE(
+        on_peer_records(state, changes_since(fresh, 2), 2, at(300)).empty());
+    EXPECT_EQ(live_keys(state), 3U);
+}
+
 TEST(topic, an_outdated_list_or_page_is_ignored)
 {
     auto state = listed();
--- a/jujubestand/follow/topic.cpp
+++ b/jujubestand/follow/topic.cpp
@@ -61,6 +61,8 @@
     }
     for (auto& row : remove_unlisted(state, list))
         changes.push_back(std::move(row));
+    if (!state.is_listed)
+        state.changes_from = list.end;
     state.next = list.end;
     state.is_listed = true;
     confirm(state, requested_at);
@@ -106,9 +108,10 @@
 {
     listing result;
     result.end = state.next;
+    result.is_complete = since == 0 || since < state.changes_from;
     for (auto const& [key, row] : state.newest)
     {
-        if (row.offset >= since)
+        if (result.is_complete || row.offset >= since)
             result.records.push_back(row);
     }
     return result;
@@ -117,6 +120,8 @@
 std::vector<record> on_peer_records(topic& state, listing const& list,
                                     std::uint64_t since, mono_time confirmed_at)
 {
+    if (list.is_complete)
+        return on_listing(state, list, confirmed_at);
     bool const has_gap = since > state.next || (since > 0 && !state.is_listed);
     if (has_gap || list.end < state.next)
         return {};
--- a/jujubestand/follow/topic.hpp
+++ b/jujubestand/follow/topic.hpp
@@ -38,8 +38,11 @@
     std::vector<record> records;
     /// End offset of the topic when the first part of the list was created.
     std::uint64_t end = 0;
+    /// Keys that are not in the list were removed. False if it holds only the
+    /// changes after an offset.
+    bool is_complete = false;
 
-    MSGPACK_DEFINE_ARRAY(records, end)
+    MSGPACK_DEFINE_ARRAY(records, end, is_complete)
 };
 
 /// \brief A process's copy of a keyed topic of the store.
@@ -50,6 +53,9 @@
     std::uint64_t next = 0;
     /// Whether a complete list has been read.
     bool is_listed = false;
+    /// Changes at and after this offset are known, removals included. A copy
+    /// that began with a list lacks the removals before it.
+    std::uint64_t changes_from = 0;
     /// The copy includes everything written before this time; empty if
     /// unknown.
     std::optional<mono_time> current_as_of;
@@ -77,7 +83,8 @@
 [[nodiscard]] std::size_t live_keys(topic const& state);
 
 /// \brief Newest records from an offset on, for a process that has all records
-/// before that offset; removed keys have an empty value.
+/// before that offset; removed keys have an empty value. A complete list if not
+/// all changes since then are known.
 [[nodiscard]] listing changes_since(topic const& state, std::uint64_t since);
 
 /// \brief Applies the result of `changes_since` of another process.
