--- a/standins/service/recording_service.cpp
+++ b/standins/service/recording_service.cpp
@@ -1,5 +1,6 @@
 #include <standins/service/recording_service.hpp>
 
+#include <event2/bufferevent.h>
 #include <utility>
 
 namespace jujubestand::standins
@@ -10,6 +11,18 @@
 
 constexpr std::chrono::milliseconds longest_work{40};
 
+// Bytes beside the answer to the request, on its connection.
+void write_raw(evhttp_request* request, std::string_view bytes)
+{
+    auto* const connection = evhttp_request_get_connection(request);
+    bufferevent_write(evhttp_connection_get_bufferevent(connection),
+                      bytes.data(), bytes.size());
+}
+
+constexpr std::string_view stray_refusal_bytes =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
 } // namespace
 
 recording_service::recording_service(event_base* loop, address const& where,
@@ -68,6 +81,10 @@
         this->held.cut_off(call.request);
         return;
     }
+    if (this->faults.stray_refusal > 0 &&
+        std::uniform_real_distribution<double>()(this->random) <
+            this->faults.stray_refusal)
+        write_raw(call.request, stray_refusal_bytes);
     std::uniform_int_distribution<std::int64_t> work_ms(0,
                                                         longest_work.count());
     auto const held_call = this->held.hold(call.request, longest_hold, cut);
--- a/standins/service/recording_service.hpp
+++ b/standins/service/recording_service.hpp
@@ -22,6 +22,8 @@
     double cut_run = 0;
     /// Answered with an error after they ran.
     double failed = 0;
+    /// Preceded by a refusal that belongs to no call: it names none.
+    double stray_refusal = 0;
 };
 
 /// \brief Callbacks of a recording service.
