Take only answers that name their call for its answer (TWICE, REFUSED)

What callers saw: bookings ran twice, or were refused as not run and ran. Cause: an answer that names no call was taken for that of the call in flight; a refusal then let the gateway send the call to the next service, or refuse it, while it ran. Class: what is missing is taken for what is wanted. Evidence: stray_answers.a_refusal_that_names_no_call: 44 of 200 calls ran two to four times, and 0 after. Change: an answer without the call's id is read and dropped like that of another call; the call waits for its own. Whether it is what the users saw isn't known: they have no logs.

--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -319,8 +319,8 @@
     http1::call_events events;
     events.is_foreign = [request_id](http1::message_head const& head)
     {
-        auto const answer = platform::read_answer(head);
-        return !answer.request_id.empty() && answer.request_id != request_id;
+        // Bytes after an answer may read as another one that names no call.
+        return platform::read_answer(head).request_id != request_id;
     };
     events.on_head = [&state, key](http1::message_head const& head)
     {
