--- a/standins/relay/tcp_relay.cpp
+++ b/standins/relay/tcp_relay.cpp
@@ -80,6 +80,12 @@
 
 tcp_relay::~tcp_relay() = default;
 
+void tcp_relay::set(relay_switches const& chosen)
+{
+    this->switches = chosen;
+    this->switches_changed();
+}
+
 address tcp_relay::bound() const
 {
     sockaddr_in named{};
@@ -178,7 +184,7 @@
 // have no order among themselves.
 void tcp_relay::carry_on(side& from)
 {
-    if (this->switches.stall)
+    if (this->switches.stall || (this->switches.stall_back && !from.is_caller))
         return this->arm(from, stalled_wait);
     side const& to = this->opposite(from);
     evbuffer* const output = bufferevent_get_output(to.buffer.get());
--- a/standins/relay/tcp_relay.hpp
+++ b/standins/relay/tcp_relay.hpp
@@ -23,12 +23,14 @@
     std::int64_t back_us = 0;
     /// Carries nothing on; connections stay open.
     bool stall = false;
+    /// Carries nothing back; what is on its way to the target arrives.
+    bool stall_back = false;
     /// Cuts all connections and refuses new ones.
     bool cut = false;
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(relay_switches, there_us,
-                                                back_us, stall, cut)
+                                                back_us, stall, stall_back, cut)
 
 /// \brief Carries TCP connections to a target, each byte late by a set time.
 class tcp_relay
@@ -41,6 +43,10 @@
     tcp_relay(tcp_relay const&) = delete;
     tcp_relay& operator=(tcp_relay const&) = delete;
 
+    /// \brief Changes distance and faults, as a request at `control_bound`
+    /// does.
+    void set(relay_switches const& chosen);
+
     [[nodiscard]] address bound() const;
     [[nodiscard]] address control_bound() const;
 
