Ignore reports of an engine's process before its last start

What callers saw, in a test: calls to an engine that has started again under its id are refused with 421, since a report of its last process, still with its agent, counted its weights as loaded. Cause: the status of agents doesn't name the process that the report is of. Change: it carries the engine's start time; an older one than the record's changes nothing.

--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -43,6 +43,7 @@
     response.is_preparing = is_preparing(state.weights, report, now);
     if (auto const due = load_due(state.weights, report, now))
         response.load_due_us = due->count();
+    response.engine_started_at_ms = report.started_at_ms;
     response.is_busy = report.is_busy;
     response.versions = report.versions;
     response.queued = report.queued;
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -93,6 +93,15 @@
         requests.erase(requests.begin(), first_allowed - 1);
 }
 
+// An engine that has started again under its id knows nothing of before, but
+// its agent may still have a report of the process before.
+bool is_of_process_before(upstream const& target,
+                          status::engine_report const& report)
+{
+    return report.started_at_ms != 0 &&
+           report.started_at_ms < target.record.born_ms;
+}
+
 // Two upstreams can't share an address: the one that started later owns it.
 void mark_replaced(state& dispatcher, upstream& added,
                    traffic::upstream_record const& record)
@@ -166,7 +175,7 @@
                     engine_load const& load)
 {
     upstream* const target = find(dispatcher, target_key);
-    if (target == nullptr)
+    if (target == nullptr || is_of_process_before(*target, load.report))
         return;
     target->load = load;
     for (auto const& [model, version] : load.report.versions)
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -18,7 +18,8 @@
 /// \brief Handles the refusal of a call that was sent to the wrong upstream.
 void on_misdirected(state& dispatcher, upstream_key target_key);
 
-/// \brief Stores the latest load report of an engine.
+/// \brief Stores the latest load report of an engine; one of the process before
+/// its last start changes nothing.
 void on_load_report(state& dispatcher, upstream_key target_key,
                     engine_load const& load);
 
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -27,6 +27,7 @@
     load.is_preparing = response.is_preparing;
     if (response.load_due_us >= 0)
         load.load_due_at = now + microseconds{response.load_due_us};
+    load.report.started_at_ms = response.engine_started_at_ms;
     load.report.is_busy = response.is_busy;
     load.report.versions = response.versions;
     load.report.queued = response.queued;
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -102,12 +102,14 @@
     /// Changes of the engine's cache after the position in the request.
     cache_delta cache;
     limit_report limit;
+    /// Wall clock time of the engine's start, in ms; 0 if not reported.
+    std::uint64_t engine_started_at_ms = 0;
 
     MSGPACK_DEFINE_ARRAY(format, request_sent_at_us, agent, is_engine_reachable,
                          is_preparing, load_due_us, is_busy, versions, queued,
                          running, prefilling, memory_used, memory_total,
                          report_age_ms, operator_end, staleness_us, gateways,
-                         cache, limit)
+                         cache, limit, engine_started_at_ms)
 };
 
 /// \brief Request of a gateway to another one for the state of its copies.
