Give up answers of another call that are too large

Seen: endless_answers.chunks_without_end (known red in the sanitized build) also failed once in the plain build (3614 ms, 3500 allowed) after answers that name no call are dropped: its endless bodies named none and were read to the limit of each connection, not to that of all. Change: 256 KiB of answers to other calls end the call.

--- a/jujubestand/http1/client_state.cpp
+++ b/jujubestand/http1/client_state.cpp
@@ -23,6 +23,7 @@
 
 /// Answers to other requests that are read before ours is given up.
 constexpr unsigned foreign_limit = 3;
+constexpr std::size_t foreign_bytes_limit = 256U << 10U;
 
 /// How long the server keeps an idle connection, by its answer's field
 /// `Keep-Alive: timeout=SECONDS`.
@@ -196,6 +197,11 @@
     open = this->connections.find(id);
     if (found == nullptr || open == nullptr)
         return false;
+    if (found->is_skipping)
+        found->foreign_bytes += result.body.size();
+    if (!result.failure && found->foreign_bytes > foreign_bytes_limit)
+        result.failure = reason{
+            reason_code::answer_crossed, "answer of another call is large", {}};
     if (result.failure)
     {
         call_end end;
--- a/jujubestand/http1/client_state.hpp
+++ b/jujubestand/http1/client_state.hpp
@@ -50,6 +50,7 @@
         bool has_sent = false;
         bool is_keep_alive = false;
         unsigned foreign = 0;
+        std::size_t foreign_bytes = 0;
         bool is_skipping = false;
     };
 
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -175,6 +175,20 @@
     EXPECT_TRUE(seen.body.empty());
 }
 
+// A body without end that belongs to no call was read on and on.
+TEST_F(exchange, a_large_answer_of_another_call_ends_the_call)
+{
+    constexpr std::size_t size = 1U << 20U;
+    fixed_peer const peer(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+            "\r\n\r\n" + std::string(size, 'x') + ours,
+        false);
+    client from(this->base.get());
+    auto const seen = this->call(from, to(peer.where), "ours");
+    EXPECT_FALSE(seen.end.is_complete);
+    EXPECT_EQ(seen.end.why.code, reason_code::answer_crossed);
+}
+
 TEST_F(exchange, a_body_without_length_ends_with_an_orderly_close_only)
 {
     std::string const answer = "HTTP/1.1 200 OK\r\n\r\nall";
