--- a/jujubestand/limits/test/fleet_test.cpp
+++ b/jujubestand/limits/test/fleet_test.cpp
@@ -243,7 +243,8 @@
 std::vector<fleet_plan> all_sizes()
 {
     std::vector<fleet_plan> plans;
-    for (std::size_t const gateways : {4, 28, 390})
+    for (std::size_t const gateways :
+         {std::size_t{4}, std::size_t{28}, std::size_t{390}})
     {
         for (double const calls_per_second : {0.5, 1.2, 50.0})
         {
--- a/programs/test/network_faults_test.cpp
+++ b/programs/test/network_faults_test.cpp
@@ -98,6 +98,11 @@
     {
         constexpr unsigned time_limit_ms = 1'500;
         constexpr unsigned distance_limit_us = 200'000;
+        auto const distance_us = [this]
+        {
+            return static_cast<std::int64_t>(this->random() %
+                                             distance_limit_us);
+        };
         standins::relay_switches faults;
         switch (this->random() % 4)
         {
@@ -111,8 +116,8 @@
             faults.cut = true;
             break;
         default:
-            faults.there_us = this->random() % distance_limit_us;
-            faults.back_us = this->random() % distance_limit_us;
+            faults.there_us = distance_us();
+            faults.back_us = distance_us();
             break;
         }
         this->services[number].relay->set(faults);
