Reset the connection of a call that is withdrawn or times out (GONE)

Seen by callers of engines: a call that was cancelled, or had timed out, while its request was still on its way to an engine whose machine stood still was read and begun (or answered with 421) at the thaw, seconds after its caller had left.

Cause: the connection was closed in order. The request's bytes stay in the engine's socket and are read after the close. Ruled out: a late cancel (the close was sent at the caller's deadline).

Change: the connection is reset, so that the bytes are dropped.

Test: exchange.a_call_that_is_cancelled_or_times_out_resets_its_connection fails without the change (errno 115 instead of ECONNRESET), passes with it.

--- a/jujubestand/http1/client.cpp
+++ b/jujubestand/http1/client.cpp
@@ -50,7 +50,7 @@
         return;
     auto const connection = found->connection;
     this->self->calls.erase(call);
-    this->self->drop(connection);
+    this->self->reset(connection);
 }
 
 void client::forget(address const& server)
--- a/jujubestand/http1/client.hpp
+++ b/jujubestand/http1/client.hpp
@@ -79,7 +79,7 @@
     /// \brief Starts a call.
     call_id start(client_request request, call_events events);
 
-    /// \brief Drops a call and closes its connection; no event follows.
+    /// \brief Drops a call and resets its connection; no event follows.
     void cancel(call_id call);
 
     /// \brief Closes the kept connections to a server.
--- a/jujubestand/http1/client_state.cpp
+++ b/jujubestand/http1/client_state.cpp
@@ -81,7 +81,7 @@
     call_end end;
     end.may_have_sent = found->has_sent;
     end.why = reason{reason_code::upstream_timeout, "no answer in time", {}};
-    held.first->drop(found->connection);
+    held.first->reset(found->connection);
     held.first->end_call(held.second, end);
 }
 
@@ -295,4 +295,13 @@
     this->connections.erase(id);
 }
 
+// A request that is still on its way must not arrive after its call has ended.
+void client::state::reset(connection_id id)
+{
+    connection const* open = this->connections.find(id);
+    if (open != nullptr)
+        set_reset_on_close(bufferevent_getfd(open->stream.get()));
+    this->drop(id);
+}
+
 } // namespace jujubestand::http1
--- a/jujubestand/http1/client_state.hpp
+++ b/jujubestand/http1/client_state.hpp
@@ -69,6 +69,7 @@
     void end_call(call_id id, call_end const& end);
     void keep(connection_id id);
     void drop(connection_id id);
+    void reset(connection_id id);
 
     static void on_read(bufferevent* stream, void* argument);
     static void on_event(bufferevent* stream, short what, void* argument);
--- a/jujubestand/http1/sockets.cpp
+++ b/jujubestand/http1/sockets.cpp
@@ -32,4 +32,11 @@
                sizeof on);
 }
 
+void set_reset_on_close(std::intptr_t socket) noexcept
+{
+    linger const at_once{1, 0};
+    setsockopt(static_cast<int>(socket), SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof at_once);
+}
+
 } // namespace jujubestand::http1
--- a/jujubestand/http1/sockets.hpp
+++ b/jujubestand/http1/sockets.hpp
@@ -20,6 +20,10 @@
 /// \brief Sends small writes at once.
 void set_no_delay(std::intptr_t socket) noexcept;
 
+/// \brief Lets the connection be reset when it is closed: bytes that are still
+/// on their way are dropped.
+void set_reset_on_close(std::intptr_t socket) noexcept;
+
 } // namespace jujubestand::http1
 
 #endif
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -189,6 +189,46 @@
     EXPECT_EQ(seen.end.why.code, reason_code::answer_crossed);
 }
 
+// A request that a cut or a pause held up on its way arrived after its call had
+// been cancelled (GONE): closing the connection lets it arrive, a reset
+// doesn't.
+TEST_F(exchange, a_call_that_is_cancelled_or_times_out_resets_its_connection)
+{
+    for (bool const is_cancelled : {true, false})
+    {
+        address where;
+        int const listening = listen_anywhere(where);
+        listen(listening, 1);
+        client from(this->base.get());
+        auto request = to(where);
+        request.timeout = std::chrono::milliseconds{50};
+        call_events events;
+        events.on_head = [](message_head const&) {};
+        events.on_body = [](std::string_view) {};
+        events.on_end = [](call_end const&) {};
+        auto const call = from.start(std::move(request), events);
+        auto const run_for = [this](int microseconds)
+        {
+            timeval const time{0, microseconds};
+            event_base_loopexit(this->base.get(), &time);
+            event_base_dispatch(this->base.get());
+        };
+        run_for(20'000);
+        int const taken = accept(listening, nullptr, nullptr);
+        if (is_cancelled)
+            from.cancel(call);
+        run_for(80'000);
+        char bytes[4096];
+        ssize_t size = 1;
+        while (size > 0)
+            size = recv(taken, bytes, sizeof bytes, 0);
+        EXPECT_EQ(size, -1);
+        EXPECT_EQ(errno, ECONNRESET);
+        close(taken);
+        close(listening);
+    }
+}
+
 TEST_F(exchange, a_body_without_length_ends_with_an_orderly_close_only)
 {
     std::string const answer = "HTTP/1.1 200 OK\r\n\r\nall";
