--- /dev/null
+++ b/programs/test/upstream_words_test.cpp
@@ -0,0 +1,131 @@
+#include <cmath>
+#include <programs/test/played_calls.hpp>
+
+// Upstreams say in their answers that they leave, or ask for a pause. Checks
+// what they receive and callers see.
+namespace jujubestand::programs::test
+{
+
+namespace
+{
+
+class upstream_words : public played_calls
+{
+protected:
+    /// Time from an answer with such a word to the last call there.
+    static constexpr milliseconds leaving_limit{2'000};
+    static constexpr milliseconds pause_margin{500};
+    /// Calls that may arrive in a pause from each gateway.
+    static constexpr std::size_t pause_calls = 2;
+
+    /// \brief Checks that an engine or service which asked for a pause got
+    /// next to nothing until its end, and calls after it, though no wave.
+    void expect_pause(std::string const& upstream, mono_time asked_at,
+                      milliseconds pause)
+    {
+        auto const& times = this->arrivals[upstream];
+        auto const first =
+            std::lower_bound(times.begin(), times.end(), asked_at);
+        ASSERT_NE(first, times.end());
+        auto const end = *first + pause;
+        EXPECT_LE(this->calls_between(upstream, *first + pause_margin, end),
+                  pause_calls * this->gateways.size());
+        EXPECT_GE(this->calls_between(upstream, end, mono_now()), 1U);
+        constexpr milliseconds wave_time{100};
+        constexpr std::size_t wave_limit = 8;
+        auto const last_end = end + pause_margin;
+        for (auto at = end; at < last_end; at += wave_time)
+            EXPECT_LE(this->calls_between(upstream, at, at + wave_time),
+                      wave_limit);
+    }
+};
+
+} // namespace
+
+// An engine that says in its answers that it leaves went on getting calls until
+// the store's entry said so too (DRAIN).
+TEST_F(upstream_words, an_engine_that_says_it_leaves_gets_nothing_new)
+{
+    this->start(2, 3);
+    this->play(milliseconds{1'000}, "/chat/new", usual_interval);
+    for (std::size_t number = 0; number < 2; ++number)
+        this->engines[number].engine->state_leaving();
+    auto const stated_at = mono_now();
+    EXPECT_GE(this->arrivals["engine-0"].size() +
+                  this->arrivals["engine-1"].size(),
+              1U);
+    this->play(milliseconds{5'000}, "/chat/new", usual_interval);
+    for (char const* id : {"engine-0", "engine-1"})
+        EXPECT_EQ(
+            this->calls_between(id, stated_at + leaving_limit, mono_now()), 0U)
+            << id;
+    EXPECT_GE(this->served_after(stated_at), 0.99);
+}
+
+TEST_F(upstream_words, a_service_that_says_it_leaves_gets_nothing_new)
+{
+    this->start(2, 1, 2);
+    this->play(milliseconds{500}, "/book/new", usual_interval);
+    this->services[0]->state_leaving();
+    auto const stated_at = mono_now();
+    this->play(milliseconds{4'000}, "/book/new", usual_interval);
+    EXPECT_EQ(
+        this->calls_between("book-0", stated_at + leaving_limit, mono_now()),
+        0U);
+    EXPECT_GE(this->served_after(stated_at), 0.99);
+}
+
+// An engine that asked for 3 s without calls got the next ones 60 ms later
+// (BUDGET).
+TEST_F(upstream_words, an_engine_that_asks_for_a_pause_gets_it)
+{
+    this->start(2, 3);
+    this->play(milliseconds{1'000}, "/chat/new", usual_interval);
+    this->engines[0].engine->ask_for_pause("3");
+    auto const asked_at = mono_now();
+    this->play(milliseconds{2'000}, "/chat/new", usual_interval);
+    this->engines[0].engine->ask_for_pause("");
+    this->play(milliseconds{3'000}, "/chat/new", usual_interval);
+    this->expect_pause("engine-0", asked_at, milliseconds{3'000});
+    EXPECT_GE(this->served_after(asked_at), 0.99);
+}
+
+// All services of a pool had asked for a pause, and calls went there again and
+// again, or waited until their deadline.
+TEST_F(upstream_words, calls_are_refused_at_once_while_a_pool_pauses)
+{
+    constexpr milliseconds pause{5'000};
+    this->start(2, 1, 2);
+    this->play(milliseconds{300}, "/book/new", usual_interval);
+    for (auto const& service : this->services)
+        service->ask_for_pause("5.0");
+    auto const asked_at = mono_now();
+    this->play(milliseconds{600}, "/book/new", usual_interval);
+    auto const known_at = mono_now();
+    this->play(milliseconds{1'000}, "/book/new", usual_interval);
+    for (auto const& service : this->services)
+        service->ask_for_pause("");
+    auto const paused_until = mono_now();
+    this->play(milliseconds{5'000}, "/book/new", usual_interval);
+    this->settle();
+    constexpr milliseconds at_once{500};
+    std::size_t refused = 0;
+    for (auto const& [id, call] : this->calls)
+    {
+        if (call.sent_at < known_at || call.sent_at > paused_until)
+            continue;
+        ++refused;
+        ASSERT_EQ(call.answer->status, HTTP_SERVUNAVAIL) << id;
+        EXPECT_EQ(this->arrivals_by_call.count(id), 0U) << id;
+        EXPECT_LE(*call.ended_at - call.sent_at, at_once) << id;
+        auto const retry_after = std::stod(call.answer->field("Retry-After"));
+        // Not before the pause ends, and not much later.
+        EXPECT_GE(retry_after, 1.5) << id;
+        EXPECT_LE(retry_after, 7) << id;
+    }
+    EXPECT_GT(refused, 0U);
+    this->expect_pause("book-0", asked_at, pause);
+    this->expect_pause("book-1", asked_at, pause);
+}
+
+} // namespace jujubestand::programs::test
--- a/standins/service/recording_service.cpp
+++ b/standins/service/recording_service.cpp
@@ -44,7 +44,17 @@
 
 void recording_service::name_limit(std::string text)
 {
-    this->limit = std::move(text);
+    this->words.limit = std::move(text);
+}
+
+void recording_service::state_leaving()
+{
+    this->words.is_leaving = true;
+}
+
+void recording_service::ask_for_pause(std::string retry_after)
+{
+    this->words.pause = std::move(retry_after);
 }
 
 void recording_service::sign(evhttp_request* request,
@@ -53,7 +63,7 @@
     auto* const headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "X-Request-Id", id.c_str());
     evhttp_add_header(headers, "X-Response-Stamp", "books");
-    add_call_limit(request, this->limit);
+    add_words(request, this->words);
 }
 
 address recording_service::bound() const
@@ -65,6 +75,12 @@
 {
     auto const id = call.header("X-Request-Id");
     this->events.arrived(id);
+    if (!this->words.pause.empty())
+    {
+        this->sign(call.request, id);
+        refuse_for_pause(call.request, this->words.pause);
+        return;
+    }
     double luck = std::uniform_real_distribution<double>()(this->random);
     luck -= this->faults.refused;
     if (luck < 0)
--- a/standins/service/recording_service.hpp
+++ b/standins/service/recording_service.hpp
@@ -44,9 +44,17 @@
     recording_service(recording_service const&) = delete;
     recording_service& operator=(recording_service const&) = delete;
 
-    /// \brief States a limit in new answers, as this text; empty: none.
+    /// \brief States a limit in the heads of new answers, as this text; empty:
+    /// none.
     void name_limit(std::string text);
 
+    /// \brief States in the heads of new answers that it leaves.
+    void state_leaving();
+
+    /// \brief Refuses new calls as not run, with this Retry-After; empty: runs
+    /// them again.
+    void ask_for_pause(std::string retry_after);
+
     [[nodiscard]] address bound() const;
 
 private:
@@ -57,7 +65,7 @@
 
     service_faults faults;
     service_events events;
-    std::string limit;
+    upstream_words words;
     std::mt19937_64 random;
     http_server server;
     held_requests held;
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -95,7 +95,17 @@
 
 void stream_engine::name_limit(std::string text)
 {
-    this->limit = std::move(text);
+    this->words.limit = std::move(text);
+}
+
+void stream_engine::state_leaving()
+{
+    this->words.is_leaving = true;
+}
+
+void stream_engine::ask_for_pause(std::string retry_after)
+{
+    this->words.pause = std::move(retry_after);
 }
 
 void stream_engine::on_stream(std::function<void(stream_request const&)> action)
@@ -139,7 +149,7 @@
         {"busy", false},   {"sequence", this->order_times.size()},
         {"queued", 0},     {"active", 0},
         {"kv-used", 0},    {"kv-total", 90'000}};
-    add_call_limit(call.request, this->limit);
+    add_words(call.request, this->words);
     reply(call.request, HTTP_OK, body.dump());
 }
 
@@ -148,7 +158,7 @@
     constexpr int accepted = 202;
     this->order_times.push_back(mono_now());
     this->weights = nlohmann::json::parse(call.body()).at("version");
-    add_call_limit(call.request, this->limit);
+    add_words(call.request, this->words);
     reply(call.request, accepted, "");
 }
 
@@ -167,14 +177,20 @@
     return this->server.bound();
 }
 
-void stream_engine::begin_answer(http_call const& call) const
+void stream_engine::sign(http_call const& call) const
 {
     auto* const headers = evhttp_request_get_output_headers(call.request);
     auto const id = call.header("X-Request-Id");
-    evhttp_add_header(headers, "Content-Type", "text/event-stream");
     evhttp_add_header(headers, "X-Request-Id", id.c_str());
     evhttp_add_header(headers, "X-Response-Stamp", this->version.c_str());
-    add_call_limit(call.request, this->limit);
+    add_words(call.request, this->words);
+}
+
+void stream_engine::begin_answer(http_call const& call) const
+{
+    auto* const headers = evhttp_request_get_output_headers(call.request);
+    evhttp_add_header(headers, "Content-Type", "text/event-stream");
+    this->sign(call);
     evhttp_send_reply_start(call.request, HTTP_OK, "OK");
 }
 
@@ -185,6 +201,12 @@
         {call.header("X-Request-Id"), from, call.header("X-Prompt-Prefix")});
     if (this->sent)
         this->sent(this->requests.back());
+    if (!this->words.pause.empty())
+    {
+        this->sign(call);
+        refuse_for_pause(call.request, this->words.pause);
+        return;
+    }
     if (this->crashes_on(call))
     {
         this->watch(call.request);
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -58,6 +58,13 @@
     /// none.
     void name_limit(std::string text);
 
+    /// \brief States in the heads of new answers that it leaves.
+    void state_leaving();
+
+    /// \brief Refuses new calls as not run, with this Retry-After; empty: runs
+    /// them again.
+    void ask_for_pause(std::string retry_after);
+
     /// \brief Calls back for each stream that the engine is sent.
     void on_stream(std::function<void(stream_request const&)> sent);
 
@@ -83,6 +90,7 @@
     void answer(http_call const& call);
     void report(http_call const& call);
     void take_order(http_call const& call);
+    void sign(http_call const& call) const;
     void begin_answer(http_call const& call) const;
     [[nodiscard]] bool crashes_on(http_call const& call) const;
     [[nodiscard]] std::string event(std::uint64_t number) const;
@@ -93,7 +101,7 @@
     std::uint64_t last_event = stream_events;
     std::size_t partial_bytes = 0;
     bool is_framed = true;
-    std::string limit;
+    upstream_words words;
     std::string crash_part;
     std::function<void()> crashed;
     std::function<void(stream_request const&)> sent;
--- a/standins/support/http_server.cpp
+++ b/standins/support/http_server.cpp
@@ -176,11 +176,21 @@
 
 // The shutdown makes libevent see the end of the connection by itself, after
 // the running callback, and free both ends of its own state.
-void add_call_limit(evhttp_request* request, std::string const& limit)
+void add_words(evhttp_request* request, upstream_words const& words)
 {
-    if (!limit.empty())
-        evhttp_add_header(evhttp_request_get_output_headers(request),
-                          "Server-Limit", limit.c_str());
+    auto* const headers = evhttp_request_get_output_headers(request);
+    if (!words.limit.empty())
+        evhttp_add_header(headers, "Server-Limit", words.limit.c_str());
+    if (words.is_leaving)
+        evhttp_add_header(headers, "Server-Leaving", "1");
+}
+
+void refuse_for_pause(evhttp_request* request, std::string const& retry_after)
+{
+    auto* const headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "X-Not-Executed", "1");
+    evhttp_add_header(headers, "Retry-After", retry_after.c_str());
+    reply(request, HTTP_SERVUNAVAIL, "");
 }
 
 void cut(evhttp_request* request)
--- a/standins/support/http_server.hpp
+++ b/standins/support/http_server.hpp
@@ -83,9 +83,21 @@
 void reply(evhttp_request* request, int status, std::string_view body,
            char const* content_type = "application/json");
 
-/// \brief States a limit on the calls a second in the head of an answer, as it
-/// is; empty: none.
-void add_call_limit(evhttp_request* request, std::string const& limit);
+/// \brief What an upstream says of itself in the heads of its answers.
+struct upstream_words
+{
+    /// Its limit of calls a second, as it is; empty: none.
+    std::string limit;
+    bool is_leaving = false;
+    /// Calls are refused as not run, with this Retry-After; empty: they run.
+    std::string pause;
+};
+
+/// \brief Adds these words to the head of an answer.
+void add_words(evhttp_request* request, upstream_words const& words);
+
+/// \brief Refuses a call as not run, with this Retry-After.
+void refuse_for_pause(evhttp_request* request, std::string const& retry_after);
 
 /// \brief Cuts the caller's connection without an answer.
 void cut(evhttp_request* request);
