Send nothing new to an upstream that says it leaves (DRAIN)

Seen: an upstream that says in its answers that it leaves went on getting every call until its entry in the store said so as well. Cause: no process read the word. Change: gateways read it in each answer to a call. Not read: answers to agents; the other gateways learn it from their own answers.

--- a/jujubestand/dispatch/test/upstreams_test.cpp
+++ b/jujubestand/dispatch/test/upstreams_test.cpp
@@ -68,6 +68,28 @@
     EXPECT_TRUE(engine(dispatcher, 1).cache.parts.empty());
 }
 
+// An engine that said in its answers that it leaves went on getting calls,
+// since its record didn't say so (DRAIN).
+TEST(upstreams, an_upstream_that_states_its_leaving_leaves_until_it_restarts)
+{
+    auto dispatcher = fleet(2);
+    hold_parts(engine(dispatcher, 1), 77);
+    auto const key = engine(dispatcher, 1).key;
+    EXPECT_TRUE(on_leaving_stated(dispatcher, key));
+    EXPECT_FALSE(on_leaving_stated(dispatcher, key));
+    EXPECT_FALSE(on_leaving_stated(dispatcher, key + 10));
+    on_upstream_record(dispatcher, engine_record(1));
+    auto request = prompt_call(1, 77);
+    EXPECT_NE(submit(dispatcher, request, at(10)).upstream, key);
+    request.key = 2;
+    request.tried = {engine(dispatcher, 2).key};
+    EXPECT_EQ(submit(dispatcher, request, at(20)).next_action, action::hold);
+    auto restarted = engine_record(1);
+    restarted.born_ms = 2;
+    on_upstream_record(dispatcher, restarted);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(30)), 2U);
+}
+
 TEST(upstreams, a_tried_upstream_is_not_tried_again)
 {
     auto dispatcher = fleet(1);
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <jujubestand/placement/rendezvous.hpp>
+#include <utility>
 
 namespace jujubestand::dispatch
 {
@@ -208,6 +209,12 @@
     remove_redundant(requests, since - dispatcher.limits.weights_lag);
 }
 
+bool on_leaving_stated(state& dispatcher, upstream_key target_key)
+{
+    upstream* const target = find(dispatcher, target_key);
+    return target != nullptr && !std::exchange(target->record.is_leaving, true);
+}
+
 limits::limit_change on_limit_statement(state& dispatcher,
                                         upstream_key target_key,
                                         limits::statement const& stated,
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -36,6 +36,11 @@
 void on_wanted_weights(state& dispatcher, std::string const& model,
                        std::uint64_t version, mono_time since);
 
+/// \brief An upstream states that it takes no new calls; holds until another
+/// process of it has started, whatever its record says.
+/// \returns whether that is news
+bool on_leaving_stated(state& dispatcher, upstream_key target_key);
+
 /// \brief Applies a statement of an upstream on its limit.
 /// \param is_own this process received it from the upstream itself
 /// \param wall_now the time of day; limits times that other processes state
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -62,6 +62,20 @@
     end_call(state, key);
 }
 
+// What an upstream says of itself in the head of any answer.
+void apply_statements(gateway_state& state, active_call const& call,
+                      traffic::answer_head const& answer)
+{
+    // Only what is surely an answer of the upstream can end a limit.
+    if (answer.is_signed || answer.is_not_run ||
+        answer.limit.statement != traffic::limit_statement::none)
+        on_stated_limit(state, call.upstream_key, answer.limit);
+    if (answer.is_leaving &&
+        dispatch::on_leaving_stated(state.dispatch, call.upstream_key))
+        state.log->write(event_number::member_leaving, {},
+                         {{"upstream", call.upstream}, {"source", "answer"}});
+}
+
 void on_head(gateway_state& state, dispatch::call_key key,
              http1::message_head const& head)
 {
@@ -80,10 +94,8 @@
                                 answer.other_upstream != call->upstream;
     if (is_misdirected)
         dispatch::on_misdirected(state.dispatch, call->upstream_key);
-    // Only what is surely an answer of the upstream can end a limit.
-    else if (answer.is_signed || answer.is_not_run ||
-             answer.limit.statement != traffic::limit_statement::none)
-        on_stated_limit(state, call->upstream_key, answer.limit);
+    else
+        apply_statements(state, *call, answer);
     bool const is_usable =
         answer.is_signed && !answer.is_encoded && !answer.is_not_run;
     call->is_response_discarded =
--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -76,6 +76,8 @@
     std::optional<std::uint64_t> weights;
     /// What the upstream states on the calls that it takes.
     stated_limit limit;
+    /// The upstream states that it takes no new calls before its end.
+    bool is_leaving = false;
     /// Fields that go on to the caller as they are.
     std::vector<http::field> passed;
 };
