Send waiting calls to a new engine in turn, not all at once (LIMIT)

Cause, from the logs: 556 small calls had waited for the engine's limit. Its successor got them within 10 ms, 30 connections of one gateway failed after 0.6 s ("cannot connect"), and the gateway avoided the engine for 1 to 2 s. The bound on an engine's backlog counts its tokens, and these calls had few. Change: an engine has at most 64 calls without output from all gateways, 4 or more of each. dispatch: call_limits.a_replaced_engine_gets_no_wave_of_small_calls fails without the bound (200 at once, 16 allowed), passes with it.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -21,6 +21,8 @@
     double unreported_tokens = 0;
     double reported_tokens = 0;
     double reported_calls = 0;
+    /// Calls without output.
+    double prefilling_calls = 0;
 };
 
 using tallies = std::unordered_map<upstream_key, send_tally>;
@@ -42,6 +44,7 @@
             tally.unreported_memory += send.memory_tokens;
         if (!send.is_prefilling)
             continue;
+        ++tally.prefilling_calls;
         if (is_reported)
         {
             ++tally.reported_calls;
@@ -59,6 +62,17 @@
     return found == tallies_by_key.end() ? send_tally{} : found->second;
 }
 
+// Many small calls that have waited for an engine add up to little work, but
+// each needs a connection, all at once.
+bool is_full_of_prefilling(state const& dispatcher, send_tally const& in_flight)
+{
+    auto const& limits = dispatcher.limits;
+    double const share =
+        std::max(limits.prefilling_calls_min,
+                 limits.prefilling_calls_limit / dispatcher.gateways);
+    return in_flight.prefilling_calls >= share;
+}
+
 bool has_memory(state const& dispatcher, upstream const& target,
                 send_tally const& in_flight, double tokens)
 {
@@ -183,6 +197,8 @@
                            split.shared_tokens - cached;
     if (!has_memory(dispatcher, target, in_flight, result.memory_tokens))
         return std::nullopt;
+    if (is_full_of_prefilling(dispatcher, in_flight))
+        return std::nullopt;
     double const backlog_ms = prefill_backlog(dispatcher, target, in_flight) /
                               dispatcher.limits.prefill_tokens_per_ms;
     if (backlog_ms > dispatcher.limits.prefill_backlog_limit_ms)
--- a/jujubestand/dispatch/test/limits_test.cpp
+++ b/jujubestand/dispatch/test/limits_test.cpp
@@ -53,6 +53,33 @@
     EXPECT_NE(submit(dispatcher, prompt_call(4, 77), at(1'200)).upstream, home);
 }
 
+// 556 calls had waited for the last engine of a pool, which had a limit; the
+// engine that replaced it got them all at once, and connections failed.
+TEST(call_limits, a_replaced_engine_gets_no_wave_of_small_calls)
+{
+    auto dispatcher = fleet(1);
+    dispatcher.gateways = 4;
+    name_limit(dispatcher, 1, 0.5);
+    for (call_key key = 1; key <= 200; ++key)
+    {
+        auto request = prompt_call(key, 77);
+        request.model_prompt = traffic::prompt{"m", {{1, 1}}, 1, 1, 1};
+        request.deadline = at(600'000);
+        EXPECT_EQ(submit(dispatcher, request, at(1)).next_action, action::hold);
+    }
+    auto next = engine_record(1);
+    next.born_ms = 2;
+    on_upstream_record(dispatcher, next);
+    on_load_report(dispatcher, engine(dispatcher, 1).key, idle_load(10));
+    constexpr std::size_t share = 16;
+    auto const first = decide_waiting(dispatcher, at(10));
+    EXPECT_EQ(first.size(), share);
+    EXPECT_TRUE(decide_waiting(dispatcher, at(11)).empty());
+    for (auto const& decided : first)
+        on_first_output(dispatcher, decided.call);
+    EXPECT_EQ(decide_waiting(dispatcher, at(12)).size(), share);
+}
+
 // A retry is a call like any other, and so is a stream that goes on elsewhere.
 TEST(call_limits, a_call_that_was_tried_elsewhere_needs_a_permit_too)
 {
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -37,6 +37,10 @@
     double prefill_tokens_per_ms = 40;
     /// Limit of an engine's prefill backlog, as the time to prefill it.
     double prefill_backlog_limit_ms = 220;
+    /// Limit of an engine's calls without output, from all gateways.
+    double prefilling_calls_limit = 64;
+    /// The least of it that a gateway has.
+    double prefilling_calls_min = 4;
     /// Cost of each running call, since it slows all steps of the engine.
     double running_cost_ms = 0.7;
     /// Time to fetch a cached token from another engine.
