--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -30,6 +30,11 @@
         this->state.base = this->base;
         this->state.caller_server =
             std::make_unique<http1::server>(this->base, http1::server_events{});
+        this->state.datagrams = std::make_unique<loop::datagrams>(
+            this->base, [](address const&, std::string_view) {});
+        reason why;
+        // Nothing gets off this machine.
+        EXPECT_TRUE(this->state.datagrams->bind({"127.0.0.1", 0}, why));
         // Keeps reviews from being scheduled on a timer.
         this->state.is_review_scheduled = true;
     }
@@ -37,6 +42,7 @@
     ~origin_exchange() override
     {
         this->state.caller_server.reset();
+        this->state.datagrams.reset();
         event_base_free(this->base);
         ::close(this->sink);
     }
--- a/programs/test/upstream_words_test.cpp
+++ b/programs/test/upstream_words_test.cpp
@@ -1,4 +1,3 @@
-#include <cmath>
 #include <programs/test/played_calls.hpp>
 
 // Upstreams say in their answers that they leave, or ask for a pause. Checks
