--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -87,8 +87,8 @@
     std::chrono::milliseconds service_time_min{60};
     /// Time that a caller needs to retry before its own timeout.
     std::chrono::milliseconds return_margin{50};
-    /// Calls wait for upstreams with limits, or that pause, for up to this share
-    /// of the time that they have left; the rest is for serving them.
+    /// Calls wait for upstreams with limits, or that pause, for up to this
+    /// share of the time that they have left; the rest is for serving them.
     double limited_wait_share = 0.5;
     /// Calls a second that an upstream gets from all gateways right after a
     /// pause that it asked for; they double each `resume_doubling`.
