Test that an order waits for the end of a pause (BUDGET)

The stand-in engine refuses orders in a pause as well; upstream words.an_order_waits: with the reading taken out of the agent, the order comes again after 298 ms (3000 asked); with it, it passes.

--- a/programs/test/upstream_words_test.cpp
+++ b/programs/test/upstream_words_test.cpp
@@ -99,6 +99,30 @@
     EXPECT_GE(this->served_after(asked_at), 0.99);
 }
 
+// An engine that asked for 3 s without requests got its order again each 250 ms
+// (BUDGET).
+TEST_F(upstream_words, an_order_waits_for_the_end_of_a_pause)
+{
+    this->start(2, 2);
+    this->start_agent(0);
+    this->engines[0].engine->ask_for_pause("3");
+    this->name_weights(2);
+    auto const& orders = this->engines[0].engine->orders();
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return !orders.empty();
+        }));
+    this->engines[0].engine->ask_for_pause("");
+    auto const refused_at = orders.front();
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return orders.size() > 1;
+        }));
+    EXPECT_GE(orders[1] - refused_at, milliseconds{3'000});
+}
+
 // All services of a pool had asked for a pause, and calls went there again and
 // again, or waited until their deadline.
 TEST_F(upstream_words, calls_are_refused_at_once_while_a_pool_pauses)
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -157,6 +157,12 @@
 {
     constexpr int accepted = 202;
     this->order_times.push_back(mono_now());
+    if (!this->words.pause.empty())
+    {
+        add_words(call.request, this->words);
+        refuse_for_pause(call.request, this->words.pause);
+        return;
+    }
     this->weights = nlohmann::json::parse(call.body()).at("version");
     add_words(call.request, this->words);
     reply(call.request, accepted, "");
