Keep what an upstream's last process says from its next (DRAIN, BUDGET)

Found by reading: an answer of a process that says it leaves, names a limit or asks for a pause may be read after the record of the process that follows it under its id. The new one then counted as leaving until it started again. Cause: the words were kept by the upstream's key, not by its process. Change: they count, and so do the weights that an answer names, only while the record has the start that it had when the call was sent.

--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -209,6 +209,8 @@
     /// For a send to an engine: the weights that the call runs on.
     std::string model;
     std::uint64_t weights = 0;
+    /// Start of the upstream's process, as its record had it.
+    std::uint64_t born_ms = 0;
 };
 
 /// \brief State of one upstream as seen by this process.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -226,6 +226,16 @@
     remove_redundant(requests, since - dispatcher.limits.weights_lag);
 }
 
+bool is_at_latest_process(state const& dispatcher, call_key call)
+{
+    auto const sent = dispatcher.sends.find(call);
+    if (sent == dispatcher.sends.end())
+        return false;
+    auto const target = dispatcher.upstreams.find(sent->second.upstream);
+    return target != dispatcher.upstreams.end() &&
+           target->second.record.born_ms == sent->second.born_ms;
+}
+
 bool on_leaving_stated(state& dispatcher, upstream_key target_key)
 {
     upstream* const target = find(dispatcher, target_key);
@@ -236,7 +246,7 @@
                      std::chrono::milliseconds pause, mono_time now)
 {
     upstream* const target = find(dispatcher, target_key);
-    if (target == nullptr)
+    if (target == nullptr || pause.count() == 0)
         return false;
     bool const is_news = target->paused_until <= now;
     target->paused_until = std::max(target->paused_until, now + pause);
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -36,6 +36,10 @@
 void on_wanted_weights(state& dispatcher, std::string const& model,
                        std::uint64_t version, mono_time since);
 
+/// \brief Whether a call in flight was sent to the latest process of its
+/// upstream; what the one before states doesn't concern the latest.
+[[nodiscard]] bool is_at_latest_process(state const& dispatcher, call_key call);
+
 /// \brief An upstream states that it takes no new calls; holds until another
 /// process of it has started, whatever its record says.
 /// \returns whether that is news
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -66,6 +66,10 @@
 void apply_statements(gateway_state& state, active_call const& call,
                       traffic::answer_head const& answer)
 {
+    if (answer.weights && call.dispatch_call.model_prompt)
+        dispatch::on_weights_seen(state.dispatch, call.upstream_key,
+                                  call.dispatch_call.model_prompt->model,
+                                  *answer.weights);
     // Only what is surely an answer of the upstream can end a limit.
     if (answer.is_signed || answer.is_not_run ||
         answer.limit.statement != traffic::limit_statement::none)
@@ -95,17 +99,11 @@
         return;
     auto answer = platform::read_answer(head);
     call->response_framing = head.framing;
-    auto const send = state.dispatch.sends.find(key);
-    if (answer.weights && call->dispatch_call.model_prompt &&
-        send != state.dispatch.sends.end())
-        dispatch::on_weights_seen(state.dispatch, send->second.upstream,
-                                  call->dispatch_call.model_prompt->model,
-                                  *answer.weights);
     bool const is_misdirected = !answer.other_upstream.empty() &&
                                 answer.other_upstream != call->upstream;
     if (is_misdirected)
         dispatch::on_misdirected(state.dispatch, call->upstream_key);
-    else
+    else if (dispatch::is_at_latest_process(state.dispatch, key))
         apply_statements(state, *call, answer);
     bool const is_usable =
         answer.is_signed && !answer.is_encoded && !answer.is_not_run;
