Hold calls until a started gateway knows the limits of others (LIMIT)

Cause, from the logs: a gateway that starts took calls some milliseconds before the others had answered its query for limits, and sent them. Ruled out: the answers themselves (each came, in order); a fixed wait of 50 ms: with 32 of the test at once, 23 of 32 still failed; waiting from the first list on only: 5 of 32, since a gateway is fresh before it has one. Change: calls wait from the start until the queried gateways have answered, 250 ms at most; a query is answered with a notice of each limit and a response that ends them. A gateway without others doesn't wait.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -255,6 +255,8 @@
 std::optional<choice> choose(state const& dispatcher, call const& request,
                              mono_time now)
 {
+    if (now < dispatcher.held_until)
+        return std::nullopt;
     prompt_split split;
     upstream const* home = nullptr;
     std::vector<part_source> sources;
--- a/jujubestand/dispatch/test/limits_test.cpp
+++ b/jujubestand/dispatch/test/limits_test.cpp
@@ -80,6 +80,18 @@
     EXPECT_EQ(decide_waiting(dispatcher, at(12)).size(), share);
 }
 
+// A gateway that had just started sent its first calls some milliseconds before
+// it learnt of a limit (LIMIT).
+TEST(call_limits, no_call_is_sent_before_limits_can_be_known)
+{
+    auto dispatcher = fleet(1);
+    dispatcher.held_until = at(50);
+    EXPECT_EQ(submit(dispatcher, prompt_call(1, 77), at(10)).next_action,
+              action::hold);
+    EXPECT_TRUE(decide_waiting(dispatcher, at(49)).empty());
+    EXPECT_EQ(decide_waiting(dispatcher, at(50)).size(), 1U);
+}
+
 // A retry is a call like any other, and so is a stream that goes on elsewhere.
 TEST(call_limits, a_call_that_was_tried_elsewhere_needs_a_permit_too)
 {
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -274,6 +274,8 @@
     std::map<std::string, std::vector<wanted_version>> weights;
     std::vector<part_store> stores;
     upstream_key last_key = 0;
+    /// No call is sent before: limits may apply that are not known yet.
+    mono_time held_until{};
     /// Number of gateways that share the upstreams, including this one.
     std::uint32_t gateways = 1;
     /// Mean prompt size, used to estimate the work of other gateways.
--- a/jujubestand/gateway/call_limits.cpp
+++ b/jujubestand/gateway/call_limits.cpp
@@ -31,6 +31,10 @@
 /// others may have just started as well.
 constexpr std::size_t query_targets = 3;
 
+/// Longest time for which calls wait for the answers: one that was queried may
+/// be gone.
+constexpr std::chrono::milliseconds query_answer_limit{250};
+
 /// Most permits of one request.
 constexpr std::uint32_t wanted_limit = 8;
 
@@ -236,6 +240,17 @@
         if (limits::applies(target.limit, now))
             state.datagrams->send(sender, notice_of(target, now));
     }
+    state.datagrams->send(sender,
+                          status::to_datagram(status::limit_response{}));
+}
+
+void on_limit_response(gateway_state& state, address const& sender)
+{
+    if (state.limits.queried.erase(sender.host) == 0 ||
+        !state.limits.queried.empty())
+        return;
+    state.dispatch.held_until = mono_now();
+    review_waiting(state);
 }
 
 void on_permit_query(gateway_state& state, address const& sender,
@@ -336,12 +351,20 @@
     return is_granted;
 }
 
+void hold_calls(gateway_state& state)
+{
+    state.dispatch.held_until = mono_now() + query_answer_limit;
+}
+
 void query_limits(gateway_state& state)
 {
-    auto hosts = other_gateways(state, mono_now());
+    auto const now = mono_now();
+    auto hosts = other_gateways(state, now);
     std::shuffle(hosts.begin(), hosts.end(), state.random_engine);
     if (hosts.size() > query_targets)
         hosts.resize(query_targets);
+    state.limits.queried = {hosts.begin(), hosts.end()};
+    state.dispatch.held_until = hosts.empty() ? now : now + query_answer_limit;
     for (auto const& host : hosts)
         state.datagrams->send(address{host, state.settings.internal_port},
                               status::to_datagram(status::limit_query{}));
@@ -375,6 +398,8 @@
         apply_record(state, notice->limit);
     else if (status::from_datagram<status::limit_query>(bytes))
         on_limit_query(state, sender);
+    else if (status::from_datagram<status::limit_response>(bytes))
+        on_limit_response(state, sender);
     else if (auto const query =
                  status::from_datagram<status::permit_query>(bytes))
         on_permit_query(state, sender, query->request);
--- a/jujubestand/gateway/call_limits.hpp
+++ b/jujubestand/gateway/call_limits.hpp
@@ -19,8 +19,12 @@
 void on_agent_limit(gateway_state& state, dispatch::upstream_key upstream,
                     status::limit_report const& report);
 
+/// \brief Calls wait from the start for the first list of gateways, for a short
+/// time.
+void hold_calls(gateway_state& state);
+
 /// \brief Queries a few other gateways for the limits that they know; for a
-/// gateway that has just learnt of them.
+/// gateway that has just learnt of them. Calls wait for their answers.
 void query_limits(gateway_state& state);
 
 /// \brief Requests permits that calls could use.
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -243,6 +243,7 @@
     gateway_state state;
     state.base = base;
     state.started_at = mono_now();
+    hold_calls(state);
     state.log = &log;
     state.settings = std::move(settings);
     state.dispatch.data_center = state.settings.data_center;
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -115,6 +115,8 @@
     std::map<dispatch::upstream_key, mono_time> announced_at;
     /// Upstreams whose malformed limit was logged.
     std::set<dispatch::upstream_key> malformed;
+    /// Gateways that have not yet answered this one's query for limits.
+    std::set<std::string> queried;
     /// Last message of an agent or another gateway.
     mono_time heard_at{};
     mono_time reviewed_at{};
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -43,6 +43,7 @@
 template std::optional<crash_notice> from_datagram(std::string_view);
 template std::optional<limit_notice> from_datagram(std::string_view);
 template std::optional<limit_query> from_datagram(std::string_view);
+template std::optional<limit_response> from_datagram(std::string_view);
 template std::optional<permit_query> from_datagram(std::string_view);
 template std::optional<permit_response> from_datagram(std::string_view);
 
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -212,7 +212,7 @@
 };
 
 /// \brief Query of a gateway that has just started for the limits that another
-/// one knows; the response is a notice of each.
+/// one knows; the response is a notice of each, then a `limit_response`.
 struct limit_query
 {
     std::uint32_t format = format_version;
@@ -220,6 +220,14 @@
     MSGPACK_DEFINE_ARRAY(format)
 };
 
+/// \brief End of the response to a `limit_query`.
+struct limit_response
+{
+    std::uint32_t format = format_version;
+
+    MSGPACK_DEFINE_ARRAY(format)
+};
+
 /// \brief Request of a gateway to the one that issues an upstream's permits.
 struct permit_query
 {
@@ -255,6 +263,7 @@
     crash_notice = 'c',
     limit_notice = 'l',
     limit_query = 'm',
+    limit_response = 'e',
     permit_query = 'w',
     permit_response = 'g',
 };
@@ -292,6 +301,9 @@
 template <>
 inline constexpr message_kind kind_of<limit_query> = message_kind::limit_query;
 template <>
+inline constexpr message_kind kind_of<limit_response> =
+    message_kind::limit_response;
+template <>
 inline constexpr message_kind kind_of<permit_query> =
     message_kind::permit_query;
 template <>
