--- a/jujubestand/admission/queue.cpp
+++ b/jujubestand/admission/queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/admission/queue_items.hpp>
+#include <jujubestand/admission/start_limit.hpp>
 
 namespace jujubestand::admission
 {
@@ -45,28 +46,6 @@
            ahead_tokens_limit(state);
 }
 
-/// Whether the engine's limit lets a request start.
-bool has_start_token(queue_state& state, mono_time now)
-{
-    if (!limits::applies(state.limit, now))
-        return true;
-    limits::fill(state.start_tokens, limits::rate_of(*state.limit, now), now);
-    return state.start_tokens.tokens >= 1;
-}
-
-/// Time until a new request behind this many others may start.
-microseconds wait_for_limit(queue_state const& state, std::size_t ahead,
-                            mono_time now)
-{
-    if (!limits::applies(state.limit, now))
-        return microseconds{0};
-    double const rate = limits::rate_of(*state.limit, now);
-    auto bucket = state.start_tokens;
-    limits::fill(bucket, rate, now);
-    bucket.tokens -= static_cast<double>(ahead);
-    return limits::time_to_token(bucket, rate);
-}
-
 /// Drops expired requests as soon as they expire instead of when they reach
 /// the front, so that the caller gets the error early.
 void drop_expired(queue_state& state, mono_time now, schedule_result& into)
@@ -220,21 +199,6 @@
         state.prefill_us_per_token = report.prefill_us_per_token;
 }
 
-// This process alone sends requests to its engine, so it keeps the limit alone.
-limits::limit_change apply_limit(queue_state& state,
-                                 limits::statement const& stated, mono_time now)
-{
-    bool const was_limited = limits::applies(state.limit, now);
-    auto const change = limits::on_own_statement(state.limit, stated, now);
-    if (was_limited || !limits::applies(state.limit, now))
-        return change;
-    double const debt =
-        limits::debt_of(limits::value_of(state.recent_starts, now),
-                        limits::rate_of(*state.limit, now));
-    state.start_tokens = {-debt, now};
-    return change;
-}
-
 microseconds expected_wait(queue_state const& state, std::uint8_t priority,
                            mono_time now)
 {
@@ -309,8 +273,7 @@
             break;
         queue_item const item = *front;
         pop_front(state, *priority_class, item);
-        state.start_tokens.tokens -= 1;
-        limits::add_call(state.recent_starts, now);
+        count_start(state, now);
         state.prefilling_tokens += item.tokens;
         if (state.running.empty())
             state.last_progress = now;
--- a/jujubestand/admission/queue.hpp
+++ b/jujubestand/admission/queue.hpp
@@ -184,10 +184,6 @@
 /// current value unchanged.
 void apply_report(queue_state& state, engine_report const& report);
 
-/// \brief Applies what an answer of the engine states on its limit.
-limits::limit_change
-apply_limit(queue_state& state, limits::statement const& stated, mono_time now);
-
 /// \brief Expected time until the engine begins the prefill of a new request
 /// of this priority.
 [[nodiscard]] microseconds expected_wait(queue_state const& state,
--- a/jujubestand/admission/test/limit_test.cpp
+++ b/jujubestand/admission/test/limit_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <jujubestand/admission/start_limit.hpp>
 #include <jujubestand/admission/test/queue_items.hpp>
 
 // Upstreams that state how many requests a second they take.
--- a/jujubestand/sidecar/engine_side.cpp
+++ b/jujubestand/sidecar/engine_side.cpp
@@ -1,5 +1,6 @@
 // What the sidecar learns of its engine, and what it tells of it.
 
+#include <jujubestand/admission/start_limit.hpp>
 #include <jujubestand/sidecar/sidecar_state.hpp>
 #include <jujubestand/traffic/stated_limit.hpp>
 
