--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -61,8 +61,8 @@
     /// \brief States in the heads of new answers that it leaves.
     void state_leaving();
 
-    /// \brief Refuses new calls and orders as not run, with this Retry-After; empty: runs
-    /// them again.
+    /// \brief Refuses new calls and orders as not run, with this Retry-After;
+    /// empty: runs them again.
     void ask_for_pause(std::string retry_after);
 
     /// \brief Calls back for each stream that the engine is sent.
