--- a/jujubestand/gateway/answers.cpp
+++ b/jujubestand/gateway/answers.cpp
@@ -49,4 +49,11 @@
                : status_bad_gateway;
 }
 
+bool is_success(int status) noexcept
+{
+    constexpr int first = 200;
+    constexpr int end = 300;
+    return status >= first && status < end;
+}
+
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/answers.hpp
+++ b/jujubestand/gateway/answers.hpp
@@ -33,6 +33,9 @@
 /// run.
 [[nodiscard]] int status_of(verdict outcome, reason_code why) noexcept;
 
+/// \brief Whether a status is one of 200 to 299.
+[[nodiscard]] bool is_success(int status) noexcept;
+
 } // namespace jujubestand::gateway
 
 #endif
--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -4,6 +4,7 @@
 #include <jujubestand/dispatch/dispatch.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/agents.hpp>
+#include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <platform/names.hpp>
@@ -25,9 +26,8 @@
 constexpr std::chrono::milliseconds write_delay_limit{500};
 constexpr std::chrono::milliseconds write_retry_delay{1'000};
 
-/// A report this long after the connections broke is of an upstream that lives:
-/// the time of a report is known less exactly.
-constexpr std::chrono::milliseconds report_margin{100};
+/// An upstream that has written an answer for so long doesn't crash by it.
+constexpr std::chrono::milliseconds survival_time{2'000};
 
 void send_to_gateways(gateway_state& state, quarantine::notice const& evidence)
 {
@@ -68,22 +68,21 @@
 
 // An upstream without an agent shows that it crashed only when a connection to
 // it is refused or its record goes.
-quarantine::upstream_condition condition_of(gateway_state const& state,
-                                            dispatch::upstream_key key,
-                                            mono_time cut_at)
+quarantine::upstream_sign sign_of(gateway_state const& state,
+                                  dispatch::upstream_key key)
 {
     using quarantine::upstream_condition;
     auto const found = state.dispatch.upstreams.find(key);
     if (found == state.dispatch.upstreams.end() || found->second.is_replaced)
-        return upstream_condition::lost;
+        return {upstream_condition::lost};
     auto const& load = found->second.load;
     if (!load)
-        return upstream_condition::unknown;
+        return {};
     if (load->is_down)
-        return upstream_condition::lost;
-    return load->reported_at > cut_at + report_margin
-               ? upstream_condition::alive
-               : upstream_condition::unknown;
+        return {upstream_condition::lost};
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        mono_now() - load->reported_at);
+    return {upstream_condition::alive, wall_now() - age};
 }
 
 void log_strikes(gateway_state& state, quarantine::notice const& news)
@@ -92,7 +91,7 @@
         return;
     std::int64_t begun = 0;
     for (auto const& strike : news.strikes)
-        begun += strike.has_begun ? 1 : 0;
+        begun += strike.stage == quarantine::answer_stage::none ? 0 : 1;
     state.log->write(
         event_number::strike_recorded, {},
         {{"upstream", news.strikes.front().upstream.text},
@@ -101,22 +100,21 @@
 }
 
 void settle(gateway_state& state, dispatch::upstream_key key,
-            quarantine::upstream_condition condition)
+            quarantine::upstream_sign const& sign)
 {
-    auto const news = quarantine::on_condition(state.crashes.evidence, key,
-                                               condition, wall_now());
+    auto const news =
+        quarantine::on_condition(state.crashes.evidence, key, sign, wall_now());
     log_strikes(state, news);
     send_news(state, news);
 }
 
 void settle_suspected(gateway_state& state)
 {
-    auto const now = mono_now();
-    auto const wall = wall_now();
-    auto const suspected = state.crashes.evidence.suspected;
-    for (auto const& [key, crash] : suspected)
-        settle(state, key,
-               condition_of(state, key, now - (wall - crash.cut_at)));
+    std::vector<dispatch::upstream_key> keys;
+    for (auto const& [key, crash] : state.crashes.evidence.suspected)
+        keys.push_back(key);
+    for (auto const key : keys)
+        settle(state, key, sign_of(state, key));
 }
 
 // Ends calls with a new culprit that no upstream has given output for.
@@ -132,6 +130,42 @@
         refuse_quarantined(state, key);
 }
 
+quarantine::answer_stage stage_of(active_call const& call)
+{
+    using quarantine::answer_stage;
+    bool const has_head = call.response_framing != http1::body_framing::none &&
+                          !call.is_response_discarded;
+    if (!has_head)
+        return answer_stage::none;
+    return call.events.response_events > 0 ? answer_stage::output
+                                           : answer_stage::head;
+}
+
+// An upstream answered a call to its end, or has written on it for long.
+void record_answer(gateway_state& state, active_call const& call)
+{
+    send_news(state, quarantine::on_answered(state.crashes.evidence,
+                                             call.suspect_keys, wall_now()));
+}
+
+bool ends_by_close(active_call const& call)
+{
+    return call.response_framing == http1::body_framing::close;
+}
+
+// The end of a connection may be that of the answer or of the upstream.
+void record_whole_answer(gateway_state& state, active_call const& call,
+                         incarnation_id incarnation)
+{
+    if (ends_by_close(call))
+        quarantine::on_unconfirmed_answer(
+            state.crashes.evidence, call.upstream_key,
+            upstream_id{call.upstream}, incarnation, call.suspect_keys,
+            wall_now());
+    else
+        record_answer(state, call);
+}
+
 void log_culprit(gateway_state& state, digest const& fingerprint,
                  char const* source)
 {
@@ -221,10 +255,15 @@
     return keys;
 }
 
-void record_answer(gateway_state& state, active_call const& call)
+void record_output(gateway_state& state, active_call& call)
 {
-    send_news(state, quarantine::on_answered(state.crashes.evidence,
-                                             call.suspect_keys, wall_now()));
+    auto const now = mono_now();
+    if (!call.output_since)
+        call.output_since = now;
+    if (call.has_survived || now - *call.output_since < survival_time)
+        return;
+    call.has_survived = true;
+    record_answer(state, call);
 }
 
 void record_attempt(gateway_state& state, active_call const& call,
@@ -232,20 +271,19 @@
 {
     using dispatch::send_outcome;
     if (outcome == send_outcome::unreachable)
-        settle(state, call.upstream_key, quarantine::upstream_condition::lost);
-    if (outcome == send_outcome::served || outcome == send_outcome::failed)
-        record_answer(state, call);
-    bool const has_output = call.events.response_events > 0;
+        settle(state, call.upstream_key,
+               {quarantine::upstream_condition::lost});
     auto const target = state.dispatch.upstreams.find(call.upstream_key);
-    if (outcome != send_outcome::cut || !end.is_cut || has_output ||
-        target == state.dispatch.upstreams.end())
+    if (call.has_survived || target == state.dispatch.upstreams.end())
         return;
-    bool const has_begun = call.response_framing != http1::body_framing::none &&
-                           !call.is_response_discarded;
-    quarantine::on_cut(state.crashes.evidence, call.upstream_key,
-                       upstream_id{call.upstream},
-                       incarnation_id{target->second.record.born_ms},
-                       call.suspect_keys, has_begun, wall_now());
+    incarnation_id const incarnation{target->second.record.born_ms};
+    if (outcome == send_outcome::served &&
+        is_success(call.response_head.status))
+        record_whole_answer(state, call, incarnation);
+    if (outcome == send_outcome::cut && (end.is_cut || ends_by_close(call)))
+        quarantine::on_cut(state.crashes.evidence, call.upstream_key,
+                           upstream_id{call.upstream}, incarnation,
+                           call.suspect_keys, stage_of(call), wall_now());
 }
 
 bool refuse_quarantined(gateway_state& state, dispatch::call_key key)
--- a/jujubestand/gateway/crashes.hpp
+++ b/jujubestand/gateway/crashes.hpp
@@ -19,7 +19,7 @@
 suspect_keys_of(active_call const& call);
 
 /// \brief Records that an upstream has given output for a call.
-void record_answer(gateway_state& state, active_call const& call);
+void record_output(gateway_state& state, active_call& call);
 
 /// \brief Records the end of an attempt as evidence for or against a crash of
 /// its upstream.
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -171,6 +171,8 @@
     call->response_framing = http1::body_framing::none;
     call->is_response_discarded = false;
     call->discarded_bytes = 0;
+    call->output_since.reset();
+    call->has_survived = false;
     auto const dispatch_decision =
         dispatch::submit(state.dispatch, call->dispatch_call, mono_now());
     state.log->write(
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -68,6 +68,11 @@
     /// The current upstream response is read but not forwarded.
     bool is_response_discarded = false;
     std::size_t discarded_bytes = 0;
+    /// First output of the current attempt.
+    std::optional<mono_time> output_since;
+    /// The upstream of the current attempt has written on it for so long that
+    /// the call can't be what crashes upstreams.
+    bool has_survived = false;
     /// Fingerprints of the call and of the shared parts of its prompt.
     std::vector<quarantine::suspect_key> suspect_keys;
 };
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
@@ -18,15 +19,8 @@
 /// Retry-After of calls that failed without having run.
 constexpr std::chrono::milliseconds retry_pause{200};
 
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
 
-bool is_success(int status)
-{
-    return status >= first_success && status < first_redirect;
-}
-
 // Statuses that guarantee that the call did not run. An upstream response
 // with such a status that does not guarantee this must not be forwarded.
 bool guarantees_not_run(int status)
@@ -196,12 +190,12 @@
         discard(state, *call, bytes.size());
         return;
     }
+    record_output(state, *call);
     if (!is_stream_answer(*call))
     {
         buffer(state, *call, bytes);
         return;
     }
-    bool const had_output = call->events.response_events > 0;
     std::string const events = on_bytes(call->events, bytes);
     if (call->events.is_broken)
     {
@@ -211,8 +205,6 @@
     if (events.empty())
         return;
     dispatch::on_first_output(state.dispatch, key);
-    if (!had_output)
-        record_answer(state, *call);
     if (!call->is_response_started)
     {
         call->is_response_started = true;
--- a/jujubestand/quarantine/evidence.cpp
+++ b/jujubestand/quarantine/evidence.cpp
@@ -11,9 +11,17 @@
 /// Suspected crashes that stay unsettled for so long were none.
 constexpr std::chrono::milliseconds settle_limit{8'000};
 
-/// Strikes kept of one suspected crash.
+/// Strikes kept of one suspected crash, apart from those of requests that the
+/// upstream had begun to answer.
 constexpr std::size_t strikes_limit = 96;
 
+/// Answers of one upstream that wait to be confirmed.
+constexpr std::size_t unconfirmed_limit = 512;
+
+/// A report this long after an end is of an upstream that outlived it: the time
+/// of a report is known less exactly.
+constexpr std::chrono::milliseconds report_margin{100};
+
 /// Parts of which an answer is remembered.
 constexpr std::size_t answered_limit = 8'192;
 
@@ -29,7 +37,8 @@
     std::erase_if(state.answered,
                   [&](auto const& row)
                   {
-                      return now - row.second > state.options.answer_lifetime;
+                      return now - row.second.last_at >
+                             state.options.answer_lifetime;
                   });
     if (state.answered.size() >= answered_limit)
         state.answered.clear();
@@ -42,35 +51,125 @@
 {
     auto const found = state.answered.find(fingerprint);
     if (found != state.answered.end())
-        update.clearances.push_back({fingerprint, ms_of(found->second)});
+        update.clearances.push_back(
+            {fingerprint, ms_of(found->second.last_at)});
+}
+
+strike strike_of(suspect_key const& key, upstream_id const& id,
+                 incarnation_id incarnation, answer_stage stage, wall_time now)
+{
+    return {key.fingerprint, id, incarnation, ms_of(now), key.depth, stage};
+}
+
+// Many requests of one crash share their first parts.
+void add_strike(std::vector<strike>& strikes, strike const& added)
+{
+    auto const known =
+        std::find_if(strikes.begin(), strikes.end(),
+                     [&](strike const& recorded)
+                     {
+                         return recorded.fingerprint == added.fingerprint;
+                     });
+    if (known != strikes.end())
+    {
+        known->stage = std::max(known->stage, added.stage);
+        known->depth = std::max(known->depth, added.depth);
+        return;
+    }
+    if (strikes.size() < strikes_limit || added.stage != answer_stage::none)
+        strikes.push_back(added);
+}
+
+void forget_cuts(suspected_crash& crash)
+{
+    crash.cut_at.reset();
+    crash.strikes.clear();
+}
+
+// What stays unsettled for too long was no crash, and proves nothing else.
+void drop_settled(suspected_crash& crash, wall_time until)
+{
+    if (crash.cut_at && *crash.cut_at <= until)
+        forget_cuts(crash);
+    std::erase_if(crash.answers,
+                  [until](unconfirmed_answer const& answer)
+                  {
+                      return answer.ended_at <= until;
+                  });
+}
+
+notice strikes_of_crash(evidence& state, suspected_crash const& crash,
+                        wall_time now)
+{
+    notice update;
+    update.strikes = crash.strikes;
+    for (auto const& answer : crash.answers)
+    {
+        for (auto const& recorded : answer.strikes)
+            add_strike(update.strikes, recorded);
+    }
+    add_crashes(state.crashes, update.strikes);
+    for (auto const& recorded : update.strikes)
+        add_known_answer(state, recorded.fingerprint, update);
+    return merge(state.strikes, update, now);
+}
+
+// The upstream lived at `until`: it outlived the answers that ended before.
+notice confirm_answers(evidence& state, suspected_crash& crash, wall_time until,
+                       wall_time now)
+{
+    notice result;
+    while (!crash.answers.empty() && crash.answers.front().ended_at < until)
+    {
+        auto const update = on_answered(state, crash.answers.front().keys, now);
+        result.clearances.insert(result.clearances.end(),
+                                 update.clearances.begin(),
+                                 update.clearances.end());
+        crash.answers.erase(crash.answers.begin());
+    }
+    if (crash.cut_at && *crash.cut_at < until)
+        forget_cuts(crash);
+    return result;
 }
 
 } // namespace
 
 void on_cut(evidence& state, upstream_number number, upstream_id const& id,
             incarnation_id incarnation, std::vector<suspect_key> const& keys,
-            bool has_begun, wall_time now)
+            answer_stage stage, wall_time now)
 {
     auto& crash = state.suspected[number];
-    if (crash.strikes.empty())
+    if (!crash.cut_at)
         crash.cut_at = now;
     for (auto const& key : keys)
-    {
-        if (crash.strikes.size() < strikes_limit || has_begun)
-            crash.strikes.push_back({key.fingerprint, id, incarnation,
-                                     ms_of(now), key.depth, has_begun});
-    }
+        add_strike(crash.strikes, strike_of(key, id, incarnation, stage, now));
+}
+
+void on_unconfirmed_answer(evidence& state, upstream_number number,
+                           upstream_id const& id, incarnation_id incarnation,
+                           std::vector<suspect_key> const& keys, wall_time now)
+{
+    auto& answers = state.suspected[number].answers;
+    if (answers.size() >= unconfirmed_limit)
+        answers.erase(answers.begin());
+    auto& added = answers.emplace_back();
+    added.ended_at = now;
+    added.keys = keys;
+    for (auto const& key : keys)
+        added.strikes.push_back(
+            strike_of(key, id, incarnation, answer_stage::output, now));
 }
 
 notice on_answered(evidence& state, std::vector<suspect_key> const& keys,
                    wall_time now)
 {
     forget_old_answers(state, now);
+    count_answer(state.all_answers, now);
     notice update;
     for (auto const& key : keys)
     {
         if (key.depth != whole_request_depth)
-            state.answered[key.fingerprint] = now;
+            count_answer(state.answered[key.fingerprint], now);
         auto const struck = state.strikes.entries.find(key.fingerprint);
         if (struck != state.strikes.entries.end() &&
             !struck->second.strikes.empty())
@@ -81,25 +180,28 @@
 }
 
 notice on_condition(evidence& state, upstream_number number,
-                    upstream_condition condition, wall_time now)
+                    upstream_sign const& sign, wall_time now)
 {
     auto const found = state.suspected.find(number);
     if (found == state.suspected.end())
         return {};
-    bool const is_overdue = now - found->second.cut_at > settle_limit;
-    if (condition == upstream_condition::unknown && !is_overdue)
-        return {};
-    notice update;
-    if (condition == upstream_condition::lost)
-        update.strikes = std::move(found->second.strikes);
-    state.suspected.erase(found);
-    for (auto const& recorded : update.strikes)
-        add_known_answer(state, recorded.fingerprint, update);
-    return merge(state.strikes, update, now);
+    auto& crash = found->second;
+    notice result;
+    if (sign.condition == upstream_condition::lost)
+        result = strikes_of_crash(state, crash, now);
+    if (sign.condition == upstream_condition::alive)
+        result = confirm_answers(state, crash, sign.reported_at - report_margin,
+                                 now);
+    bool const is_lost = sign.condition == upstream_condition::lost;
+    drop_settled(crash, is_lost ? now : now - settle_limit);
+    if (!crash.cut_at && crash.answers.empty())
+        state.suspected.erase(found);
+    return result;
 }
 
 notice_result on_notice(evidence& state, notice const& message, wall_time now)
 {
+    add_crashes(state.crashes, message.strikes);
     auto const added = merge(state.strikes, message, now);
     notice update;
     for (auto const& recorded : added.strikes)
@@ -118,7 +220,9 @@
     std::set<digest> known;
     for (auto const& [fingerprint, until] : state.culprits)
         known.insert(fingerprint);
-    auto result = find_culprits(state.strikes, known, state.options, now);
+    evidence_view const file{state.strikes, state.crashes, state.answered,
+                             state.all_answers};
+    auto result = find_culprits(file, known, state.options, now);
     for (auto const& fingerprint : result)
         add_culprit(state, fingerprint, now + state.strikes.options.lifetime);
     return result;
--- a/jujubestand/quarantine/evidence.hpp
+++ b/jujubestand/quarantine/evidence.hpp
@@ -22,21 +22,42 @@
     std::uint8_t depth = whole_request_depth;
 };
 
-/// \brief An upstream that broke the connections of requests without output.
+/// \brief An answer whose end is no proof that it is whole: it ended with its
+/// connection, as it does when the upstream crashes.
+struct unconfirmed_answer
+{
+    wall_time ended_at{};
+    std::vector<suspect_key> keys;
+    std::vector<strike> strikes;
+};
+
+/// \brief An upstream that broke connections, or ended answers with them.
 struct suspected_crash
 {
-    wall_time cut_at{};
+    /// When it first broke a connection; empty if it only ended answers.
+    std::optional<wall_time> cut_at;
+    /// At most one for each fingerprint.
     std::vector<strike> strikes;
+    /// Oldest first.
+    std::vector<unconfirmed_answer> answers;
 };
 
 /// \brief What is known of an upstream after it broke connections.
 enum class upstream_condition : std::uint8_t
 {
     unknown,
-    alive, ///< it has reported since
+    alive, ///< it has reported
     lost,  ///< it crashed, or is gone
 };
 
+/// \brief The last sign of an upstream.
+struct upstream_sign
+{
+    upstream_condition condition = upstream_condition::unknown;
+    /// When an upstream that is alive made its last report.
+    wall_time reported_at{};
+};
+
 /// \brief Names an upstream within this process.
 using upstream_number = std::uint32_t;
 
@@ -45,30 +66,39 @@
 {
     culprit_options options;
     strike_table strikes;
+    /// The crashes that strikes of any process name.
+    crash_map crashes;
     /// Until when each culprit is refused.
     std::map<digest, wall_time> culprits;
     std::map<upstream_number, suspected_crash> suspected;
-    /// When engines last answered requests with a part.
-    std::unordered_map<digest, wall_time> answered;
+    /// Answers to requests with a part.
+    answer_map answered;
+    answer_count all_answers;
 };
 
-/// \brief A request without output lost its connection to an upstream.
-/// \param has_begun the upstream had begun to answer it
+/// \brief A request lost its connection to an upstream that had given no output
+/// for it, or for a short time only.
 void on_cut(evidence& state, upstream_number number, upstream_id const& id,
             incarnation_id incarnation, std::vector<suspect_key> const& keys,
-            bool has_begun, wall_time now);
+            answer_stage stage, wall_time now);
+
+/// \brief An answer ended in order with its connection. It counts as an answer
+/// once the upstream is known to live on, and as cut if it is lost.
+void on_unconfirmed_answer(evidence& state, upstream_number number,
+                           upstream_id const& id, incarnation_id incarnation,
+                           std::vector<suspect_key> const& keys, wall_time now);
 
-/// \brief An upstream gave output for a request, so none of its keys crashes
-/// engines.
+/// \brief An upstream answered a request to its end, or for so long that it
+/// survived it, so none of its keys crashes engines.
 /// \returns clearances for the other processes
 [[nodiscard]] notice on_answered(evidence& state,
                                  std::vector<suspect_key> const& keys,
                                  wall_time now);
 
 /// \brief Settles a suspected crash once the upstream's condition is known.
-/// \returns strikes for the other processes
+/// \returns strikes and clearances for the other processes
 [[nodiscard]] notice on_condition(evidence& state, upstream_number number,
-                                  upstream_condition condition, wall_time now);
+                                  upstream_sign const& sign, wall_time now);
 
 /// \brief Result of a notice of another process.
 struct notice_result
--- a/jujubestand/quarantine/strike.cpp
+++ b/jujubestand/quarantine/strike.cpp
@@ -10,6 +10,10 @@
 namespace
 {
 
+/// First half of the fingerprint of a part; no digest of a request's bytes is
+/// likely to have it.
+constexpr std::uint64_t part_mark = 0x7061727400000000U;
+
 std::int64_t ms_of(wall_time time) noexcept
 {
     return time.time_since_epoch().count();
@@ -31,10 +35,9 @@
 // evidence holds, in whatever order it arrives.
 bool update_strike(strike& known, strike const& added)
 {
-    bool const is_news =
-        (added.has_begun && !known.has_begun) || added.depth > known.depth;
+    bool const is_news = added.stage > known.stage || added.depth > known.depth;
     known.depth = std::max(known.depth, added.depth);
-    known.has_begun = known.has_begun || added.has_begun;
+    known.stage = std::max(known.stage, added.stage);
     return is_news;
 }
 
@@ -105,11 +108,14 @@
 
 digest fingerprint_of_part(std::uint64_t part) noexcept
 {
-    // No digest of a request's bytes is likely to have this half.
-    constexpr std::uint64_t part_mark = 0x7061727400000000U;
     return {part_mark, part};
 }
 
+bool is_part(digest const& fingerprint) noexcept
+{
+    return fingerprint.high == part_mark;
+}
+
 std::string pack(notice const& message)
 {
     if (message.empty())
--- a/jujubestand/quarantine/strike.hpp
+++ b/jujubestand/quarantine/strike.hpp
@@ -27,8 +27,23 @@
 /// \brief Depth of the fingerprint of a whole request.
 inline constexpr std::uint8_t whole_request_depth = 255;
 
-/// \brief Records that a request, or a part of its prompt, was in flight
-/// without output when an engine crashed.
+/// \brief How far an engine had come with a request when it crashed, from the
+/// weakest evidence against the request to the strongest.
+enum class answer_stage : std::uint8_t
+{
+    none,   ///< the answer had not begun
+    output, ///< it had begun to give output
+    head,   ///< it had begun the answer without any output
+};
+
+inline constexpr std::array<enum_name<answer_stage>, 3> answer_stage_names{{
+    {answer_stage::none, "none"},
+    {answer_stage::output, "output"},
+    {answer_stage::head, "head"},
+}};
+
+/// \brief Records that a request, or a part of its prompt, was in flight when
+/// an engine crashed.
 struct strike
 {
     digest fingerprint;
@@ -40,16 +55,18 @@
     /// Index of the part in its prompt, or `whole_request_depth`; the deeper,
     /// the fewer requests have the fingerprint.
     std::uint8_t depth = whole_request_depth;
-    /// The engine had begun to answer the request.
-    bool has_begun = false;
+    answer_stage stage = answer_stage::none;
 
     MSGPACK_DEFINE_ARRAY(fingerprint, upstream, incarnation, at_ms, depth,
-                         has_begun)
+                         stage)
 };
 
 /// \brief Identifies a part of a prompt, in whatever request.
 [[nodiscard]] digest fingerprint_of_part(std::uint64_t part) noexcept;
 
+/// \brief Whether a fingerprint is that of a part.
+[[nodiscard]] bool is_part(digest const& fingerprint) noexcept;
+
 /// \brief Records that strikes of a request up to a time do not count.
 struct clearance
 {
@@ -62,7 +79,7 @@
 /// \brief Strikes and clearances, in log records and attached to answers.
 struct notice
 {
-    static constexpr std::uint8_t current_version = 2;
+    static constexpr std::uint8_t current_version = 3;
 
     std::uint8_t version = current_version;
     std::vector<strike> strikes;
@@ -157,4 +174,6 @@
 
 } // namespace jujubestand::quarantine
 
+MSGPACK_ADD_ENUM(jujubestand::quarantine::answer_stage)
+
 #endif
