Date a crash by its last notice, so that the order of notices doesn't matter

Gateways that got the same notices in another order could differ in a strike. Cause: of two notices of one crash the first to arrive stayed, with its time; an answer between the two times cleared it, or not, as the order was.

--- a/jujubestand/quarantine/strike.cpp
+++ b/jujubestand/quarantine/strike.cpp
@@ -31,13 +31,16 @@
            left.incarnation == right.incarnation;
 }
 
-// Processes notice one crash with different requests in flight: the strongest
-// evidence holds, in whatever order it arrives.
+// Processes notice one crash at different times and with different requests in
+// flight: the strongest evidence and the last time hold, in whatever order they
+// arrive.
 bool update_strike(strike& known, strike const& added)
 {
-    bool const is_news = added.stage > known.stage || added.depth > known.depth;
+    bool const is_news = added.stage > known.stage ||
+                         added.depth > known.depth || added.at_ms > known.at_ms;
     known.depth = std::max(known.depth, added.depth);
     known.stage = std::max(known.stage, added.stage);
+    known.at_ms = std::max(known.at_ms, added.at_ms);
     return is_news;
 }
 
--- a/jujubestand/quarantine/strike.hpp
+++ b/jujubestand/quarantine/strike.hpp
@@ -51,6 +51,7 @@
     /// strike.
     upstream_id upstream;
     incarnation_id incarnation;
+    /// When a process last noticed the crash.
     std::int64_t at_ms = 0;
     /// Index of the part in its prompt, or `whole_request_depth`; the deeper,
     /// the fewer requests have the fingerprint.
