--- a/programs/test/network_faults_test.cpp
+++ b/programs/test/network_faults_test.cpp
@@ -6,7 +6,8 @@
 
 // Gateway processes before plain services on links that are slow, silent in one
 // direction or in both, and cut, while gateways fail, services start again at
-// the same address and callers leave; all at random, in series that overlap.
+// the same address, callers leave, the store is away and configurations change;
+// all at random, in series that overlap.
 namespace jujubestand::programs::test
 {
 
@@ -128,14 +129,44 @@
                         });
     }
 
-    /// \brief Disturbs a link or a service now and then.
+    /// \brief Takes the store away for a while.
+    void take_store_away()
+    {
+        constexpr unsigned time_limit_ms = 1'500;
+        this->store.set_away(true);
+        this->later.run(milliseconds{this->random() % time_limit_ms},
+                        [this]
+                        {
+                            this->store.set_away(false);
+                        });
+    }
+
+    /// \brief Writes a configuration with other timeouts.
+    void change_configuration()
+    {
+        constexpr milliseconds short_timeout{2'000};
+        constexpr unsigned spread_ms = 2'000;
+        this->store.put(
+            "keyed.op", "config",
+            configuration(++this->version,
+                          short_timeout +
+                              milliseconds{this->random() % spread_ms}));
+    }
+
+    /// \brief Disturbs the store, the configuration, a link or a service now
+    /// and then.
     void disturb_services()
     {
         constexpr unsigned interval_min_ms = 50;
         constexpr unsigned interval_spread_ms = 400;
         auto const number = this->random() % service_count;
-        if (this->random() % 5 == 0)
+        auto const fault = this->random() % 10;
+        if (fault < 2)
             this->restart_service(number);
+        else if (fault == 2)
+            this->take_store_away();
+        else if (fault == 3)
+            this->change_configuration();
         else
             this->disturb_link(number);
         this->later.run(
@@ -172,6 +203,7 @@
 
     std::map<std::string, sent_call> calls;
     std::vector<linked_service> services;
+    std::uint64_t version = 1;
 };
 
 } // namespace
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_PROGRAMS_TEST_SURROUNDINGS_HPP
 
 #include <arpa/inet.h>
+#include <chrono>
 #include <gtest/gtest.h>
 #include <jujubestand/http1/sockets.hpp>
 #include <nlohmann/json.hpp>
@@ -40,7 +41,10 @@
 /// that may be resumed, streams that may run once only and calls that may be
 /// repeated, and of two to a pool of plain services, with calls that may run
 /// once only and calls that may be repeated.
-inline std::string configuration()
+/// \param plain_timeout of the calls to plain services
+inline std::string configuration(
+    std::uint64_t version = 1,
+    std::chrono::milliseconds plain_timeout = std::chrono::milliseconds{4'000})
 {
     nlohmann::json const resumable{
         {"name", "chat"},          {"host", "engines.example"},
@@ -61,7 +65,7 @@
         {"name", "book"},          {"host", "engines.example"},
         {"path-prefix", "/book/"}, {"service", "books"},
         {"kind", "unsafe"},        {"public", true},
-        {"max-attempts", 3},       {"timeout-ms", 4'000}};
+        {"max-attempts", 3},       {"timeout-ms", plain_timeout.count()}};
     nlohmann::json status = plain;
     status["name"] = "status";
     status["path-prefix"] = "/status/";
@@ -71,7 +75,7 @@
     auto const pools =
         nlohmann::json::array({{{"name", "engines"}}, {{"name", "books"}}});
     return nlohmann::json{
-        {"version", 1}, {"routes", routes}, {"services", pools}}
+        {"version", version}, {"routes", routes}, {"services", pools}}
         .dump();
 }
 
--- a/standins/keyed/keyed_store.cpp
+++ b/standins/keyed/keyed_store.cpp
@@ -43,23 +43,29 @@
     : server(loop, where)
     , held(loop)
 {
-    this->server.on(EVHTTP_REQ_GET, "/log-newest",
-                    [this](http_call const& call)
-                    {
-                        this->handle_newest(call);
-                    });
-    this->server.on(EVHTTP_REQ_GET, "/log-read",
-                    [this](http_call const& call)
-                    {
-                        this->handle_read(call);
-                    });
-    this->server.on(EVHTTP_REQ_POST, "/log-append",
-                    [this](http_call const& call)
+    this->on(EVHTTP_REQ_GET, "/log-newest", &keyed_store::handle_newest);
+    this->on(EVHTTP_REQ_GET, "/log-read", &keyed_store::handle_read);
+    this->on(EVHTTP_REQ_POST, "/log-append", &keyed_store::handle_append);
+}
+
+void keyed_store::on(evhttp_cmd_type method, std::string const& path,
+                     void (keyed_store::*handle)(http_call const&))
+{
+    this->server.on(method, path,
+                    [this, handle](http_call const& call)
                     {
-                        this->handle_append(call);
+                        if (this->is_away)
+                            reply(call.request, HTTP_SERVUNAVAIL, "{}");
+                        else
+                            (this->*handle)(call);
                     });
 }
 
+void keyed_store::set_away(bool away)
+{
+    this->is_away = away;
+}
+
 void keyed_store::put(std::string const& topic, std::string const& key,
                       std::string const& value)
 {
--- a/standins/keyed/keyed_store.hpp
+++ b/standins/keyed/keyed_store.hpp
@@ -28,9 +28,17 @@
     void put(std::string const& topic, std::string const& key,
              std::string const& value);
 
+    /// \brief While the store is away it answers all calls with 503; what the
+    /// test writes is kept.
+    void set_away(bool is_away);
+
     [[nodiscard]] address bound() const;
 
 private:
+    /// \brief Answers a call by this, unless the store is away.
+    void on(evhttp_cmd_type method, std::string const& path,
+            void (keyed_store::*handle)(http_call const&));
+
     struct newest_record
     {
         std::string value;
@@ -59,6 +67,7 @@
     held_requests held;
     std::map<std::string, keyed_topic> topics;
     std::map<std::uint64_t, waiting_read> waiting;
+    bool is_away = false;
 };
 
 } // namespace jujubestand::standins
