--- a/jujubestand/gateway/call_limits.cpp
+++ b/jujubestand/gateway/call_limits.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/calls.hpp>
+#include <jujubestand/gateway/limit_records.hpp>
 
 namespace jujubestand::gateway
 {
@@ -38,38 +39,6 @@
 /// Most permits of one request.
 constexpr std::uint32_t wanted_limit = 8;
 
-limits::limit_record record_of(dispatch::upstream const& target, mono_time now)
-{
-    limits::limit_record record;
-    record.upstream = upstream_id{target.record.id};
-    record.incarnation = incarnation_id{target.record.born_ms};
-    if (!target.limit)
-        return record;
-    record.is_named = !target.limit->ended_at;
-    record.calls_per_second = record.is_named
-                                  ? target.limit->calls_per_second
-                                  : limits::rate_of(*target.limit, now);
-    record.stated_at_ms = target.limit->stated_at.time_since_epoch().count();
-    return record;
-}
-
-bool is_valid(limits::limit_record const& record)
-{
-    return std::isfinite(record.calls_per_second) &&
-           record.calls_per_second >= 0;
-}
-
-limits::statement statement_of(limits::limit_record const& record)
-{
-    limits::statement stated;
-    if (record.is_named)
-        stated.calls_per_second = record.calls_per_second;
-    stated.stated_at =
-        wall_time{std::chrono::milliseconds{record.stated_at_ms}};
-    return stated;
-}
-
-// The upstream of a record, unless this gateway knows another start of it.
 dispatch::upstream* find_upstream(gateway_state& state,
                                   limits::limit_record const& record)
 {
--- /dev/null
+++ b/jujubestand/gateway/limit_records.cpp
@@ -0,0 +1,40 @@
+#include <jujubestand/gateway/limit_records.hpp>
+
+#include <cmath>
+
+namespace jujubestand::gateway
+{
+
+limits::limit_record record_of(dispatch::upstream const& target, mono_time now)
+{
+    limits::limit_record record;
+    record.upstream = upstream_id{target.record.id};
+    record.incarnation = incarnation_id{target.record.born_ms};
+    if (!target.limit)
+        return record;
+    record.is_named = !target.limit->ended_at;
+    record.calls_per_second = record.is_named
+                                  ? target.limit->calls_per_second
+                                  : limits::rate_of(*target.limit, now);
+    record.stated_at_ms = target.limit->stated_at.time_since_epoch().count();
+    return record;
+}
+
+bool is_valid(limits::limit_record const& record)
+{
+    return std::isfinite(record.calls_per_second) &&
+           record.calls_per_second >= 0;
+}
+
+limits::statement statement_of(limits::limit_record const& record)
+{
+    limits::statement stated;
+    if (record.is_named)
+        stated.calls_per_second = record.calls_per_second;
+    stated.stated_at =
+        wall_time{std::chrono::milliseconds{record.stated_at_ms}};
+    return stated;
+}
+
+// The upstream of a record, unless this gateway knows another start of it.
+} // namespace jujubestand::gateway
