Repeat news of crashes to a few gateways, not to all (390 gateways)

Change: the first news go to all; repeats to eight at random, who repeat them as well: 27 a second at each. The choice is that of queries for limits, and now stands once. random_hosts_test: eight distinct of 390, each by and by. test_gateway 53 pass; 25 tests of crashing parts, limit faults and restarted gateways pass over real processes (two gateways: nothing changes there below nine).

--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -128,6 +128,24 @@
     return result;
 }
 
+std::vector<std::string> other_gateways(gateway_state const& state,
+                                        mono_time now)
+{
+    auto hosts = known_gateways(state, now);
+    std::erase(hosts, state.settings.ip);
+    return hosts;
+}
+
+std::vector<std::string> random_hosts(std::vector<std::string> hosts,
+                                      std::size_t count,
+                                      std::mt19937_64& random)
+{
+    std::shuffle(hosts.begin(), hosts.end(), random);
+    if (hosts.size() > count)
+        hosts.resize(count);
+    return hosts;
+}
+
 void query_agents(gateway_state& state)
 {
     status::status_request query;
--- a/jujubestand/gateway/agents.hpp
+++ b/jujubestand/gateway/agents.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubestand/core/address.hpp>
 #include <jujubestand/gateway/state.hpp>
+#include <random>
 #include <string_view>
 
 /// \brief Status queries to the agents that run beside the engines.
@@ -16,6 +17,15 @@
 [[nodiscard]] std::vector<std::string>
 known_gateways(gateway_state const& state, mono_time now);
 
+/// \brief The same without this gateway.
+[[nodiscard]] std::vector<std::string>
+other_gateways(gateway_state const& state, mono_time now);
+
+/// \brief Some of the hosts, at random; all of them if there are not more.
+[[nodiscard]] std::vector<std::string>
+random_hosts(std::vector<std::string> hosts, std::size_t count,
+             std::mt19937_64& random);
+
 /// \brief Handles a status datagram from an agent.
 void on_agent_datagram(gateway_state& state, address const& sender,
                        std::string_view bytes);
--- a/jujubestand/gateway/call_limits.cpp
+++ b/jujubestand/gateway/call_limits.cpp
@@ -51,14 +51,6 @@
     return is_same ? &target : nullptr;
 }
 
-std::vector<std::string> other_gateways(gateway_state const& state,
-                                        mono_time now)
-{
-    auto hosts = known_gateways(state, now);
-    std::erase(hosts, state.settings.ip);
-    return hosts;
-}
-
 std::string notice_of(dispatch::upstream const& target, mono_time now)
 {
     status::limit_notice notice;
@@ -328,10 +320,8 @@
 void query_limits(gateway_state& state)
 {
     auto const now = mono_now();
-    auto hosts = other_gateways(state, now);
-    std::shuffle(hosts.begin(), hosts.end(), state.random_engine);
-    if (hosts.size() > query_targets)
-        hosts.resize(query_targets);
+    auto const hosts = random_hosts(other_gateways(state, now), query_targets,
+                                    state.random_engine);
     state.limits.queried = {hosts.begin(), hosts.end()};
     state.dispatch.held_until = hosts.empty() ? now : now + query_answer_limit;
     for (auto const& host : hosts)
--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -15,9 +15,11 @@
 namespace
 {
 
-/// News are sent more than once, since datagrams may be lost.
+/// News are sent more than once, since datagrams may be lost: after the first
+/// time to a few gateways, which repeat them as well.
 constexpr std::chrono::milliseconds news_interval{300};
 constexpr std::chrono::milliseconds news_time{2'000};
+constexpr std::size_t repeat_targets = 8;
 
 /// Culprits are sent for as long as they are refused, for new gateways.
 constexpr std::chrono::milliseconds culprits_interval{2'000};
@@ -29,19 +31,22 @@
 /// An upstream that has written an answer for so long doesn't crash by it.
 constexpr std::chrono::milliseconds survival_time{2'000};
 
-void send_to_gateways(gateway_state& state, quarantine::notice const& evidence)
+void send_to(gateway_state& state, std::vector<std::string> const& hosts,
+             quarantine::notice const& evidence)
 {
     status::crash_notice notice;
     notice.evidence = evidence;
     for (auto const& [fingerprint, until] : state.crashes.evidence.culprits)
         notice.culprits.push_back(fingerprint);
     auto const datagram = status::to_datagram(notice);
-    for (auto const& host : known_gateways(state, mono_now()))
-    {
-        if (host != state.settings.ip)
-            state.datagrams->send(address{host, state.settings.internal_port},
-                                  datagram);
-    }
+    for (auto const& host : hosts)
+        state.datagrams->send(address{host, state.settings.internal_port},
+                              datagram);
+}
+
+void send_to_gateways(gateway_state& state, quarantine::notice const& evidence)
+{
+    send_to(state, other_gateways(state, mono_now()), evidence);
 }
 
 void send_news(gateway_state& state, quarantine::notice const& news)
@@ -61,9 +66,12 @@
     if (!has_any || now - crashes.announced_at < interval)
         return;
     crashes.announced_at = now;
-    send_to_gateways(state, is_news ? quarantine::newest_notice(
-                                          crashes.evidence.strikes, wall_now())
-                                    : quarantine::notice{});
+    auto const hosts = random_hosts(other_gateways(state, now), repeat_targets,
+                                    state.random_engine);
+    send_to(state, hosts,
+            is_news ? quarantine::newest_notice(crashes.evidence.strikes,
+                                                wall_now())
+                    : quarantine::notice{});
 }
 
 // An upstream without an agent shows that it crashed only when a connection to
