--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -52,6 +52,14 @@
     endforeach()
 endforeach()
 
+# GCC 12 takes memory of std::regex for uninitialized where the address
+# sanitizer checks optimized code; the plain build has the warning.
+if(JUJUBESTAND_SANITIZE)
+    set_source_files_properties(
+        ${PROJECT_SOURCE_DIR}/jujubestand/gateway/test/operations_test.cpp
+        PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
+endif()
+
 # Each public header compiles on its own; once is enough.
 if(NOT JUJUBESTAND_SANITIZE)
     file(GLOB public_headers RELATIVE ${PROJECT_SOURCE_DIR} CONFIGURE_DEPENDS
