--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -174,6 +174,8 @@
     double retry_ratio = 0.2;
     /// A gateway has its reserve from this age on.
     unsigned retry_window_s = 0;
+    /// Further bounds, as lines of settings.
+    std::string more_bounds;
     std::vector<running_gateway> gateways;
     http1::client caller;
 
@@ -190,7 +192,7 @@
                std::to_string(this->retry_reserve) +
                "\nbudget-window-s = " + std::to_string(this->retry_window_s) +
                "\nretry-budget-ratio = " + std::to_string(this->retry_ratio) +
-               "\n";
+               "\n" + this->more_bounds;
     }
 
     void start_gateway(std::size_t number)
--- a/standins/keyed/keyed_store.cpp
+++ b/standins/keyed/keyed_store.cpp
@@ -55,7 +55,7 @@
                     [this, handle](http_call const& call)
                     {
                         if (this->is_away)
-                            reply(call.request, HTTP_SERVUNAVAIL, "{}");
+                            this->answer(call.request, HTTP_SERVUNAVAIL, "{}");
                         else
                             (this->*handle)(call);
                     });
@@ -66,6 +66,30 @@
     this->is_away = away;
 }
 
+void keyed_store::keep_copy()
+{
+    this->copy = this->topics;
+}
+
+void keyed_store::return_from_copy()
+{
+    for (auto const& [id, read] : std::exchange(this->waiting, {}))
+    {
+        if (auto* const request = this->held.take(id))
+            this->answer(request, HTTP_SERVUNAVAIL, "{}");
+    }
+    this->topics = this->copy;
+    ++this->era;
+}
+
+void keyed_store::answer(evhttp_request* request, int status,
+                         std::string_view body, char const* content_type)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
+                      std::to_string(this->era).c_str());
+    reply(request, status, body, content_type);
+}
+
 void keyed_store::put(std::string const& topic, std::string const& key,
                       std::string const& value)
 {
@@ -102,12 +126,18 @@
                          {"offset", record.offset}});
     nlohmann::json const body{
         {"items", items}, {"has-more", false}, {"end", topic.records.size()}};
-    reply(call.request, HTTP_OK, body.dump());
+    this->answer(call.request, HTTP_OK, body.dump());
 }
 
 void keyed_store::handle_read(http_call const& call)
 {
     waiting_read const read{call.text("topic"), call.number("from", 0)};
+    if (read.from > this->topics[read.topic].records.size())
+    {
+        constexpr int gone = 410;
+        this->answer(call.request, gone, R"({"first":0})");
+        return;
+    }
     std::chrono::milliseconds const wait{call.number("wait-ms", 0)};
     bool const has_records =
         read.from < this->topics[read.topic].records.size();
@@ -139,7 +169,7 @@
         this->topics[topic].records.push_back(record);
     auto const end = this->topics[topic].records.size();
     nlohmann::json const body{{"offset", end - 1}, {"end", end}};
-    reply(call.request, HTTP_OK, body.dump());
+    this->answer(call.request, HTTP_OK, body.dump());
 }
 
 bool keyed_store::has_keys(std::string const& topic) const
@@ -155,7 +185,7 @@
     body += big_endian(0, number_bytes);
     for (std::size_t at = read.from; at < records.size(); ++at)
         body += big_endian(records[at].size(), length_bytes) + records[at];
-    reply(request, HTTP_OK, body, "application/octet-stream");
+    this->answer(request, HTTP_OK, body, "application/octet-stream");
 }
 
 } // namespace jujubestand::standins
--- a/standins/keyed/keyed_store.hpp
+++ b/standins/keyed/keyed_store.hpp
@@ -6,6 +6,7 @@
 #include <standins/support/delays.hpp>
 #include <standins/support/http_server.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jujubestand::standins
@@ -32,6 +33,14 @@
     /// test writes is kept.
     void set_away(bool is_away);
 
+    /// \brief Copies all topics, for a later return.
+    void keep_copy();
+
+    /// \brief Replaces all topics by the last copy: what was written since is
+    /// lost, and its offsets are given out again. Reads that wait
+    /// are refused.
+    void return_from_copy();
+
     [[nodiscard]] address bound() const;
 
 private:
@@ -58,6 +67,8 @@
         std::uint64_t from = 0;
     };
 
+    void answer(evhttp_request* request, int status, std::string_view body,
+                char const* content_type = "application/json");
     void handle_newest(http_call const& call);
     void handle_read(http_call const& call);
     void handle_append(http_call const& call);
@@ -66,6 +77,9 @@
     http_server server;
     held_requests held;
     std::map<std::string, keyed_topic> topics;
+    std::map<std::string, keyed_topic> copy;
+    /// Stated in all answers; rises with each return from a copy.
+    std::uint64_t era = 1;
     std::map<std::uint64_t, waiting_read> waiting;
     bool is_away = false;
 };
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -179,14 +179,16 @@
 void stream_engine::take_order(http_call const& call)
 {
     constexpr int accepted = 202;
+    auto const order = nlohmann::json::parse(call.body());
     this->order_times.push_back(mono_now());
+    this->order_fences.push_back(order.at("fencing-token"));
     if (!this->words.pause.empty())
     {
         add_words(call.request, this->words);
         refuse_for_pause(call.request, this->words.pause);
         return;
     }
-    this->weights = nlohmann::json::parse(call.body()).at("version");
+    this->weights = order.at("version");
     add_words(call.request, this->words);
     reply(call.request, accepted, "");
 }
@@ -196,6 +198,11 @@
     return this->order_times;
 }
 
+std::vector<std::uint64_t> const& stream_engine::fences() const noexcept
+{
+    return this->order_fences;
+}
+
 std::vector<stream_request> const& stream_engine::seen() const noexcept
 {
     return this->requests;
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -97,6 +97,9 @@
     /// \brief Times at which it was sent orders.
     [[nodiscard]] std::vector<mono_time> const& orders() const noexcept;
 
+    /// \brief Fencing tokens of these orders.
+    [[nodiscard]] std::vector<std::uint64_t> const& fences() const noexcept;
+
     [[nodiscard]] std::vector<stream_request> const& seen() const noexcept;
     [[nodiscard]] address bound() const;
 
@@ -138,6 +141,7 @@
     std::vector<stream_request> requests;
     std::uint64_t weights = 1;
     std::vector<mono_time> order_times;
+    std::vector<std::uint64_t> order_fences;
 };
 
 } // namespace jujubestand::standins
