--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -7,6 +7,7 @@
 #include <jujubestand/agent/engine.hpp>
 #include <jujubestand/agent/weights.hpp>
 #include <jujubestand/loop/signals.hpp>
+#include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <unistd.h>
 
@@ -49,11 +50,19 @@
         state.log->write(event_number::log_reachable, {},
                          {{"topic", "operator"}});
     };
+    events.on_returned = [&state](std::uint64_t from, std::uint64_t to)
+    {
+        state.log->write(event_number::log_returned, {},
+                         {{"topic", "operator"},
+                          {"from", static_cast<std::int64_t>(from)},
+                          {"to", static_cast<std::int64_t>(to)}});
+    };
     state.operator_topic = std::make_unique<follow::follower>(
         state.base, *state.store,
         follow::read_options{std::string(platform::names::operator_topic),
                              std::chrono::milliseconds{0},
-                             std::chrono::milliseconds{0}},
+                             std::chrono::milliseconds{0},
+                             platform::operator_record_version, true},
         std::move(events));
     state.status_socket = std::make_unique<loop::datagrams>(
         state.base,
--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -35,6 +35,7 @@
     response.gateways = hosts_if_changed(state.gateways, request.gateways_hash);
     auto const& known = state.operator_topic->known();
     response.operator_end = known.next;
+    response.operator_era = known.era;
     if (auto const age = follow::staleness(known, now))
         response.staleness_us = age->count();
     if (!state.report)
--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -69,6 +69,7 @@
     {event_number::log_gap, "log_gap"},
     {event_number::log_budget_exceeded, "log_budget_exceeded"},
     {event_number::record_rejected, "record_rejected"},
+    {event_number::log_returned, "log_returned"},
     {event_number::strike_recorded, "strike_recorded"},
     {event_number::request_quarantined, "request_quarantined"},
     {event_number::strikes_cleared, "strikes_cleared"},
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -94,6 +94,7 @@
     log_gap = 1802,
     log_budget_exceeded = 1803,
     record_rejected = 1804,
+    log_returned = 1805,
 
     // Requests that crash upstreams.
     strike_recorded = 1900,
--- a/jujubestand/follow/follower.cpp
+++ b/jujubestand/follow/follower.cpp
@@ -48,6 +48,8 @@
                              this->start_read();
                      })
     {
+        this->copy.version_of = this->options.version_of;
+        this->copy.keeps_lost_keys = this->options.keeps_lost_keys;
     }
 
     void start_read();
@@ -55,8 +57,8 @@
     void request_list_part(std::string const& after);
     void on_listed(platform::listing_end const& end);
     void on_read(platform::read_end const& end);
-    void notify(std::vector<record> const& changes,
-                std::optional<mono_time> confirmed_before);
+    template <class Apply>
+    void apply_and_notify(Apply const& apply);
     void on_success();
     void schedule_read(std::chrono::milliseconds pause);
     void on_failure(reason const& why);
@@ -105,8 +107,17 @@
         return;
     }
     auto const& rows = end.part->rows;
-    if (this->partial_list.records.empty())
+    bool const is_first = this->partial_list.records.empty();
+    if (is_first)
+    {
         this->partial_list.end = rows.end;
+        this->partial_list.era = rows.era;
+    }
+    else if (rows.era != this->partial_list.era)
+    {
+        this->start_read();
+        return;
+    }
     this->partial_list.records.insert(this->partial_list.records.end(),
                                       rows.records.begin(), rows.records.end());
     if (end.part->has_more && !rows.records.empty())
@@ -115,9 +126,12 @@
         return;
     }
     this->needs_list = false;
-    auto const confirmed_before = this->copy.current_as_of;
-    this->notify(on_listing(this->copy, this->partial_list, this->requested_at),
-                 confirmed_before);
+    this->apply_and_notify(
+        [this]
+        {
+            return on_listing(this->copy, this->partial_list,
+                              this->requested_at);
+        });
     this->on_success();
 }
 
@@ -135,15 +149,30 @@
         this->on_failure(end.why);
         return;
     }
-    auto const confirmed_before = this->copy.current_as_of;
-    this->notify(on_page(this->copy, *end.page, this->requested_at),
-                 confirmed_before);
+    if (has_returned(this->copy, end.page->era))
+    {
+        this->needs_list = true;
+        this->start_read();
+        return;
+    }
+    this->apply_and_notify(
+        [&]
+        {
+            return on_page(this->copy, *end.page, this->requested_at);
+        });
     this->on_success();
 }
 
-void follower::state::notify(std::vector<record> const& changes,
-                             std::optional<mono_time> confirmed_before)
+// Changes the copy by `apply`, which returns the changed records.
+template <class Apply>
+void follower::state::apply_and_notify(Apply const& apply)
 {
+    bool const was_listed = this->copy.is_listed;
+    auto const era = this->copy.era;
+    auto const confirmed_before = this->copy.current_as_of;
+    auto const changes = apply();
+    if (was_listed && this->copy.era != era && this->events.on_returned)
+        this->events.on_returned(era, this->copy.era);
     if (!changes.empty())
         this->events.on_changes(changes, confirmed_before);
 }
@@ -220,15 +249,17 @@
 void follower::apply(listing const& list, std::uint64_t since,
                      mono_time confirmed_at)
 {
-    auto const confirmed_before = this->impl->copy.current_as_of;
-    this->impl->notify(
-        on_peer_records(this->impl->copy, list, since, confirmed_at),
-        confirmed_before);
+    this->impl->apply_and_notify(
+        [&]
+        {
+            return on_peer_records(this->impl->copy, list, since, confirmed_at);
+        });
 }
 
-void follower::confirm(std::uint64_t end, mono_time confirmed_at)
+void follower::confirm(std::uint64_t era, std::uint64_t end,
+                       mono_time confirmed_at)
 {
-    on_confirmation(this->impl->copy, end, confirmed_at);
+    on_confirmation(this->impl->copy, era, end, confirmed_at);
 }
 
 } // namespace jujubestand::follow
--- a/jujubestand/follow/follower.hpp
+++ b/jujubestand/follow/follower.hpp
@@ -29,6 +29,10 @@
     std::chrono::milliseconds wait{0};
     /// Delay between two reads.
     std::chrono::milliseconds pause{0};
+    /// Reads the versions of values; null if they state none.
+    version_reader version_of = nullptr;
+    /// Whether keys that the store has lost are kept; see `topic`.
+    bool keeps_lost_keys = false;
 };
 
 /// \brief Callbacks of a follower, called from the event loop.
@@ -43,11 +47,14 @@
     /// The store deleted records before they were read; the follower lists
     /// the topic again.
     std::function<void(reason const&)> on_expired;
+    /// Called before the changes if the store has returned from an older copy,
+    /// with its era before and now; may be empty.
+    std::function<void(std::uint64_t, std::uint64_t)> on_returned;
 };
 
 /// \brief Maintains a copy of one keyed topic of the platform's store: lists
 /// the topic once, then reads new records; lists it again if the store deleted
-/// records before they were read.
+/// records before they were read, or returned from an older copy.
 class follower
 {
 public:
@@ -76,7 +83,7 @@
 
     /// \brief Applies a confirmation from another process; see
     /// `follow::on_confirmation`.
-    void confirm(std::uint64_t end, mono_time confirmed_at);
+    void confirm(std::uint64_t era, std::uint64_t end, mono_time confirmed_at);
 
 private:
     struct state;
--- a/jujubestand/follow/lapses.cpp
+++ b/jujubestand/follow/lapses.cpp
@@ -31,6 +31,11 @@
         state.outage_seen_at = now;
 }
 
+void on_store_return(lapses& state, mono_time now)
+{
+    state.outage_seen_at = now;
+}
+
 // The store last responded when the copy was confirmed, which may be up to
 // `outage_min` before its age is looked at.
 void on_copy_age(lapses& state, std::optional<mono_time> confirmed_at,
--- a/jujubestand/follow/lapses.hpp
+++ b/jujubestand/follow/lapses.hpp
@@ -30,7 +30,8 @@
     std::set<std::string> pending_removals;
     /// Time of the store's last response.
     std::optional<mono_time> last_response_at;
-    /// Latest time at which an outage longer than `outage_min` was seen.
+    /// Latest time at which an outage longer than `outage_min`, or a return of
+    /// the store from an older copy, was seen.
     std::optional<mono_time> outage_seen_at;
 };
 
@@ -40,6 +41,10 @@
 /// \brief Handles a failed read of the store.
 void on_store_failure(lapses& state, mono_time now);
 
+/// \brief Handles the return of the store from an older copy, in which records
+/// may be missing that their owners have yet to write again.
+void on_store_return(lapses& state, mono_time now);
+
 /// \brief Handles the age of the copy of the topic, at regular intervals.
 /// \param confirmed_at when the copy was last confirmed current; empty: never
 void on_copy_age(lapses& state, std::optional<mono_time> confirmed_at,
--- a/jujubestand/follow/test/follower_test.cpp
+++ b/jujubestand/follow/test/follower_test.cpp
@@ -110,7 +110,7 @@
         return start + std::chrono::milliseconds{ms};
     };
     copy.apply({{{"a", "1", 3}}, 4}, 0, at(0));
-    copy.confirm(4, at(700));
+    copy.confirm(0, 4, at(700));
     copy.apply({{{"a", "2", 4}}, 5}, 4, at(2'000));
     copy.apply({{{"a", "3", 5}}, 6}, 5, at(3'000));
     std::vector<std::optional<mono_time>> const expected = {std::nullopt,
--- a/jujubestand/follow/test/topic_test.cpp
+++ b/jujubestand/follow/test/topic_test.cpp
@@ -118,14 +118,14 @@
 TEST(topic, a_confirmation_needs_a_complete_copy)
 {
     auto state = listed();
-    on_confirmation(state, 6, at(500));
+    on_confirmation(state, 0, 6, at(500));
     EXPECT_EQ(state.current_as_of, at(100));
-    on_confirmation(state, 5, at(500));
+    on_confirmation(state, 0, 5, at(500));
     EXPECT_EQ(state.current_as_of, at(500));
-    on_confirmation(state, 5, at(50));
+    on_confirmation(state, 0, 5, at(50));
     EXPECT_EQ(state.current_as_of, at(500));
     topic unlisted;
-    on_confirmation(unlisted, 0, at(500));
+    on_confirmation(unlisted, 0, 0, at(500));
     EXPECT_FALSE(staleness(unlisted, at(600)));
 }
 
--- a/jujubestand/follow/topic.cpp
+++ b/jujubestand/follow/topic.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jujubestand::follow
 {
@@ -9,60 +10,210 @@
 namespace
 {
 
+std::optional<value_version> version_in(topic const& state, record const& row)
+{
+    return state.version_of == nullptr || row.value.empty()
+               ? std::nullopt
+               : state.version_of(row);
+}
+
+void set_value(topic& state, record& known, std::string value)
+{
+    auto const version = version_in(state, known);
+    if (value.empty() && version)
+        state.removed_versions[known.key] = *version;
+    if (!value.empty())
+        state.removed_versions.erase(known.key);
+    known.value = std::move(value);
+}
+
+// A record from before the store's return is outdated if it is older than the
+// known value, or not newer than the last one of a key that was removed.
+bool is_outdated(topic const& state, record const& known, record const& row)
+{
+    auto const version = version_in(state, row);
+    if (!version)
+        return false;
+    if (!known.value.empty())
+    {
+        auto const known_version = version_in(state, known);
+        return known_version && *version < *known_version;
+    }
+    auto const removed = state.removed_versions.find(row.key);
+    return removed != state.removed_versions.end() &&
+           *version <= removed->second;
+}
+
+bool apply_to_unrestored(topic& state, record& known, record const& row)
+{
+    known.offset = row.offset;
+    if (is_outdated(state, known, row))
+        return false;
+    state.unrestored.erase(row.key);
+    if (known.value == row.value)
+        return false;
+    set_value(state, known, row.value);
+    return true;
+}
+
 bool apply_record(topic& state, record const& row)
 {
-    auto const known = state.newest.find(row.key);
-    if (known != state.newest.end() && known->second.offset >= row.offset)
+    auto const found = state.newest.find(row.key);
+    if (found == state.newest.end())
+    {
+        state.newest.emplace(row.key, row);
+        return true;
+    }
+    record& known = found->second;
+    if (state.unrestored.contains(row.key))
+        return apply_to_unrestored(state, known, row);
+    if (known.offset >= row.offset)
+        return false;
+    known.offset = row.offset;
+    set_value(state, known, row.value);
+    return true;
+}
+
+// Applies a record that another process knows and the store has lost. It has
+// the offset of the store's older one.
+bool apply_unrestored(topic& state, record const& row)
+{
+    auto const [found, is_new] = state.newest.emplace(row.key, row);
+    record& known = found->second;
+    if (is_new)
+    {
+        state.unrestored.insert(row.key);
+        return true;
+    }
+    if (known.offset > row.offset || known.value == row.value ||
+        is_outdated(state, known, row))
         return false;
-    state.newest[row.key] = row;
+    state.unrestored.insert(row.key);
+    set_value(state, known, row.value);
     return true;
 }
 
+std::vector<record> apply_rows(topic& state, listing const& list)
+{
+    std::vector<record> changes;
+    for (auto const& row : list.records)
+    {
+        bool const is_changed = list.unrestored.contains(row.key)
+                                    ? apply_unrestored(state, row)
+                                    : apply_record(state, row);
+        if (is_changed)
+            changes.push_back(row);
+    }
+    return changes;
+}
+
 void confirm(topic& state, mono_time at)
 {
     state.current_as_of =
         state.current_as_of ? std::max(*state.current_as_of, at) : at;
 }
 
-// Removes the keys that are not in the list and were not written after it was
-// created.
-std::vector<record> remove_unlisted(topic& state, listing const& list)
+std::set<std::string> keys_of(listing const& list)
 {
     std::set<std::string> listed;
     for (auto const& row : list.records)
         listed.insert(row.key);
+    return listed;
+}
+
+// Removes the keys that are not in the list and were not written after it was
+// created.
+std::vector<record> remove_unlisted(topic& state, listing const& list)
+{
+    auto const listed = keys_of(list);
     std::vector<record> removed;
     for (auto& [key, known] : state.newest)
     {
+        bool const is_kept =
+            state.keeps_lost_keys && state.unrestored.contains(key);
         if (known.value.empty() || known.offset >= list.end ||
-            listed.contains(key))
+            listed.contains(key) || is_kept)
             continue;
+        state.unrestored.erase(key);
         // The removal gets the last offset of the list, so that
         // `changes_since` an earlier offset includes it.
-        known.value.clear();
+        set_value(state, known, {});
         known.offset = list.end - 1;
         removed.push_back(known);
     }
     return removed;
 }
 
+// Keeps or drops the keys that the store has lost. Those that are dropped are
+// not remembered as removed: their owners may write the same values again.
+std::vector<record> drop_lost_keys(topic& state, listing const& list)
+{
+    auto const listed = keys_of(list);
+    std::vector<record> removed;
+    std::erase_if(state.newest,
+                  [&](auto const& entry)
+                  {
+                      auto const& [key, known] = entry;
+                      bool const is_kept =
+                          listed.contains(key) ||
+                          (state.keeps_lost_keys && !known.value.empty());
+                      if (is_kept)
+                          return false;
+                      state.unrestored.erase(key);
+                      state.removed_versions.erase(key);
+                      if (!known.value.empty())
+                          removed.push_back({key, {}, 0});
+                      return true;
+                  });
+    return removed;
+}
+
+// No offset of the copy means anything in the new era.
+std::vector<record> adopt_era(topic& state, listing const& list)
+{
+    for (auto& [key, known] : state.newest)
+    {
+        known.offset = 0;
+        state.unrestored.insert(key);
+    }
+    auto changes = apply_rows(state, list);
+    for (auto& row : drop_lost_keys(state, list))
+        changes.push_back(std::move(row));
+    state.changes_from = list.end;
+    return changes;
+}
+
+bool is_of_earlier_era(topic const& state, std::uint64_t era)
+{
+    return era != 0 && era < state.era;
+}
+
 } // namespace
 
+bool has_returned(topic const& state, std::uint64_t era)
+{
+    return state.is_listed && era > state.era;
+}
+
 std::vector<record> on_listing(topic& state, listing const& list,
                                mono_time requested_at)
 {
-    if (list.end < state.next)
+    bool const is_new_era = has_returned(state, list.era);
+    if (is_of_earlier_era(state, list.era) ||
+        (!is_new_era && list.end < state.next))
         return {};
     std::vector<record> changes;
-    for (auto const& row : list.records)
+    if (is_new_era)
+        changes = adopt_era(state, list);
+    else
     {
-        if (apply_record(state, row))
-            changes.push_back(row);
+        changes = apply_rows(state, list);
+        for (auto& row : remove_unlisted(state, list))
+            changes.push_back(std::move(row));
     }
-    for (auto& row : remove_unlisted(state, list))
-        changes.push_back(std::move(row));
     if (!state.is_listed)
         state.changes_from = list.end;
+    state.era = std::max(state.era, list.era);
     state.next = list.end;
     state.is_listed = true;
     confirm(state, requested_at);
@@ -72,7 +223,8 @@
 std::vector<record> on_page(topic& state, read_page const& page,
                             mono_time requested_at)
 {
-    if (page.end < state.next)
+    bool const is_same_era = page.era == 0 || page.era == state.era;
+    if (!is_same_era || page.end < state.next)
         return {};
     std::vector<record> changes;
     for (auto const& row : page.records)
@@ -88,12 +240,40 @@
     return changes;
 }
 
-void on_confirmation(topic& state, std::uint64_t end, mono_time confirmed_at)
+void on_confirmation(topic& state, std::uint64_t era, std::uint64_t end,
+                     mono_time confirmed_at)
 {
-    if (state.is_listed && state.next >= end)
+    if (state.is_listed && era == state.era && state.next >= end)
         confirm(state, confirmed_at);
 }
 
+std::map<std::string, value_version> unrestored_versions(topic const& state)
+{
+    std::map<std::string, value_version> result;
+    for (auto const& key : state.unrestored)
+    {
+        auto const version = version_in(state, state.newest.at(key));
+        if (version)
+            result[key] = *version;
+    }
+    return result;
+}
+
+bool lacks_any(topic const& state,
+               std::map<std::string, value_version> const& unrestored)
+{
+    return std::any_of(unrestored.begin(), unrestored.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const known = state.newest.find(entry.first);
+                           if (known == state.newest.end())
+                               return true;
+                           auto const version =
+                               version_in(state, known->second);
+                           return version && *version < entry.second;
+                       });
+}
+
 std::size_t live_keys(topic const& state)
 {
     return static_cast<std::size_t>(
@@ -108,11 +288,15 @@
 {
     listing result;
     result.end = state.next;
+    result.era = state.era;
     result.is_complete = since == 0 || since < state.changes_from;
     for (auto const& [key, row] : state.newest)
     {
-        if (result.is_complete || row.offset >= since)
-            result.records.push_back(row);
+        if (!result.is_complete && row.offset < since)
+            continue;
+        result.records.push_back(row);
+        if (state.unrestored.contains(key))
+            result.unrestored.insert(key);
     }
     return result;
 }
@@ -123,14 +307,11 @@
     if (list.is_complete)
         return on_listing(state, list, confirmed_at);
     bool const has_gap = since > state.next || (since > 0 && !state.is_listed);
-    if (has_gap || list.end < state.next)
+    bool const is_other_era = state.is_listed && list.era != state.era;
+    if (has_gap || is_other_era || list.end < state.next)
         return {};
-    std::vector<record> changes;
-    for (auto const& row : list.records)
-    {
-        if (apply_record(state, row))
-            changes.push_back(row);
-    }
+    auto changes = apply_rows(state, list);
+    state.era = list.era;
     state.next = list.end;
     state.is_listed = true;
     confirm(state, confirmed_at);
--- a/jujubestand/follow/topic.hpp
+++ b/jujubestand/follow/topic.hpp
@@ -1,11 +1,13 @@
 #ifndef JUJUBESTAND_FOLLOW_TOPIC_HPP
 #define JUJUBESTAND_FOLLOW_TOPIC_HPP
 
+#include <compare>
 #include <cstdint>
 #include <jujubestand/core/time.hpp>
 #include <map>
 #include <msgpack.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,12 +26,29 @@
     MSGPACK_DEFINE_ARRAY(key, value, offset)
 };
 
+/// \brief Version that a value states of itself, compared in order: a value
+/// with a higher one is newer, whatever the offsets of the two.
+struct value_version
+{
+    std::uint64_t major = 0;
+    std::uint64_t minor = 0;
+
+    auto operator<=>(value_version const&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(major, minor)
+};
+
+/// \brief Reads the version of a record's value; empty if it states none.
+using version_reader = std::optional<value_version> (*)(record const&);
+
 /// \brief Records read from an offset on.
 struct read_page
 {
     std::vector<record> records;
     /// Offset after the topic's newest record.
     std::uint64_t end = 0;
+    /// Era of the store; 0 if not stated.
+    std::uint64_t era = 0;
 };
 
 /// \brief Newest record of every key.
@@ -41,13 +60,33 @@
     /// Keys that are not in the list were removed. False if it holds only the
     /// changes after an offset.
     bool is_complete = false;
+    /// Era of the store that the offsets are of; 0 if not stated.
+    std::uint64_t era = 0;
+    /// Keys whose records here are newer than the store's.
+    std::set<std::string> unrestored{};
 
-    MSGPACK_DEFINE_ARRAY(records, end, is_complete)
+    MSGPACK_DEFINE_ARRAY(records, end, is_complete, era, unrestored)
 };
 
 /// \brief A process's copy of a keyed topic of the store.
+///
+/// The store may return from a copy that is some seconds old: it loses what was
+/// written since and gives the offsets out again. Its era then rises. Values
+/// that this process knows and the store has lost hold until they are written
+/// again.
 struct topic
 {
+    /// Reads the versions of values; null if they state none.
+    version_reader version_of = nullptr;
+    /// Whether keys that the store has lost are kept. If not, they count as
+    /// removed until they are written again.
+    bool keeps_lost_keys = false;
+    /// Era of the store that the offsets are of; 0 if not stated.
+    std::uint64_t era = 0;
+    /// Keys whose records here are newer than the store's.
+    std::set<std::string> unrestored;
+    /// Versions of the last values of removed keys.
+    std::map<std::string, value_version> removed_versions;
     std::map<std::string, record> newest;
     /// Offset of the first unread record.
     std::uint64_t next = 0;
@@ -63,21 +102,38 @@
 
 /// \brief Applies a list of all keys.
 ///
-/// A list that ends before `state.next` is outdated and is ignored. A key that
-/// is not in the list was removed, unless its record has an offset at or after
-/// the end of the list.
-/// \param requested_at when the list was requested
-/// \returns the changed records; removed keys have an empty value
+/// A list that ends before `state.next` is outdated and is ignored, unless it
+/// is of a later era. A key that is not in the list was removed, unless its
+/// record has an offset at or after the end of the list. \param requested_at
+/// when the list was requested \returns the changed records; removed keys have
+/// an empty value
 std::vector<record> on_listing(topic& state, listing const& list,
                                mono_time requested_at);
 
-/// \brief Applies records read from `state.next` on.
+/// \brief Whether an answer of the store is of a later era than the copy, which
+/// then has to be listed again.
+[[nodiscard]] bool has_returned(topic const& state, std::uint64_t era);
+
+/// \brief Applies records read from `state.next` on; ignores those of another
+/// era.
 std::vector<record> on_page(topic& state, read_page const& page,
                             mono_time requested_at);
 
 /// \brief Applies another process's confirmation that at `confirmed_at`, by the
-/// local clock, no record existed from `end` on.
-void on_confirmation(topic& state, std::uint64_t end, mono_time confirmed_at);
+/// local clock, no record existed from `end` on. One of another era confirms
+/// nothing.
+void on_confirmation(topic& state, std::uint64_t era, std::uint64_t end,
+                     mono_time confirmed_at);
+
+/// \brief Versions of the unrestored values, by key.
+[[nodiscard]] std::map<std::string, value_version>
+unrestored_versions(topic const& state);
+
+/// \brief Whether any of another process's unrestored values is newer than the
+/// value here.
+[[nodiscard]] bool
+lacks_any(topic const& state,
+          std::map<std::string, value_version> const& unrestored);
 
 /// \brief Number of keys without the removed ones.
 [[nodiscard]] std::size_t live_keys(topic const& state);
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -46,11 +46,16 @@
     auto const proven_at = mono_time{
         microseconds{response.request_sent_at_us - response.staleness_us}};
     auto const& known = state.operator_topic->known();
-    if (!known.is_listed || response.operator_end > known.next)
+    bool const needs_whole =
+        !known.is_listed || follow::has_returned(known, response.operator_era);
+    bool const is_behind = response.operator_era == known.era &&
+                           response.operator_end > known.next;
+    if (needs_whole || is_behind)
         fetch_records(state, host, *state.operator_topic, operator_records_path,
-                      known.is_listed ? known.next : 0, proven_at);
+                      needs_whole ? 0 : known.next, proven_at);
     else
-        state.operator_topic->confirm(response.operator_end, proven_at);
+        state.operator_topic->confirm(response.operator_era,
+                                      response.operator_end, proven_at);
 }
 
 /// Data on an engine that is sent to its agent.
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/loop/signals.hpp>
+#include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <unistd.h>
 
@@ -66,6 +67,15 @@
     {
         log_store(state, topic, nullptr);
     };
+    events.on_returned = [&state, topic](std::uint64_t from, std::uint64_t to)
+    {
+        // Upstreams need as much time to register again as after an outage.
+        follow::on_store_return(state.lapses, mono_now());
+        state.log->write(event_number::log_returned, {},
+                         {{"topic", topic},
+                          {"from", static_cast<std::int64_t>(from)},
+                          {"to", static_cast<std::int64_t>(to)}});
+    };
     return events;
 }
 
@@ -79,12 +89,14 @@
         state.base, *state.store,
         follow::read_options{std::string(platform::names::operator_topic),
                              operator_poll_timeout,
-                             std::chrono::milliseconds{0}},
+                             std::chrono::milliseconds{0},
+                             platform::operator_record_version, true},
         follower_events_of(state, "operator", apply_operator_records));
     state.upstream_topic = std::make_unique<follow::follower>(
         state.base, *state.store,
         follow::read_options{std::string(platform::names::upstream_topic),
-                             std::chrono::milliseconds{0}, upstream_pause},
+                             std::chrono::milliseconds{0}, upstream_pause,
+                             platform::upstream_record_version},
         follower_events_of(state, "upstreams",
                            [](gateway_state& shared,
                               std::vector<follow::record> const& changes,
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -52,6 +52,7 @@
 {
     status::topic_status result;
     result.end = topic.known().next;
+    result.era = topic.known().era;
     result.live_keys = follow::live_keys(topic.known());
     if (auto const age = follow::staleness(topic.known(), now))
         result.staleness_us = age->count();
@@ -68,16 +69,20 @@
     mono_time const proven_at{
         microseconds{query_sent_at_us - reported_status.staleness_us}};
     auto const& known = topic.known();
+    bool const is_same_era = reported_status.era == known.era;
     bool const lacks_removals =
-        reported_status.end == known.next &&
+        is_same_era && reported_status.end == known.next &&
         reported_status.live_keys != follow::live_keys(known);
-    if (lacks_removals)
+    bool const needs_whole =
+        !known.is_listed || lacks_removals ||
+        follow::has_returned(known, reported_status.era) ||
+        (is_same_era && follow::lacks_any(known, reported_status.unrestored));
+    if (needs_whole)
         fetch_records(state, host, topic, path, 0, proven_at);
-    else if (!known.is_listed || reported_status.end > known.next)
-        fetch_records(state, host, topic, path,
-                      known.is_listed ? known.next : 0, proven_at);
+    else if (is_same_era && reported_status.end > known.next)
+        fetch_records(state, host, topic, path, known.next, proven_at);
     else
-        topic.confirm(reported_status.end, proven_at);
+        topic.confirm(reported_status.era, reported_status.end, proven_at);
 }
 
 void apply_reported_stores(gateway_state& state, std::string const& host,
@@ -112,6 +117,8 @@
     status::peer_response answer;
     answer.request_sent_at_us = peer_query.sent_at_us;
     answer.operators = to_topic_status(*state.operator_topic, now);
+    answer.operators.unrestored =
+        follow::unrestored_versions(state.operator_topic->known());
     answer.upstreams = to_topic_status(*state.upstream_topic, now);
     for (auto const& [where, known] : peer_query.stores)
     {
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_STATUS_MESSAGES_HPP
 
 #include <cstdint>
+#include <jujubestand/follow/topic.hpp>
 #include <jujubestand/limits/permit_messages.hpp>
 #include <jujubestand/quarantine/strike.hpp>
 #include <jujubestand/status/cache_view.hpp>
@@ -104,12 +105,14 @@
     limit_report limit;
     /// Wall clock time of the engine's start, in ms; 0 if not reported.
     std::uint64_t engine_started_at_ms = 0;
+    /// Era of the store that `operator_end` is of.
+    std::uint64_t operator_era = 0;
 
     MSGPACK_DEFINE_ARRAY(format, request_sent_at_us, agent, is_engine_reachable,
                          is_preparing, load_due_us, is_busy, versions, queued,
                          running, prefilling, memory_used, memory_total,
                          report_age_ms, operator_end, staleness_us, gateways,
-                         cache, limit, engine_started_at_ms)
+                         cache, limit, engine_started_at_ms, operator_era)
 };
 
 /// \brief Request of a gateway to another one for the state of its copies.
@@ -142,8 +145,12 @@
     /// Keys without the removed ones. Copies with the same end can differ in
     /// this: a list may remove keys and end where reading had stopped.
     std::uint64_t live_keys = 0;
+    /// Era of the store that `end` is of.
+    std::uint64_t era = 0;
+    /// Versions of the values that the store has lost, by key.
+    std::map<std::string, follow::value_version> unrestored;
 
-    MSGPACK_DEFINE_ARRAY(end, staleness_us, live_keys)
+    MSGPACK_DEFINE_ARRAY(end, staleness_us, live_keys, era, unrestored)
 };
 
 /// \brief Response of a gateway to a `peer_request`.
