--- a/jujubestand/agent/weights.cpp
+++ b/jujubestand/agent/weights.cpp
@@ -53,10 +53,17 @@
         acquire_fence(state);
 }
 
+// The fencing token is derived from the offset of a record that this run of
+// the agent appends, so every later run gets a higher one. Offsets go back when
+// the store returns from an older copy, but its era then rises.
+std::uint64_t fence_of(platform::append_end const& appended)
+{
+    constexpr unsigned offset_bits = 32;
+    return (appended.era << offset_bits) + *appended.offset + 1;
+}
+
 } // namespace
 
-// The fencing token is derived from the offset of a record that this run of
-// the agent appends, so every later run gets a higher one.
 void acquire_fence(agent_state& state)
 {
     state.store->append(
@@ -68,10 +75,10 @@
                 state.fence_timer->start(fence_retry_delay);
                 return;
             }
-            state.weights.fence = *end.offset + 1;
+            state.weights.fence = fence_of(end);
             state.log->write(
                 event_number::fence_taken, {},
-                {{"fence", static_cast<std::int64_t>(*end.offset + 1)}});
+                {{"fence", static_cast<std::int64_t>(*state.weights.fence)}});
         });
 }
 
