--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -151,6 +151,16 @@
         return result;
     }
 
+    bool is_ready(running_gateway const& gateway)
+    {
+        http1::client_request request;
+        request.server = gateway.callers;
+        request.target = "/ready";
+        request.fields = {{"Host", to_text(gateway.callers)}};
+        auto const answer = start_call(this->caller, std::move(request));
+        return this->run_to_end(answer) && answer->status == HTTP_OK;
+    }
+
     bool run_to_events(answer_ptr const& answer, std::size_t count)
     {
         return this->run_until(
@@ -217,16 +227,6 @@
             path);
     }
 
-    bool is_ready(running_gateway const& gateway)
-    {
-        http1::client_request request;
-        request.server = gateway.callers;
-        request.target = "/ready";
-        request.fields = {{"Host", to_text(gateway.callers)}};
-        auto const answer = start_call(this->caller, std::move(request));
-        return this->run_to_end(answer) && answer->status == HTTP_OK;
-    }
-
     bool has_logged(std::size_t gateway, std::string const& event,
                     std::string const& field) const
     {
