--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/agent/call_limit.hpp>
+#include <jujubestand/agent/origins.hpp>
 #include <jujubestand/agent/weights.hpp>
 
 namespace jujubestand::agent
@@ -117,6 +118,7 @@
     if (!request)
     {
         on_permit_datagram(state, bytes);
+        on_origin_datagram(state, sender, bytes);
         return;
     }
     auto const now = mono_now();
--- a/jujubestand/agent/state.hpp
+++ b/jujubestand/agent/state.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubestand/agent/gateway_table.hpp>
 #include <jujubestand/agent/rollout.hpp>
+#include <jujubestand/core/recent_map.hpp>
 #include <jujubestand/follow/follower.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <jujubestand/limits/permit_holder.hpp>
@@ -60,6 +61,9 @@
     bool is_limit_news = false;
     status::cache_view cache;
     std::optional<loop::timer> cache_timer;
+    /// Software version by the request that began a stream; the least recently
+    /// used are dropped.
+    recent_map<std::uint64_t, std::string> origins{16'384};
     gateway_table gateways;
     std::optional<mono_time> first_request_at;
     /// Whether the engine was usable when gateways were last notified.
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -28,14 +28,36 @@
                           datagram);
 }
 
-// Returns the IP addresses of the queried gateways.
-std::set<std::string> query_origin(gateway_state& state, origin_key stream)
+// IP addresses of the agents beside the engines of a pool, by software version.
+std::map<std::string, std::vector<std::string>>
+agents_by_software(gateway_state const& state, std::string const& pool)
+{
+    std::map<std::string, std::vector<std::string>> result;
+    for (auto const& [key, target] : state.dispatch.upstreams)
+    {
+        if (target.record.pool == pool && !target.versions.empty() &&
+            !target.is_replaced)
+            result[target.record.software_version].push_back(
+                target.record.where.host);
+    }
+    return result;
+}
+
+// Returns the IP addresses of the queried gateways and agents.
+std::set<std::string> query_origin(gateway_state& state, origin_key stream,
+                                   std::string const& pool)
 {
     status::origin_query query;
     query.stream = stream;
-    auto const targets =
+    auto targets =
         origin_holders(known_gateways(state, mono_now()), state.settings.ip,
                        stream, origin_query_targets);
+    for (auto const& [version, agents] : agents_by_software(state, pool))
+    {
+        for (auto& host :
+             origin_holders(agents, {}, stream, origin_query_agents))
+            targets.push_back(std::move(host));
+    }
     for (auto const& host : targets)
         send_to(state, host, status::to_datagram(query));
     return {targets.begin(), targets.end()};
@@ -51,8 +73,8 @@
     fail_call(state, key, error);
 }
 
-// Queries other gateways, if there are any. A gateway that has just started
-// knows none yet: the query then waits for the first list.
+// Queries other gateways and agents, if there are any gateways. A gateway that
+// has just started knows none yet: the query then waits for the first list.
 bool start_query(gateway_state& state, dispatch::call_key key,
                  active_call const& call, mono_time now)
 {
@@ -61,7 +83,7 @@
     query.sent_at = now;
     query.is_sent = !known_gateways(state, now).empty();
     if (query.is_sent)
-        query.open = query_origin(state, query.stream);
+        query.open = query_origin(state, query.stream, call.dispatch_call.pool);
     bool const has_waited = now - call.arrived_at >= first_list_timeout;
     if (query.open.empty() && (query.is_sent || has_waited))
         return false;
@@ -179,10 +201,15 @@
     status::origin_notice notice;
     notice.stream = stream;
     notice.software_version = call.software_version;
+    auto const datagram = status::to_datagram(notice);
     for (auto const& host :
          origin_holders(known_gateways(state, mono_now()), state.settings.ip,
                         stream, origin_replicas))
-        send_to(state, host, status::to_datagram(notice));
+        send_to(state, host, datagram);
+    auto agents = agents_by_software(state, call.dispatch_call.pool);
+    for (auto const& host : origin_holders(agents[call.software_version], {},
+                                           stream, origin_agents))
+        send_to(state, host, datagram);
 }
 
 void on_origin_datagram(gateway_state& state, address const& sender,
--- a/jujubestand/gateway/stream_origins.hpp
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -17,8 +17,8 @@
 ///
 /// A stream continues only at the software version that began it, and callers
 /// resume streams at any gateway. The gateway that begins a stream keeps its
-/// version and sends it to a few others, chosen by the request's id; the
-/// gateway at which the stream is resumed queries these.
+/// version and sends it to a few other gateways and to a few agents, chosen by
+/// the request's id; the gateway at which the stream is resumed queries these.
 namespace jujubestand::gateway
 {
 
@@ -32,6 +32,14 @@
 /// of gateways may have changed in between.
 inline constexpr std::size_t origin_query_targets = 4;
 
+/// \brief Agents that keep the version of a stream. They are beside engines of
+/// this version: once these have left, nothing can continue the stream.
+inline constexpr std::size_t origin_agents = 2;
+
+/// \brief Agents of each version that are queried for it: more than keep it,
+/// since engines come and go in between.
+inline constexpr std::size_t origin_query_agents = 4;
+
 /// \brief Time in which a software version of a pool counts as in use after
 /// its last upstream has left, since callers may still hold streams of it.
 inline constexpr std::chrono::milliseconds software_memory{60'000};
