--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -71,6 +71,7 @@
     {
         // Upstreams need as much time to register again as after an outage.
         follow::on_store_return(state.lapses, mono_now());
+        state.software.stored.clear();
         state.log->write(event_number::log_returned, {},
                          {{"topic", topic},
                           {"from", static_cast<std::int64_t>(from)},
@@ -195,6 +196,7 @@
     expire_origin_queries(state);
     review_crashes(state);
     review_limits(state);
+    review_software_history(state);
     query_agents(state);
     query_peers(state);
 }
@@ -255,6 +257,7 @@
     gateway_state state;
     state.base = base;
     state.started_at = mono_now();
+    state.origins.lacks_history = true;
     hold_calls(state);
     state.log = &log;
     state.settings = std::move(settings);
@@ -289,6 +292,7 @@
     log.write(event_number::process_started, {},
               {{"role", "gateway"}, {"name", state.settings.name}});
     query_peers(state);
+    review_software_history(state);
     event_base_dispatch(base);
     auto const cut = static_cast<std::int64_t>(state.active_calls.size());
     log.write(cut == 0 ? event_number::drain_finished : event_number::drain_cut,
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -8,6 +8,7 @@
 #include <jujubestand/follow/lapses.hpp>
 #include <jujubestand/gateway/event_stream.hpp>
 #include <jujubestand/gateway/query_pacing.hpp>
+#include <jujubestand/gateway/software_history.hpp>
 #include <jujubestand/gateway/stream_origins.hpp>
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/server.hpp>
@@ -175,6 +176,7 @@
     /// the outcome of the last attempt.
     std::map<dispatch::call_key, dispatch::send_outcome> suspended_calls;
     stream_origins origins;
+    software_history software;
     /// Resumed streams that wait for their software version.
     std::map<dispatch::call_key, open_origin_query> origin_queries;
     /// Paths of the record fetches in flight.
--- a/jujubestand/gateway/stream_origins.cpp
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -15,7 +15,7 @@
                                         std::string const& pool, mono_time now)
 {
     auto const found = state.software_in_use.find(pool);
-    if (found == state.software_in_use.end())
+    if (state.lacks_history || found == state.software_in_use.end())
         return std::nullopt;
     std::optional<std::string> result;
     for (auto const& [version, seen_at] : found->second)
@@ -53,15 +53,16 @@
 }
 
 void record_software(stream_origins& state, std::string const& pool,
-                     std::string const& software_version, mono_time now)
+                     std::string const& software_version, mono_time seen_at)
 {
     auto& versions = state.software_in_use[pool];
     std::erase_if(versions,
-                  [now](auto const& row)
+                  [seen_at](auto const& row)
                   {
-                      return now - row.second > software_memory;
+                      return seen_at - row.second > software_memory;
                   });
-    versions[software_version] = now;
+    auto& last = versions[software_version];
+    last = std::max(last, seen_at);
 }
 
 // Records arrive only while the store can be read; the upstreams of the last
--- a/jujubestand/gateway/stream_origins.hpp
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -52,6 +52,8 @@
     recent_map<origin_key, std::string> versions{16'384};
     /// By pool and software version: when an upstream was last registered.
     std::map<std::string, std::map<std::string, mono_time>> software_in_use;
+    /// Other versions may have been in use of late that are not known here.
+    bool lacks_history = false;
 };
 
 /// \brief Next step for a stream that a caller resumes.
@@ -87,9 +89,9 @@
 [[nodiscard]] std::optional<std::string> find_origin(stream_origins& state,
                                                      origin_key stream);
 
-/// \brief Records that a pool has an upstream of a software version.
+/// \brief Records that a pool had an upstream of a software version at a time.
 void record_software(stream_origins& state, std::string const& pool,
-                     std::string const& software_version, mono_time now);
+                     std::string const& software_version, mono_time seen_at);
 
 /// \brief Records the software versions of the upstreams that are registered in
 /// a pool.
