--- a/jujubestand/follow/test/topic_test.cpp
+++ b/jujubestand/follow/test/topic_test.cpp
@@ -81,13 +81,14 @@
 TEST(topic, a_complete_list_of_a_peer_removes_nothing_that_is_newer)
 {
     auto state = listed();
-    on_page(state, {{{"d", "1", 6}}, 7}, at(200));
+    on_page(state, {{{"c", "1", 5}, {"d", "1", 6}}, 7}, at(200));
     topic fresh;
-    on_listing(fresh, {{{"a", "1", 3}, {"b", "1", 4}}, 6}, at(100));
+    on_listing(fresh, {{{"a", "1", 3}, {"b", "1", 4}, {"c", "1", 5}}, 6},
+               at(100));
     EXPECT_TRUE(changes_since(fresh, 2).is_complete);
     EXPECT_TRUE(
         on_peer_records(state, changes_since(fresh, 2), 2, at(300)).empty());
-    EXPECT_EQ(live_keys(state), 3U);
+    EXPECT_EQ(live_keys(state), 4U);
 }
 
 TEST(topic, an_outdated_list_or_page_is_ignored)
--- a/jujubestand/follow/topic.cpp
+++ b/jujubestand/follow/topic.cpp
@@ -75,21 +75,35 @@
 }
 
 // Applies a record that another process knows and the store has lost. It has
-// the offset of the store's older one.
-bool apply_unrestored(topic& state, record const& row)
+// the offset of the store's older one. A removal counts only for values that
+// are not newer than the one that was removed.
+bool apply_unrestored(topic& state, record const& row,
+                      std::map<std::string, value_version> const& removed)
 {
+    auto const last = removed.find(row.key);
     auto const [found, is_new] = state.newest.emplace(row.key, row);
     record& known = found->second;
     if (is_new)
     {
         state.unrestored.insert(row.key);
+        if (last != removed.end())
+            state.removed_versions[row.key] = last->second;
         return true;
     }
-    if (known.offset > row.offset || known.value == row.value ||
-        is_outdated(state, known, row))
+    if (known.offset > row.offset)
+        return false;
+    auto const known_version = version_in(state, known);
+    if (last != removed.end() && known_version && last->second < *known_version)
+        return false;
+    if (state.unrestored.contains(row.key))
+        known.offset = row.offset;
+    if (known.value == row.value || is_outdated(state, known, row))
         return false;
     state.unrestored.insert(row.key);
+    known.offset = row.offset;
     set_value(state, known, row.value);
+    if (last != removed.end())
+        state.removed_versions[row.key] = last->second;
     return true;
 }
 
@@ -98,9 +112,10 @@
     std::vector<record> changes;
     for (auto const& row : list.records)
     {
-        bool const is_changed = list.unrestored.contains(row.key)
-                                    ? apply_unrestored(state, row)
-                                    : apply_record(state, row);
+        bool const is_changed =
+            list.unrestored.contains(row.key)
+                ? apply_unrestored(state, row, list.removed_versions)
+                : apply_record(state, row);
         if (is_changed)
             changes.push_back(row);
     }
@@ -211,8 +226,7 @@
         for (auto& row : remove_unlisted(state, list))
             changes.push_back(std::move(row));
     }
-    if (!state.is_listed)
-        state.changes_from = list.end;
+    state.changes_from = list.end;
     state.era = std::max(state.era, list.era);
     state.next = list.end;
     state.is_listed = true;
@@ -224,12 +238,17 @@
                             mono_time requested_at)
 {
     bool const is_same_era = page.era == 0 || page.era == state.era;
-    if (!is_same_era || page.end < state.next)
+    // The copy may have been listed anew while the read was under way.
+    bool const has_gap =
+        !page.records.empty() && page.records.front().offset > state.next;
+    if (!is_same_era || has_gap || page.end < state.next)
         return {};
     std::vector<record> changes;
+    // A list may have superseded the first records of a late page.
+    auto const known_end = state.next;
     for (auto const& row : page.records)
     {
-        if (apply_record(state, row))
+        if (row.offset >= known_end && apply_record(state, row))
             changes.push_back(row);
         state.next = std::max(state.next, row.offset + 1);
     }
@@ -289,14 +308,20 @@
     listing result;
     result.end = state.next;
     result.era = state.era;
-    result.is_complete = since == 0 || since < state.changes_from;
+    result.is_complete =
+        state.is_listed && (since == 0 || since < state.changes_from);
     for (auto const& [key, row] : state.newest)
     {
         if (!result.is_complete && row.offset < since)
             continue;
         result.records.push_back(row);
         if (state.unrestored.contains(key))
+        {
             result.unrestored.insert(key);
+            auto const last = state.removed_versions.find(key);
+            if (last != state.removed_versions.end())
+                result.removed_versions.insert(*last);
+        }
     }
     return result;
 }
@@ -308,7 +333,9 @@
         return on_listing(state, list, confirmed_at);
     bool const has_gap = since > state.next || (since > 0 && !state.is_listed);
     bool const is_other_era = state.is_listed && list.era != state.era;
-    if (has_gap || is_other_era || list.end < state.next)
+    // A process that has just started has nothing to pass on.
+    bool const is_of_unlisted = !state.is_listed && list.end == 0;
+    if (has_gap || is_other_era || is_of_unlisted || list.end < state.next)
         return {};
     auto changes = apply_rows(state, list);
     state.era = list.era;
--- a/jujubestand/follow/topic.hpp
+++ b/jujubestand/follow/topic.hpp
@@ -64,8 +64,11 @@
     std::uint64_t era = 0;
     /// Keys whose records here are newer than the store's.
     std::set<std::string> unrestored{};
+    /// Versions of the last values of unrestored removed keys.
+    std::map<std::string, value_version> removed_versions{};
 
-    MSGPACK_DEFINE_ARRAY(records, end, is_complete, era, unrestored)
+    MSGPACK_DEFINE_ARRAY(records, end, is_complete, era, unrestored,
+                         removed_versions)
 };
 
 /// \brief A process's copy of a keyed topic of the store.
