Write culprits again that the store has lost (BUDGET)

After a return of the store from a copy that lacked the parts that crash engines, nothing wrote them again: gateways that all started after that sent them to engine after engine. Found by a review of the store's return.

Change: gateways write the culprits that they know again, at random times within 500 ms, until the topic shows them; a key that the store has lost is no longer logged as a bad record. Only the upstreams' own topic now gives them time to register again, so that a topic that sees the return later doesn't prolong it.

--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -181,6 +181,16 @@
                      {{"key", to_text(fingerprint)}, {"source", source}});
 }
 
+// Gateways write at different times, so that mostly one of them has to.
+void schedule_write(gateway_state& state, digest const& fingerprint,
+                    mono_time now)
+{
+    std::uniform_int_distribution<std::int64_t> delay_ms(
+        0, write_delay_limit.count());
+    state.crashes.unwritten[fingerprint] =
+        now + std::chrono::milliseconds{delay_ms(state.random_engine)};
+}
+
 void look_for_culprits(gateway_state& state, mono_time now)
 {
     auto& crashes = state.crashes;
@@ -190,10 +200,7 @@
     for (auto const& fingerprint : found)
     {
         log_culprit(state, fingerprint, "evidence");
-        std::uniform_int_distribution<std::int64_t> delay_ms(
-            0, write_delay_limit.count());
-        crashes.unwritten[fingerprint] =
-            now + std::chrono::milliseconds{delay_ms(state.random_engine)};
+        schedule_write(state, fingerprint, now);
     }
     if (found.empty())
         return;
@@ -346,11 +353,24 @@
                     wall + evidence.strikes.options.lifetime, "gateway");
 }
 
+void write_culprits_again(gateway_state& state)
+{
+    auto const wall = wall_now();
+    for (auto const& [fingerprint, until] : state.crashes.evidence.culprits)
+    {
+        if (until > wall)
+            schedule_write(state, fingerprint, mono_now());
+    }
+}
+
 void apply_quarantine_records(gateway_state& state,
                               std::vector<follow::record> const& changes)
 {
     for (auto const& row : changes)
     {
+        // The store has lost the culprit; this gateway keeps it.
+        if (row.value.empty())
+            continue;
         auto const fingerprint = digest_from_text(row.key);
         std::int64_t until_ms = 0;
         auto const* const last = row.value.data() + row.value.size();
--- a/jujubestand/gateway/crashes.hpp
+++ b/jujubestand/gateway/crashes.hpp
@@ -37,6 +37,9 @@
 /// \brief Handles a crash notice of another gateway.
 void on_crash_datagram(gateway_state& state, std::string_view bytes);
 
+/// \brief Writes to the store again the culprits that it has lost.
+void write_culprits_again(gateway_state& state);
+
 /// \brief Applies culprits that the store holds.
 void apply_quarantine_records(gateway_state& state,
                               std::vector<follow::record> const& changes);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -22,6 +22,9 @@
 namespace
 {
 
+constexpr char const* upstreams_name = "upstreams";
+constexpr char const* quarantine_name = "quarantine";
+
 constexpr std::chrono::milliseconds upstream_pause{500};
 constexpr std::chrono::milliseconds stop_check_interval{50};
 
@@ -41,6 +44,17 @@
         state.log->write(event_number::log_reachable, {}, {{"topic", topic}});
 }
 
+// The store has lost what was written since its copy.
+void on_store_return(gateway_state& state, std::string_view topic)
+{
+    // Upstreams need as much time to register again as after an outage.
+    if (topic == upstreams_name)
+        follow::on_store_return(state.lapses, mono_now());
+    if (topic == quarantine_name)
+        write_culprits_again(state);
+    state.software.stored.clear();
+}
+
 follow::follower_events follower_events_of(
     gateway_state& state, char const* topic,
     void (*apply)(gateway_state&, std::vector<follow::record> const&,
@@ -69,9 +83,7 @@
     };
     events.on_returned = [&state, topic](std::uint64_t from, std::uint64_t to)
     {
-        // Upstreams need as much time to register again as after an outage.
-        follow::on_store_return(state.lapses, mono_now());
-        state.software.stored.clear();
+        on_store_return(state, topic);
         state.log->write(event_number::log_returned, {},
                          {{"topic", topic},
                           {"from", static_cast<std::int64_t>(from)},
@@ -98,7 +110,7 @@
         follow::read_options{std::string(platform::names::upstream_topic),
                              std::chrono::milliseconds{0}, upstream_pause,
                              platform::upstream_record_version},
-        follower_events_of(state, "upstreams",
+        follower_events_of(state, upstreams_name,
                            [](gateway_state& shared,
                               std::vector<follow::record> const& changes,
                               std::optional<mono_time>)
@@ -113,7 +125,7 @@
         follow::read_options{std::string(platform::names::quarantine_topic),
                              quarantine_poll_timeout,
                              std::chrono::milliseconds{0}},
-        follower_events_of(state, "quarantine",
+        follower_events_of(state, quarantine_name,
                            [](gateway_state& shared,
                               std::vector<follow::record> const& changes,
                               std::optional<mono_time>)
--- a/programs/test/crashing_parts_test.cpp
+++ b/programs/test/crashing_parts_test.cpp
@@ -128,6 +128,20 @@
 INSTANTIATE_TEST_SUITE_P(engines_crash, crash_kinds, testing::ValuesIn(kinds()),
                          name_of);
 
+// The store lost the culprits when it returned from an older copy; gateways
+// that started after that sent the part to engine after engine again (BUDGET).
+TEST_F(crashing_parts, a_crashing_part_is_stored_again_after_the_store_returns)
+{
+    this->start(2, 8);
+    this->store.keep_copy();
+    this->play(milliseconds{5'000});
+    ASSERT_TRUE(this->store.has_keys("keyed.quarantine"));
+    this->store.return_from_copy();
+    ASSERT_FALSE(this->store.has_keys("keyed.quarantine"));
+    this->play(milliseconds{4'000});
+    EXPECT_TRUE(this->store.has_keys("keyed.quarantine"));
+}
+
 // Gateways that were all restarted together had forgotten the part (BUDGET).
 TEST_F(crashing_parts, a_crashing_part_is_known_after_all_gateways_restart)
 {
