Let readers learn from the others what the store has lost (CONFIG)

Gateways that read the store query each other only. If both started around the store's return, the older configuration of its copy was in force again at them, though other gateways knew the newer one. Found by a review, by reading; no test of its own with processes: the comparison and the records that are passed on are those of jujubestand/follow/test/store_return_test.cpp.

Change: a query for the state of copies names the versions of the values that the store has lost; a reader that lacks one fetches the records. That proves nothing new, so it doesn't change how current the copy counts.

--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -110,6 +110,19 @@
     return known;
 }
 
+// A reader that has started after the store's return knows only what the store
+// has. What it fetches proves nothing new.
+void fetch_unrestored(gateway_state& state, std::string const& host,
+                      status::peer_request const& peer_query)
+{
+    auto const& known = state.operator_topic->known();
+    bool const is_comparable = known.is_listed && known.current_as_of &&
+                               known.era == peer_query.operator_era;
+    if (is_comparable && follow::lacks_any(known, peer_query.unrestored))
+        fetch_records(state, host, *state.operator_topic, operator_records_path,
+                      0, *known.current_as_of);
+}
+
 void on_peer_query(gateway_state& state, address const& sender,
                    status::peer_request const& peer_query)
 {
@@ -129,6 +142,7 @@
                 status::delta_since(watched->second.cache, known)};
     }
     state.datagrams->send(sender, status::to_datagram(answer));
+    fetch_unrestored(state, sender.host, peer_query);
 }
 
 void apply_fetched_records(gateway_state& state, follow::follower& topic,
@@ -181,6 +195,9 @@
                                      is_lagging(*state.upstream_topic, now));
     status::peer_request query;
     query.sent_at_us = to_us(now);
+    auto const& operators = state.operator_topic->known();
+    query.operator_era = operators.era;
+    query.unrestored = follow::unrestored_versions(operators);
     if (is_reading)
         poll_part_stores(state, now);
     else
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -123,8 +123,12 @@
     /// Position of the sender's copy of each part store, by address; empty if
     /// the sender does not read part stores through this gateway.
     std::map<std::string, cache_position> stores;
+    /// Era of the store that the sender's copy of the operator's topic is of,
+    /// and the versions of its values that the store has lost, by key.
+    std::uint64_t operator_era = 0;
+    std::map<std::string, follow::value_version> unrestored;
 
-    MSGPACK_DEFINE_ARRAY(format, sent_at_us, stores)
+    MSGPACK_DEFINE_ARRAY(format, sent_at_us, stores, operator_era, unrestored)
 };
 
 /// \brief Status of a part store, as a gateway sees it.
