--- a/jujubestand/entry/test/path_fixture.hpp
+++ b/jujubestand/entry/test/path_fixture.hpp
@@ -268,7 +268,7 @@
         return is_over && this->answer(id).head.status == 200;
     }
 
-    std::string list_body() const
+    virtual std::string list_body() const
     {
         nlohmann::json rows = nlohmann::json::array();
         for (std::size_t at = 0; at < this->pairs.size(); ++at)
@@ -329,7 +329,8 @@
     }
 
     // The platform's own questions are not calls that a test counts.
-    void take(std::size_t at, http::caller_id asker, http::request const& asked)
+    virtual void take(std::size_t at, http::caller_id asker,
+                      http::request const& asked)
     {
         if (asked.path == "/load" || asked.path == "/kv_events")
             this->pairs[at].upstream->reply(asker, 404, {}, "");
