--- a/jujubestand/entry/attempts.cpp
+++ b/jujubestand/entry/attempts.cpp
@@ -196,6 +196,7 @@
 void entry::state::on_stream_closed(link::stream_id stream,
                                     link::stream_end const& end)
 {
+    process::take_closed(this->crashes.targets, stream);
     if (this->by_probe.contains(key_of(stream)))
     {
         this->on_probe_closed(stream);
--- a/jujubestand/entry/call.hpp
+++ b/jujubestand/entry/call.hpp
@@ -14,6 +14,7 @@
 #include <jujubestand/link/node.hpp>
 #include <jujubestand/loop/timer.hpp>
 #include <jujubestand/placement/placement.hpp>
+#include <jujubestand/quarantine/evidence.hpp>
 #include <jujubestand/streams/receiver.hpp>
 #include <optional>
 #include <string>
@@ -43,6 +44,9 @@
     mono_time started{};
     /// Times that the answer was asked for again after a broken link.
     std::uint32_t resumes = 0;
+    std::optional<mono_time> output_since;
+    /// Its engine has written so long on it that it doesn't crash by it.
+    bool has_survived = false;
 };
 
 /// \brief A question to a sidecar that has not been answered.
@@ -87,6 +91,7 @@
     std::optional<attempt> current;
     std::optional<probing> probes;
     std::vector<upstream_id> tried;
+    std::vector<quarantine::suspect_key> suspects;
     relay_state relay;
     /// Worst over all attempts so far.
     verdict outcome = verdict::not_run;
--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/entry/entry_state.hpp>
+#include <jujubestand/quarantine/call_keys.hpp>
 #include <prometheus/counter.h>
 
 namespace jujubestand::entry
@@ -118,6 +119,9 @@
     next.caller = caller;
     next.request = std::move(*taken);
     next.body = asked.body;
+    auto const& message = next.request.message;
+    next.suspects = quarantine::keys_of_call(
+        message.team, message.route, message.body_digest, message.parts);
     next.arrived = mono_now();
     next.deadline = next.arrived +
                     std::chrono::milliseconds(next.request.route.deadline_ms);
@@ -167,6 +171,8 @@
 
 void entry::state::on_list(platform::instance_list const& read)
 {
+    process::take_list(this->crashes.targets, read,
+                       this->shared->settings.instance);
     this->upstreams.clear();
     ++this->list_version;
     for (auto const& row : read.instances)
@@ -194,6 +200,7 @@
         return std::nullopt;
     this->self->list.start();
     this->self->tables.start();
+    this->self->start_reviews();
     return where;
 }
 
--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -10,7 +10,9 @@
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
+#include <jujubestand/process/crash_news.hpp>
 #include <jujubestand/process/table_reader.hpp>
+#include <jujubestand/quarantine/evidence.hpp>
 #include <jujubestand/retries/circuit.hpp>
 #include <jujubestand/retries/retry.hpp>
 #include <map>
@@ -29,8 +31,18 @@
     std::uint64_t list_version = 0;
 };
 
+/// \brief What an entry knows of crashes.
+struct crash_state
+{
+    quarantine::evidence evidence;
+    process::crash_news_targets targets;
+    std::optional<mono_time> changed_at;
+    mono_time announced_at{};
+    std::optional<loop::timer> review_timer;
+};
+
 /// \brief All that an entry holds; its duties are spread over the sources
-/// entry.cpp, attempts.cpp and relay.cpp.
+/// entry.cpp, attempts.cpp, relay.cpp and crashes.cpp.
 struct entry::state
 {
     explicit state(process::context& shared);
@@ -56,6 +68,7 @@
     retries::retry_budget budget;
     retries::retry_options retry_options;
     retries::circuit_options circuit_options;
+    crash_state crashes;
     bool is_draining = false;
     bool refuses_new = false;
     std::optional<loop::timer> notice_timer;
@@ -84,6 +97,19 @@
     void note_failure(upstream_id const& upstream);
     void note_success(upstream_id const& upstream);
 
+    // crashes.cpp
+    void start_reviews();
+    void review_crashes();
+    void send_evidence(quarantine::notice const& evidence);
+    void send_culprits();
+    void record_answer(call const& of);
+    void record_output(call& of);
+    void record_whole_answer(call const& of);
+    [[nodiscard]] bool refuse_quarantined(call_id id);
+    void withdraw_quarantined();
+    void note_culprit(digest const& fingerprint, std::string const& source);
+    void on_crash_news(process::crash_news const& news);
+
     // attempts.cpp
     void send(call_id id, upstream_place const& place);
     [[nodiscard]] bool take_newer_tables(call& of);
--- a/jujubestand/entry/intake.cpp
+++ b/jujubestand/entry/intake.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <jujubestand/claims/key.hpp>
 #include <jujubestand/core/digest.hpp>
+#include <jujubestand/quarantine/call_keys.hpp>
 
 namespace jujubestand::entry
 {
@@ -102,6 +103,10 @@
                                   into.pool.weights_version};
     into.prompt = prefix::make_chain(seed, body.segments, {});
     into.message.prompt_tokens = into.prompt.prompt_tokens;
+    for (auto const& segment : body.segments)
+        into.message.parts.push_back(
+            quarantine::hash_of_part(segment.role, segment.text));
+    into.message.parts = quarantine::limit_parts(into.message.parts);
     for (auto const& level : into.prompt.levels)
     {
         into.message.chain_high.push_back(level.key.high);
--- a/jujubestand/entry/placing.cpp
+++ b/jujubestand/entry/placing.cpp
@@ -111,7 +111,7 @@
 void entry::state::try_next(call_id id)
 {
     call* found = this->calls.find(id);
-    if (found == nullptr)
+    if (found == nullptr || this->refuse_quarantined(id))
         return;
     if (found->request.pinned)
     {
--- a/jujubestand/entry/relay.cpp
+++ b/jujubestand/entry/relay.cpp
@@ -30,7 +30,14 @@
 
 void entry::state::on_frame(link::stream_id stream, link::frame const& frame)
 {
-    if (this->tables.on_frame(stream, frame))
+    if (auto const news = process::read_news(this->links, stream, frame))
+    {
+        this->on_crash_news(*news);
+        return;
+    }
+    bool const is_of_tables = this->tables.on_frame(stream, frame);
+    process::take_answer(this->crashes.targets, this->links, stream, frame);
+    if (is_of_tables)
         return;
     if (this->by_probe.contains(key_of(stream)))
     {
@@ -129,6 +136,7 @@
             {reason_code::answer_out_of_order, "a piece without a head", {}});
         return;
     }
+    this->record_output(of);
     auto const result = streams::take(of.relay.received, *piece);
     if (result.fate == streams::piece_fate::broken)
     {
@@ -226,6 +234,7 @@
                           of.relay.held);
     }
     this->note_success(of.current->upstream);
+    this->record_whole_answer(of);
     if (last.prompt_tokens > 0)
         placement::record_usage(this->placement_of(of), this->request_of(of),
                                 of.current->upstream, last.cached_tokens,
--- a/jujubestand/jujubestand.hpp
+++ b/jujubestand/jujubestand.hpp
@@ -20,6 +20,7 @@
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/prefix/belief.hpp>
 #include <jujubestand/prefix/chain.hpp>
+#include <jujubestand/quarantine/call_keys.hpp>
 #include <jujubestand/quarantine/culprits.hpp>
 #include <jujubestand/quarantine/evidence.hpp>
 #include <jujubestand/quarantine/strike.hpp>
--- a/jujubestand/link/messages.hpp
+++ b/jujubestand/link/messages.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_LINK_MESSAGES_HPP
 
 #include <cstdint>
+#include <jujubestand/core/digest.hpp>
 #include <jujubestand/core/hybrid_time.hpp>
 #include <jujubestand/core/ids.hpp>
 #include <jujubestand/core/reason.hpp>
@@ -112,6 +113,8 @@
     std::string body_digest;
     /// Pieces that the caller already has from an earlier attempt.
     std::uint64_t resume_from = 0;
+    /// Hashes of the prompt's parts, first to last, for quarantine.
+    std::vector<std::uint64_t> parts;
 
     MSGPACK_DEFINE_ARRAY(request, entry, attempt, route, pool, team, model,
                          adapter, method, path, headers, body_bytes,
@@ -119,7 +122,7 @@
                          idempotency_key, priority, deadline_us,
                          first_token_deadline_us, prompt_tokens, chain_high,
                          chain_low, chain_tokens, tables, body_digest,
-                         resume_from)
+                         resume_from, parts)
 };
 
 /// \brief Entry to sidecar: the next bytes of the request's body.
@@ -211,14 +214,29 @@
     MSGPACK_DEFINE_ARRAY(request, entry, next_sequence)
 };
 
+/// \brief A part of prompts, or a call, that crashes engines.
+struct culprit
+{
+    digest fingerprint;
+    /// Until when calls with it are refused.
+    std::int64_t until_ms = 0;
+
+    MSGPACK_DEFINE_ARRAY(fingerprint, until_ms)
+};
+
 /// \brief Either way: send me the tables if yours are newer than `have`.
+///
+/// To an entry also: news on what crashes engines, which it doesn't answer.
 struct tables_wanted
 {
     static constexpr frame_kind kind = frame_kind::tables_wanted;
 
     log_offset have;
+    /// Evidence on crashes, as the quarantine slice packs it.
+    std::string crashes;
+    std::vector<culprit> culprits;
 
-    MSGPACK_DEFINE_ARRAY(have)
+    MSGPACK_DEFINE_ARRAY(have, crashes, culprits)
 };
 
 /// \brief Either way: the tables of one version, as the config slice packs
--- a/jujubestand/process/table_reader.cpp
+++ b/jujubestand/process/table_reader.cpp
@@ -92,7 +92,8 @@
         return;
     auto const stream = this->links->open(*where);
     auto const have = config::in_force(this->store).version;
-    this->links->send(stream, link::to_frame(link::tables_wanted{have}));
+    this->links->send(stream,
+                      link::to_frame(link::tables_wanted{have, {}, {}}));
     this->questions.push_back({stream, mono_now()});
 }
 
@@ -270,7 +271,8 @@
                                                  version, mono_now());
     auto const have = this->in_force().version;
     if (!effects.ask.empty())
-        own->links->send(stream, link::to_frame(link::tables_wanted{have}));
+        own->links->send(stream,
+                         link::to_frame(link::tables_wanted{have, {}, {}}));
     return age;
 }
 
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -35,6 +35,7 @@
     if (found == this->by_exchange.end())
         return;
     this->note_limit(head, false);
+    this->record_engine_alive(false);
     call& of = *this->calls.find(found->second);
     of.has_head = true;
     of.answer =
@@ -64,6 +65,9 @@
     if (found == this->by_exchange.end())
         return;
     call_id const id = found->second;
+    call& taken = *this->calls.find(id);
+    if (!taken.output_since)
+        taken.output_since = mono_now();
     this->note_progress(id);
     this->keep_answer(*this->calls.find(id), bytes);
     this->take_step(id,
@@ -124,6 +128,7 @@
 void sidecar::state::on_link_closed(link::stream_id stream,
                                     link::stream_end const& how)
 {
+    process::take_closed(this->news_targets, stream);
     bool const is_answering = this->answers.carries(stream);
     bool const is_over =
         this->answers.take_closed(stream, how).has_value() || !is_answering;
@@ -171,7 +176,12 @@
     call_id const id = found->second;
     if (end.is_complete)
     {
-        this->take_step(id, streams::take_end(this->calls.find(id)->answer));
+        call& of = *this->calls.find(id);
+        auto step = streams::take_end(of.answer);
+        // An unframed answer ends in order when its engine crashes.
+        if (step.broken)
+            this->record_cut(of);
+        this->take_step(id, std::move(step));
         if (this->calls.find(id) != nullptr)
             this->finish_whole(id);
         return;
@@ -181,6 +191,10 @@
         point = end.why.code == reason_code::upstream_timeout
                     ? failure_point::upstream_timeout
                     : failure_point::upstream_read_cut;
+    if (point == failure_point::upstream_read_cut)
+        this->record_cut(*this->calls.find(id));
+    if (point == failure_point::upstream_connect_refused)
+        this->record_engine_lost();
     this->fail(id, point, end.why.text);
 }
 
--- a/jujubestand/sidecar/call.hpp
+++ b/jujubestand/sidecar/call.hpp
@@ -57,7 +57,10 @@
     mono_time arrived{};
     mono_time deadline{};
     http::exchange_id exchange;
+    /// When it went to the upstream.
+    mono_time started{};
     bool has_head = false;
+    std::optional<mono_time> output_since;
     streams::upstream_answer answer;
     bool is_paused = false;
     /// Set once its claim is won.
--- a/jujubestand/sidecar/engine_side.cpp
+++ b/jujubestand/sidecar/engine_side.cpp
@@ -22,9 +22,11 @@
         });
     this->watch->changed.connect(sigc::mem_fun(*this, &state::on_cache_event));
     this->watch->lost.connect(
-        [this](reason const&)
+        [this](reason const& why)
         {
             take_loss(this->engine);
+            if (why.code == reason_code::upstream_unreachable)
+                this->record_engine_lost();
         });
     this->watch->start();
 }
@@ -68,7 +70,11 @@
     admission::apply_report(this->queue,
                             {report.slots, report.prefill_us_per_token});
     if (is_new)
+    {
         this->queue.limit.reset();
+        this->record_engine_lost();
+    }
+    this->record_engine_alive(true);
     if (is_new)
         process::note(
             *this->shared, event_number::engine_restarted, {}, {},
--- a/jujubestand/sidecar/intake.cpp
+++ b/jujubestand/sidecar/intake.cpp
@@ -19,7 +19,9 @@
 
 void sidecar::state::on_frame(link::stream_id stream, link::frame const& frame)
 {
-    if (this->tables.on_frame(stream, frame))
+    bool const is_of_tables = this->tables.on_frame(stream, frame);
+    process::take_answer(this->news_targets, this->links, stream, frame);
+    if (is_of_tables)
         return;
     this->links.consume(stream, frame.payload.size());
     switch (frame.kind)
@@ -240,6 +242,7 @@
 {
     call& next = *this->calls.find(id);
     next.stage = call_stage::running;
+    next.started = mono_now();
     if (next.message.is_completion)
         prefix::take_start(this->belief, next.message.request,
                            chain_of(next.message), mono_now());
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -89,6 +89,12 @@
         });
     this->list.received.connect(
         sigc::mem_fun(this->tables, &process::table_reader::on_list));
+    this->list.received.connect(
+        [this](platform::instance_list const& read)
+        {
+            process::take_list(this->news_targets, read,
+                               this->shared->settings.instance);
+        });
     this->upstream.head.connect(sigc::mem_fun(*this, &state::on_head));
     this->upstream.data.connect(sigc::mem_fun(*this, &state::on_data));
     this->upstream.ended.connect(sigc::mem_fun(*this, &state::on_ended));
--- a/jujubestand/sidecar/sidecar_state.hpp
+++ b/jujubestand/sidecar/sidecar_state.hpp
@@ -11,7 +11,9 @@
 #include <jujubestand/platform/list_client.hpp>
 #include <jujubestand/platform/log_client.hpp>
 #include <jujubestand/prefix/belief.hpp>
+#include <jujubestand/process/crash_news.hpp>
 #include <jujubestand/process/table_reader.hpp>
+#include <jujubestand/quarantine/evidence.hpp>
 #include <jujubestand/sidecar/answer_sender.hpp>
 #include <jujubestand/sidecar/call.hpp>
 #include <jujubestand/sidecar/claim_desk.hpp>
@@ -24,7 +26,7 @@
 {
 
 /// \brief All that a sidecar holds; its duties are spread over the sources
-/// sidecar.cpp, intake.cpp, claimed_calls.cpp and answers.cpp.
+/// sidecar.cpp, intake.cpp, claimed_calls.cpp, answers.cpp and crashes.cpp.
 struct sidecar::state
 {
     explicit state(process::context& shared);
@@ -49,6 +51,13 @@
     std::optional<engine_watch> watch;
     /// The engine's load reports, and not its answers, named its limit.
     bool is_limit_of_reports = false;
+    /// Strikes of a crash until the engine is known to be lost.
+    quarantine::evidence crashes;
+    process::crash_news_targets news_targets;
+    /// Names the engine in strikes: when its first sign was seen.
+    incarnation_id engine_seen;
+    /// Set from the loss of an engine to the first sign of the next one.
+    std::optional<mono_time> engine_lost_at = mono_time{};
     loop::timer expiry_timer;
     bool is_draining = false;
 
@@ -98,6 +107,11 @@
     [[nodiscard]] bool detach(call_id id);
     void keep_answer(call& of, std::string const& bytes);
 
+    // crashes.cpp
+    void record_cut(call const& of);
+    void record_engine_lost();
+    void record_engine_alive(bool is_report);
+
     // answers.cpp
     void on_head(http::exchange_id exchange, http::response_head const& head);
     void on_data(http::exchange_id exchange, std::string const& bytes);
