Back off a pool's only upstream by failures in a row, not by calls that failed

Cause: each of the 24 doubled the back-off, though the upstream had failed once: what was in flight when a failure became known says nothing of the time after it. Waiting that long saves callers nothing where no other upstream can take their calls. Weighed: to refuse at once with a Retry-After (the service may answer after 250 ms, and the callers would be told to come back later than that); one probe call (its callers' luck decides for all, and a service with free room would get one call at a time). Change: failure_steps counts failures in a row: of calls sent after the last step was known, or ending once the back-off is over. While nothing else of the pool takes calls, they alone set the back-off: 250 ms, then doubled up to 2 s as before. Beside another available upstream nothing changes, nor does the cost of failures in choices. A later failure no longer shortens a back-off. Failures move from upstreams.cpp to failures.cpp; upstreams.cpp passes on when a call was sent, and a restart resets the steps. Ruled out: applying it to pools with other upstreams: calls would go sooner to an engine that has just crashed while the others are full; not measured, so left. Tests: failures.calls_that_fail_at_once_are_one_failure failed before (2 s, and none of six calls sent after 250 ms), passes. Three more hold the limits: another upstream beside it, the cost, and the limit of a service that goes on failing.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/dispatch/choice.hpp>
 
 #include <algorithm>
+#include <jujubestand/dispatch/failures.hpp>
 #include <jujubestand/dispatch/parts.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
--- a/jujubestand/dispatch/test/upstreams_test.cpp
+++ b/jujubestand/dispatch/test/upstreams_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <jujubestand/dispatch/dispatch.hpp>
+#include <jujubestand/dispatch/failures.hpp>
 #include <jujubestand/dispatch/test/fleet.hpp>
 
 // State of upstreams that fail, restart or are replaced.
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -234,6 +234,12 @@
     /// Recent failures at `failures_at`; decays by `failure_half_life`.
     double failures = 0;
     mono_time failures_at{};
+    /// Failures in a row, as `failures`, but those of calls that were sent
+    /// before the last of them was known, and that end while the upstream is
+    /// avoided, are the same failure.
+    double failure_steps = 0;
+    /// When the last of them was known.
+    mono_time stepped_at{};
     mono_time avoid_until{};
     /// The upstream asked this process for no calls before this time.
     mono_time paused_until{};
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <jujubestand/dispatch/failures.hpp>
 #include <jujubestand/placement/rendezvous.hpp>
 #include <utility>
 
@@ -11,12 +12,6 @@
 namespace
 {
 
-/// An answer that reports a failure is weaker evidence of a faulty upstream
-/// than no answer.
-constexpr double failed_weight = 0.4;
-constexpr double unreachable_weight = 2.0;
-constexpr double failures_limit = 8.0;
-
 upstream* find(state& dispatcher, upstream_key key)
 {
     auto const found = dispatcher.upstreams.find(key);
@@ -30,55 +25,6 @@
     known = std::max(known, version);
 }
 
-double failure_weight(send_outcome outcome) noexcept
-{
-    switch (outcome)
-    {
-    case send_outcome::failed:
-        return failed_weight;
-    case send_outcome::unreachable:
-        return unreachable_weight;
-    case send_outcome::cut:
-        return 1.0;
-    case send_outcome::served:
-    case send_outcome::refused:
-    case send_outcome::cancelled:
-        break;
-    }
-    return 0;
-}
-
-// A refusal means that the upstream is full or loads weights, so it is avoided
-// only briefly.
-void record_outcome(state const& dispatcher, upstream& target,
-                    send_outcome outcome, mono_time now)
-{
-    double const before = recent_failures(dispatcher, target, now);
-    target.failures_at = now;
-    if (outcome == send_outcome::served)
-    {
-        constexpr double success_decay = 0.6;
-        target.failures = before * success_decay;
-        return;
-    }
-    target.failures =
-        std::min(before + failure_weight(outcome), failures_limit);
-    if (outcome == send_outcome::refused)
-    {
-        constexpr std::chrono::milliseconds refused_pause{60};
-        target.avoid_until = std::max(target.avoid_until, now + refused_pause);
-    }
-    if (outcome == send_outcome::unreachable || outcome == send_outcome::cut)
-    {
-        auto const pause = std::chrono::duration_cast<microseconds>(
-            std::chrono::duration<double, std::milli>(
-                static_cast<double>(dispatcher.limits.avoid_base.count()) *
-                std::exp2(target.failures - 1)));
-        target.avoid_until =
-            now + std::min<microseconds>(pause, dispatcher.limits.avoid_limit);
-    }
-}
-
 // An engine that lacks a request also lacks all later ones. Once one of these
 // is too old for the engine to be allowed, the request has no more effect.
 void remove_redundant(std::vector<wanted_version>& requests,
@@ -156,6 +102,8 @@
         target.cache = {};
         target.expected_parts.clear();
         target.failures = 0;
+        target.failure_steps = 0;
+        target.stepped_at = mono_time{};
         target.is_replaced = false;
         target.avoid_until = mono_time{};
         target.paused_until = mono_time{};
@@ -306,11 +254,12 @@
     if (found == dispatcher.sends.end())
         return;
     upstream* const target = find(dispatcher, found->second.upstream);
+    auto const sent_at = found->second.sent_at;
     dispatcher.sends.erase(found);
     if (target == nullptr)
         return;
     --target->open_calls;
-    record_outcome(dispatcher, *target, outcome, now);
+    record_outcome(dispatcher, *target, outcome, sent_at, now);
 }
 
 upstream const* find_by_host(state const& dispatcher, std::string const& host)
@@ -327,16 +276,4 @@
     return result;
 }
 
-double recent_failures(state const& dispatcher, upstream const& target,
-                       mono_time now)
-{
-    if (target.failures <= 0)
-        return 0;
-    using milliseconds = std::chrono::duration<double, std::milli>;
-    double const halves =
-        milliseconds(now - target.failures_at).count() /
-        static_cast<double>(dispatcher.limits.failure_half_life.count());
-    return target.failures * std::exp2(-std::max(0.0, halves));
-}
-
 } // namespace jujubestand::dispatch
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -78,10 +78,6 @@
 [[nodiscard]] upstream const* find_by_host(state const& dispatcher,
                                            std::string const& host);
 
-/// \brief Decayed count of an upstream's recent failures.
-[[nodiscard]] double recent_failures(state const& dispatcher,
-                                     upstream const& target, mono_time now);
-
 } // namespace jujubestand::dispatch
 
 #endif
