--- /dev/null
+++ b/jujubestand/quarantine/test/evidence_events_test.cpp
@@ -0,0 +1,71 @@
+#include <gtest/gtest.h>
+#include <jujubestand/quarantine/test/evidence_group.hpp>
+
+// Engines that crash together are one event.
+namespace jujubestand::quarantine
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+} // namespace
+
+// The engines of a rack end for one outside cause: each rack held a sound part
+// somewhere, and each time the odds were those of its engine alone (LOST).
+TEST(evidence, a_part_in_each_rack_that_fails_is_no_culprit)
+{
+    constexpr std::uint64_t racks = 8;
+    constexpr std::uint64_t engines = 8;
+    constexpr std::uint64_t calls = 14;
+    constexpr std::uint64_t other_parts = 180;
+    constexpr int answers = 100;
+    std::uint64_t next_part = 0;
+    group all(2);
+    for (int number = 0; number < answers; ++number)
+        all.answer(0, {part(first_part, 0), whole_request(all.next_request++)});
+    for (std::uint64_t rack = 0; rack < racks; ++rack)
+    {
+        for (std::uint64_t number = 0; number < engines; ++number)
+        {
+            auto const engine = all.next_engine();
+            for (std::uint64_t call = 0; call < calls; ++call)
+            {
+                bool const is_chosen = number == rack && call == 0;
+                auto const part_id =
+                    is_chosen ? 20 : 300 + next_part++ % other_parts;
+                all.cut(call % 2, engine, request(part_id, all.next_request++),
+                        answer_stage::output);
+            }
+            all.lose_engine();
+        }
+        all.now += milliseconds{300};
+        EXPECT_TRUE(all.judged(0).empty()) << rack;
+        EXPECT_TRUE(all.judged(1).empty()) << rack;
+    }
+}
+
+// Two callers at a time send a crashing part: both engines of each pair had it,
+// so that the pair says as much as one engine.
+TEST(evidence, a_part_that_crashes_two_engines_at_once_is_known_as_soon)
+{
+    group all(2);
+    for (int pair = 0; pair < 3; ++pair)
+    {
+        EXPECT_TRUE(all.judged(0).empty());
+        for (std::size_t member = 0; member < 2; ++member)
+        {
+            auto const engine = all.next_engine();
+            all.cut(member, engine, request(crashing_part, all.next_request++),
+                    true);
+            all.cut(1 - member, engine, request(10, all.next_request++), false);
+            all.lose_engine();
+        }
+        all.now += milliseconds{300};
+    }
+    EXPECT_EQ(all.judged(0), only(crashing_part));
+    EXPECT_EQ(all.judged(1), only(crashing_part));
+}
+
+} // namespace jujubestand::quarantine
