--- /dev/null
+++ b/jujubestand/dispatch/test/silence_test.cpp
@@ -0,0 +1,80 @@
+#include <gtest/gtest.h>
+#include <jujubestand/dispatch/dispatch.hpp>
+#include <jujubestand/dispatch/test/fleet.hpp>
+
+// Engines that stand still: no agent reports on them, and calls that they were
+// sent get no byte.
+namespace jujubestand::dispatch
+{
+
+namespace
+{
+
+constexpr std::uint64_t shared_part = 77;
+
+/// \brief Reports of all engines but one.
+void report_others(state& dispatcher, upstream_key silent, int ms)
+{
+    for (auto const& [key, target] : dispatcher.upstreams)
+    {
+        if (key != silent)
+            on_load_report(dispatcher, key, idle_load(ms));
+    }
+}
+
+/// \brief A call that costs least where the shared parts are cached.
+call small_call(call_key key, int ms)
+{
+    auto request = prompt_call(key, shared_part, ms);
+    request.model_prompt->parts.back().tokens = 100;
+    return request;
+}
+
+/// \brief A fleet whose first engine holds the shared parts and was sent call
+/// 1 at 100 ms; since then only the others are reported on.
+state fleet_with_a_silent_engine(int engines)
+{
+    auto dispatcher = fleet(engines);
+    auto& silent = engine(dispatcher, 1);
+    hold_parts(silent, shared_part);
+    EXPECT_EQ(submit(dispatcher, small_call(1, 100), at(100)).upstream,
+              silent.key);
+    report_others(dispatcher, silent.key, 1'550);
+    return dispatcher;
+}
+
+upstream_key target_of_next(state& dispatcher, call_key key, int ms)
+{
+    return submit(dispatcher, small_call(key, ms), at(ms)).upstream;
+}
+
+} // namespace
+
+// Calls went on to engines that stood still, until they had a full backlog of
+// calls there; their callers left meanwhile (GONE).
+TEST(silence, an_engine_that_stands_still_gets_no_further_calls)
+{
+    auto dispatcher = fleet_with_a_silent_engine(3);
+    auto const silent = engine(dispatcher, 1).key;
+    EXPECT_EQ(target_of_next(dispatcher, 2, 1'550), silent);
+    EXPECT_NE(target_of_next(dispatcher, 3, 1'650), silent);
+    on_load_report(dispatcher, silent, idle_load(1'700));
+    EXPECT_TRUE(is_available(dispatcher, engine(dispatcher, 1), at(1'700)));
+}
+
+// The agents of sound engines may end.
+TEST(silence, an_engine_without_reports_or_calls_is_available)
+{
+    auto dispatcher = fleet(3);
+    report_others(dispatcher, engine(dispatcher, 1).key, 9'000);
+    EXPECT_TRUE(is_available(dispatcher, engine(dispatcher, 1), at(9'000)));
+}
+
+// A gateway that is cut off hears of no engine.
+TEST(silence, silence_of_most_engines_shows_nothing)
+{
+    auto dispatcher = fleet_with_a_silent_engine(3);
+    EXPECT_TRUE(is_available(dispatcher, engine(dispatcher, 1), at(9'000)));
+}
+
+} // namespace jujubestand::dispatch
