Move calls without output from engines that stand still (GONE)

Cause: a report older than 1.5 s counted as no report, so that the engine stayed available, and nothing withdrew what it had.

Which signs prove silence: an agent that says that its engine doesn't answer does so after 0.8 s, but it stands still itself with its machine. The age of the report alone proves nothing: agents end by themselves while their engines run. So both must be silent for 1.5 s: no report, and no byte of an answer though calls are open there; and the gateway must hear of half of the pool, or it is the one that is cut off.

Change: such an engine gets no calls. Calls without output there that may be repeated go to another engine that has room, within attempts and retry budget; all others wait for their engine, as its silence is no reason to fail them.

Callers there leave from 0.97 s after the freeze on, before silence is proved, and streams that may run once can't be moved.

--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -57,6 +57,8 @@
 {
     upstream& target = dispatcher.upstreams.at(chosen.upstream);
     ++target.open_calls;
+    if (!target.unanswered_since)
+        target.unanswered_since = now;
     count_send(dispatcher, target, now);
     open_send in_flight;
     in_flight.upstream = chosen.upstream;
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -29,6 +29,33 @@
     return now - first_missing->since;
 }
 
+// A report describes the engine, so that an agent which answers while its
+// engine doesn't is no sign of it.
+bool is_silent(state const& dispatcher, upstream const& target, mono_time now)
+{
+    auto const limit = dispatcher.limits.silence_limit;
+    return target.load && target.unanswered_since &&
+           now - *target.unanswered_since >= limit &&
+           now - target.load->reported_at >= limit;
+}
+
+// If not, the gateway itself is cut off, or has stood still.
+bool hears_half_of_pool(state const& dispatcher, std::string const& pool,
+                        mono_time now)
+{
+    std::size_t known = 0;
+    std::size_t heard = 0;
+    for (auto const& [key, target] : dispatcher.upstreams)
+    {
+        if (target.record.pool != pool || target.is_replaced || !target.load)
+            continue;
+        ++known;
+        heard +=
+            now - target.load->reported_at < dispatcher.limits.silence_limit;
+    }
+    return 2 * heard >= known;
+}
+
 } // namespace
 
 bool has_fresh_report(state const& dispatcher, upstream const& target,
@@ -38,6 +65,13 @@
            now - target.load->reported_at <= dispatcher.limits.report_age_limit;
 }
 
+bool stands_still(state const& dispatcher, upstream const& target,
+                  mono_time now)
+{
+    return is_silent(dispatcher, target, now) &&
+           hears_half_of_pool(dispatcher, target.record.pool, now);
+}
+
 bool is_available(state const& dispatcher, upstream const& target,
                   mono_time now)
 {
@@ -47,7 +81,9 @@
     if (limits::applies(target.limit, now) &&
         !limits::has_permit(target.permits, now))
         return false;
-    return !has_fresh_report(dispatcher, target, now) || !target.load->is_down;
+    return has_fresh_report(dispatcher, target, now)
+               ? !target.load->is_down
+               : !stands_still(dispatcher, target, now);
 }
 
 bool has_software(upstream const& target, call const& request)
@@ -168,4 +204,19 @@
     return result;
 }
 
+std::vector<call_key> stranded_calls(state const& dispatcher, mono_time now)
+{
+    std::vector<call_key> result;
+    for (auto const& [key, send] : dispatcher.sends)
+    {
+        if (!send.is_prefilling || send.model.empty())
+            continue;
+        auto const target = dispatcher.upstreams.find(send.upstream);
+        if (target != dispatcher.upstreams.end() &&
+            stands_still(dispatcher, target->second, now))
+            result.push_back(key);
+    }
+    return result;
+}
+
 } // namespace jujubestand::dispatch
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -14,6 +14,12 @@
 [[nodiscard]] bool has_fresh_report(state const& dispatcher,
                                     upstream const& target, mono_time now);
 
+/// \brief Whether an engine stands still: neither its agent nor its answers
+/// have shown any sign of it for `silence_limit`, though calls are open at it,
+/// while this gateway hears of half of its pool's engines at least.
+[[nodiscard]] bool stands_still(state const& dispatcher, upstream const& target,
+                                mono_time now);
+
 /// \brief Whether an upstream accepts calls, regardless of free capacity; one
 /// with a limit accepts them only while this gateway has a permit.
 [[nodiscard]] bool is_available(state const& dispatcher, upstream const& target,
@@ -80,6 +86,10 @@
 [[nodiscard]] std::vector<call_key> overdue_calls(state const& dispatcher,
                                                   mono_time now);
 
+/// \brief Calls without output at engines that stand still.
+[[nodiscard]] std::vector<call_key> stranded_calls(state const& dispatcher,
+                                                   mono_time now);
+
 } // namespace jujubestand::dispatch
 
 #endif
--- a/jujubestand/dispatch/test/silence_test.cpp
+++ b/jujubestand/dispatch/test/silence_test.cpp
@@ -62,6 +62,42 @@
     EXPECT_TRUE(is_available(dispatcher, engine(dispatcher, 1), at(1'700)));
 }
 
+// Calls that such an engine had been sent before waited there (GONE).
+TEST(silence, calls_without_output_are_stranded_at_an_engine_that_stands_still)
+{
+    auto dispatcher = fleet_with_a_silent_engine(3);
+    EXPECT_EQ(target_of_next(dispatcher, 2, 150), engine(dispatcher, 1).key);
+    on_first_output(dispatcher, 2);
+    EXPECT_TRUE(stranded_calls(dispatcher, at(1'590)).empty());
+    EXPECT_EQ(stranded_calls(dispatcher, at(1'600)), std::vector<call_key>{1});
+    on_send_end(dispatcher, 1, send_outcome::cut, at(1'600));
+    EXPECT_TRUE(stranded_calls(dispatcher, at(1'600)).empty());
+}
+
+// A false alarm costs a repeat and what the engine has prefilled.
+TEST(silence, any_byte_of_an_engine_without_an_agent_shows_that_it_runs)
+{
+    auto dispatcher = fleet_with_a_silent_engine(3);
+    EXPECT_EQ(target_of_next(dispatcher, 2, 150), engine(dispatcher, 1).key);
+    on_answer_bytes(dispatcher, 2, at(1'000));
+    EXPECT_TRUE(stranded_calls(dispatcher, at(2'490)).empty());
+    EXPECT_EQ(stranded_calls(dispatcher, at(2'500)).size(), 2U);
+    on_load_report(dispatcher, engine(dispatcher, 1).key, idle_load(2'450));
+    EXPECT_TRUE(stranded_calls(dispatcher, at(2'500)).empty());
+}
+
+// After the last call has ended, the next one finds out.
+TEST(silence, an_engine_without_calls_does_not_stand_still)
+{
+    auto dispatcher = fleet_with_a_silent_engine(3);
+    on_send_end(dispatcher, 1, send_outcome::cancelled, at(1'000));
+    EXPECT_TRUE(is_available(dispatcher, engine(dispatcher, 1), at(1'700)));
+    EXPECT_EQ(target_of_next(dispatcher, 2, 1'700), engine(dispatcher, 1).key);
+    EXPECT_TRUE(stranded_calls(dispatcher, at(3'000)).empty());
+    report_others(dispatcher, engine(dispatcher, 1).key, 3'150);
+    EXPECT_EQ(stranded_calls(dispatcher, at(3'200)), std::vector<call_key>{2});
+}
+
 // The agents of sound engines may end.
 TEST(silence, an_engine_without_reports_or_calls_is_available)
 {
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -103,6 +103,9 @@
     std::chrono::milliseconds failure_half_life{2'500};
     /// An older report does not reflect the current load.
     std::chrono::milliseconds report_age_limit{1'500};
+    /// An engine with open calls that has not been reported on and has sent no
+    /// byte for so long stands still.
+    std::chrono::milliseconds silence_limit{1'500};
     std::size_t waiting_limit = 2'000;
 };
 
@@ -231,6 +234,9 @@
     std::map<std::string, std::uint64_t> versions;
     /// Sends of this process in flight.
     std::uint32_t open_calls = 0;
+    /// Time of the last byte of an answer while sends are in flight, or of the
+    /// first of them.
+    std::optional<mono_time> unanswered_since;
     /// Recent failures at `failures_at`; decays by `failure_half_life`.
     double failures = 0;
     mono_time failures_at{};
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -291,6 +291,16 @@
         limits::use_permit(target.permits);
 }
 
+void on_answer_bytes(state& dispatcher, call_key call, mono_time now)
+{
+    auto const found = dispatcher.sends.find(call);
+    if (found == dispatcher.sends.end())
+        return;
+    upstream* const target = find(dispatcher, found->second.upstream);
+    if (target != nullptr)
+        target->unanswered_since = now;
+}
+
 void on_first_output(state& dispatcher, call_key call)
 {
     auto const found = dispatcher.sends.find(call);
@@ -310,6 +320,8 @@
     if (target == nullptr)
         return;
     --target->open_calls;
+    if (target->open_calls == 0)
+        target->unanswered_since.reset();
     record_outcome(dispatcher, *target, outcome, now);
 }
 
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -67,6 +67,9 @@
 /// one is needed.
 void count_send(state const& dispatcher, upstream& target, mono_time now);
 
+/// \brief Records that bytes of an answer have arrived.
+void on_answer_bytes(state& dispatcher, call_key call, mono_time now);
+
 /// \brief Records that the first output of a send has arrived.
 void on_first_output(state& dispatcher, call_key call);
 
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -191,6 +191,7 @@
         state.lapses, state.upstream_topic->known().current_as_of, mono_now());
     remove_lapsed_upstreams(state);
     withdraw_overdue_calls(state);
+    move_stranded_calls(state);
     review_suspended_calls(state);
     expire_origin_queries(state);
     review_crashes(state);
--- a/jujubestand/gateway/migration.cpp
+++ b/jujubestand/gateway/migration.cpp
@@ -63,6 +63,28 @@
                               {}});
 }
 
+// The silence of its engine alone is no reason to fail a call.
+void move_stranded_call(gateway_state& state, dispatch::call_key key,
+                        mono_time now)
+{
+    active_call* const call = find_call(state, key);
+    constexpr auto outcome = dispatch::send_outcome::cut;
+    if (call == nullptr || !is_retryable(*call) ||
+        !dispatch::has_alternative(state.dispatch, call->dispatch_call,
+                                   call->upstream_key, now) ||
+        call->possible_runs + 1 >= call->route.attempts_limit ||
+        acquire_retry(state, *call, outcome, now) != reason_code::none)
+        return;
+    state.log->write(
+        event_number::attempt_failed, call->caller_request.request_id,
+        {{"upstream", call->upstream},
+         {"outcome", to_name(dispatch::send_outcome_names, outcome)},
+         {"why", "engine stands still"},
+         {"again", "yes"}});
+    cancel_attempt(state, *call, outcome, now);
+    retry_call(state, key);
+}
+
 } // namespace
 
 void migrate_streams(gateway_state& state, dispatch::upstream_key source)
@@ -84,4 +106,11 @@
         withdraw_call(state, key, now);
 }
 
+void move_stranded_calls(gateway_state& state)
+{
+    auto const now = mono_now();
+    for (auto const key : dispatch::stranded_calls(state.dispatch, now))
+        move_stranded_call(state, key, now);
+}
+
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -91,6 +91,7 @@
     active_call* const call = find_call(state, key);
     if (call == nullptr)
         return;
+    dispatch::on_answer_bytes(state.dispatch, key, mono_now());
     auto answer = platform::read_answer(head);
     call->response_framing = head.framing;
     bool const is_misdirected = !answer.other_upstream.empty() &&
@@ -185,6 +186,7 @@
     active_call* const call = find_call(state, key);
     if (call == nullptr)
         return;
+    dispatch::on_answer_bytes(state.dispatch, key, mono_now());
     if (call->is_response_discarded)
     {
         discard(state, *call, bytes.size());
