Add failing tests of pauses that end with their upstream's record (BUDGET, DRAIN)

Four of the five new tests fail on: an upstream that asked for 3 s without calls, or said that it leaves, is available once its record has been removed, or set back to the process before, and has come back; and what it says while it has no record is dropped. The fifth passes: a shorter, zero or unreadable Retry-After ends no longer pause.

--- a/jujubestand/dispatch/test/pauses_test.cpp
+++ b/jujubestand/dispatch/test/pauses_test.cpp
@@ -83,6 +83,33 @@
     EXPECT_EQ(available_count(dispatcher, "engines", at(10)), 1U);
 }
 
+// A record that lapsed and came back brought an upstream without its pause
+// (BUDGET).
+TEST(pauses, a_record_that_comes_back_ends_no_pause)
+{
+    auto dispatcher = fleet(1);
+    pause(dispatcher, 1, 3'000, 0);
+    on_upstream_removed(dispatcher, "e1");
+    on_upstream_record(dispatcher, engine_record(1));
+    EXPECT_EQ(available_count(dispatcher, "engines", at(2'999)), 0U);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(3'001)), 1U);
+}
+
+// A record of the process before, from an older copy of the store, ended the
+// pause of the process that runs (BUDGET).
+TEST(pauses, an_older_record_in_between_ends_no_pause)
+{
+    auto dispatcher = fleet(1);
+    auto restarted = engine_record(1);
+    restarted.born_ms = 2;
+    on_upstream_record(dispatcher, restarted);
+    pause(dispatcher, 1, 3'000, 0);
+    on_upstream_record(dispatcher, engine_record(1));
+    on_upstream_record(dispatcher, restarted);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(2'999)), 0U);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(3'001)), 1U);
+}
+
 // Calls waited until their deadline for a pool that paused.
 TEST(pauses, a_call_is_refused_if_the_whole_pool_pauses_for_too_long)
 {
--- a/jujubestand/gateway/test/upstream_statements_test.cpp
+++ b/jujubestand/gateway/test/upstream_statements_test.cpp
@@ -108,6 +108,27 @@
     EXPECT_FALSE(this->state.dispatch.upstreams.begin()->second.limit);
 }
 
+// A leaving upstream got calls again after its record had lapsed and come back
+// (DRAIN).
+TEST_F(upstream_statements, a_record_that_comes_back_ends_no_leaving)
+{
+    this->answer(200, {{"X-Response-Stamp", "s"}, {"Server-Leaving", "1"}});
+    dispatch::on_upstream_removed(this->state.dispatch, "e1");
+    this->start_engine(1);
+    EXPECT_FALSE(this->is_available());
+}
+
+// What an upstream said while its record had lapsed was never learned (BUDGET).
+TEST_F(upstream_statements, a_process_without_a_record_is_heard)
+{
+    dispatch::on_upstream_removed(this->state.dispatch, "e1");
+    this->answer(503, {{"X-Not-Executed", "1"}, {"Retry-After", "30"}});
+    this->start_engine(1);
+    EXPECT_FALSE(this->is_available());
+    this->start_engine(2);
+    EXPECT_TRUE(this->is_available());
+}
+
 TEST_F(upstream_statements, a_pause_of_no_time_is_none)
 {
     this->answer(503, {{"X-Not-Executed", "1"}, {"Retry-After", "0"}});
@@ -115,4 +136,16 @@
     EXPECT_EQ(target.paused_until, mono_time{});
 }
 
+TEST_F(upstream_statements, a_shorter_pause_ends_no_longer_one)
+{
+    this->answer(503, {{"X-Not-Executed", "1"}, {"Retry-After", "30"}});
+    auto const& target = this->state.dispatch.upstreams.begin()->second;
+    auto const end = target.paused_until;
+    for (char const* text : {"1.5", "0", "-1", "1e3", "", "soon"})
+        this->answer(503, {{"X-Not-Executed", "1"}, {"Retry-After", text}});
+    EXPECT_EQ(target.paused_until, end);
+    this->answer(503, {{"Retry-After", "99999999999999999999"}});
+    EXPECT_GE(target.paused_until, end + std::chrono::minutes{9});
+}
+
 } // namespace jujubestand::gateway
