--- a/programs/test/upstream_words_test.cpp
+++ b/programs/test/upstream_words_test.cpp
@@ -123,6 +123,103 @@
     EXPECT_GE(orders[1] - refused_at, milliseconds{3'000});
 }
 
+// A service whose record lapsed and came back got calls in the pause that it
+// had asked for (BUDGET).
+TEST_F(upstream_words, a_pause_outlives_the_record)
+{
+    this->start(2, 1, 2);
+    this->play(milliseconds{500}, "/book/new", usual_interval);
+    this->services[0]->ask_for_pause("3");
+    auto const asked_at = mono_now();
+    this->play(milliseconds{400}, "/book/new", usual_interval);
+    this->services[0]->ask_for_pause("");
+    this->store.put("keyed.servers", "book-0", "");
+    for (std::size_t at = 0; at < this->gateways.size(); ++at)
+        this->wait_logged(at, "member_gone", std::string("upstream=book-0"));
+    this->add_service("book-0", this->services[0]->bound());
+    this->play(milliseconds{4'000}, "/book/new", usual_interval);
+    this->expect_pause("book-0", asked_at, milliseconds{3'000});
+    EXPECT_GE(this->served_after(asked_at), 0.99);
+}
+
+// An agent asked its engine for reports each 60 ms in a pause that the engine
+// had asked for in its answer to one (BUDGET).
+TEST_F(upstream_words, an_agent_asks_for_nothing_in_a_pause)
+{
+    constexpr milliseconds pause{3'000};
+    this->start(1, 2);
+    this->start_agent(0);
+    auto& asked = *this->engines[0].engine;
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return asked.questions().size() > 10;
+        }));
+    asked.refuse_reports("3");
+    auto const first = asked.questions().size();
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return asked.questions().size() > first;
+        }));
+    auto const refused_at = asked.questions()[first];
+    this->run_until(
+        []
+        {
+            return false;
+        },
+        pause_margin);
+    asked.refuse_reports("");
+    auto const within = [&](mono_time time)
+    {
+        return time >= refused_at + pause_margin && time < refused_at + pause;
+    };
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return asked.questions().back() > refused_at + pause;
+        }));
+    EXPECT_LE(std::count_if(asked.questions().begin(), asked.questions().end(),
+                            within),
+              2);
+}
+
+// A gateway asked a store of parts again each 400 ms in a pause that the store
+// had asked for (BUDGET).
+TEST_F(upstream_words, a_store_of_parts_that_asks_for_a_pause_gets_it)
+{
+    constexpr milliseconds pause{3'000};
+    constexpr std::size_t parts_number = 220;
+    std::vector<mono_time> questions;
+    standins::http_server parts(this->base.get(), {host(parts_number), 0});
+    parts.on(EVHTTP_REQ_GET, "/kv-events",
+             [&](standins::http_call const& call)
+             {
+                 questions.push_back(mono_now());
+                 standins::refuse_for_pause(call.request, "3");
+             });
+    auto tables = nlohmann::json::parse(configuration(2));
+    tables["services"].push_back({{"name", "parts"},
+                                  {"kv-store-addr", to_text(parts.bound())},
+                                  {"zone", near}});
+    this->store.put("keyed.op", "config", tables.dump());
+    this->start(1, 1);
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return !questions.empty() &&
+                   mono_now() > questions.front() + pause + pause_margin;
+        }));
+    auto const end = questions.front() + pause;
+    EXPECT_LE(std::count_if(questions.begin(), questions.end(),
+                            [&](mono_time time)
+                            {
+                                return time > questions.front() && time < end;
+                            }),
+              2);
+    EXPECT_GT(questions.back(), end);
+}
+
 // All services of a pool had asked for a pause, and calls went there again and
 // again, or waited until their deadline.
 TEST_F(upstream_words, calls_are_refused_at_once_while_a_pool_pauses)
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -57,11 +57,9 @@
                         this->report(call);
                     });
     this->server.on(EVHTTP_REQ_GET, "/kv-events",
-                    [](http_call const& call)
+                    [this](http_call const& call)
                     {
-                        reply(call.request, HTTP_OK,
-                              R"({"boot-epoch":1,"next":0,"lost":false,)"
-                              R"("events":[]})");
+                        this->list_changes(call);
                     });
     this->server.on(EVHTTP_REQ_POST, "/order",
                     [this](http_call const& call)
@@ -119,6 +117,11 @@
     this->words.pause = std::move(retry_after);
 }
 
+void stream_engine::refuse_reports(std::string retry_after)
+{
+    this->report_pause = std::move(retry_after);
+}
+
 void stream_engine::on_stream(std::function<void(stream_request const&)> action)
 {
     this->sent = std::move(action);
@@ -164,8 +167,27 @@
     return result;
 }
 
+bool stream_engine::refuse_question(http_call const& call)
+{
+    this->question_times.push_back(mono_now());
+    if (this->report_pause.empty())
+        return false;
+    refuse_for_pause(call.request, this->report_pause);
+    return true;
+}
+
+void stream_engine::list_changes(http_call const& call)
+{
+    if (this->refuse_question(call))
+        return;
+    reply(call.request, HTTP_OK,
+          R"({"boot-epoch":1,"next":0,"lost":false,"events":[]})");
+}
+
 void stream_engine::report(http_call const& call)
 {
+    if (this->refuse_question(call))
+        return;
     nlohmann::json const model{{"name", "m1"}, {"version", this->weights}};
     nlohmann::json const body{
         {"stage", "both"}, {"models", nlohmann::json::array({model})},
@@ -193,6 +215,11 @@
     reply(call.request, accepted, "");
 }
 
+std::vector<mono_time> const& stream_engine::questions() const noexcept
+{
+    return this->question_times;
+}
+
 std::vector<mono_time> const& stream_engine::orders() const noexcept
 {
     return this->order_times;
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -85,6 +85,10 @@
     /// empty: runs them again.
     void ask_for_pause(std::string retry_after);
 
+    /// \brief Refuses requests for reports and changes of its cache, with this
+    /// Retry-After; empty: answers them again.
+    void refuse_reports(std::string retry_after);
+
     /// \brief Calls back for each stream that the engine is sent.
     void on_stream(std::function<void(stream_request const&)> sent);
 
@@ -94,6 +98,9 @@
     /// \brief Ends the paused streams where they are, as if they were whole.
     void truncate_streams();
 
+    /// \brief Times at which it was asked for reports or changes of its cache.
+    [[nodiscard]] std::vector<mono_time> const& questions() const noexcept;
+
     /// \brief Times at which it was sent orders.
     [[nodiscard]] std::vector<mono_time> const& orders() const noexcept;
 
@@ -112,6 +119,8 @@
 
     void answer(http_call const& call);
     void report(http_call const& call);
+    void list_changes(http_call const& call);
+    [[nodiscard]] bool refuse_question(http_call const& call);
     void take_order(http_call const& call);
     void sign(http_call const& call) const;
     void begin_answer(http_call const& call) const;
@@ -140,6 +149,8 @@
     std::map<std::uint64_t, paused_stream> paused;
     std::vector<stream_request> requests;
     std::uint64_t weights = 1;
+    std::string report_pause;
+    std::vector<mono_time> question_times;
     std::vector<mono_time> order_times;
     std::vector<std::uint64_t> order_fences;
 };
