--- /dev/null
+++ b/jujubestand/dispatch/process_words.cpp
@@ -0,0 +1,58 @@
+#include <jujubestand/dispatch/process_words.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubestand::dispatch
+{
+
+namespace
+{
+
+/// Far more than the upstreams that a store lists at a time.
+constexpr std::size_t rows_limit = 4'096;
+
+void remove_oldest(words_table& table)
+{
+    table.rows.erase(std::min_element(table.rows.begin(), table.rows.end(),
+                                      [](auto const& left, auto const& right)
+                                      {
+                                          return left.second.number <
+                                                 right.second.number;
+                                      }));
+}
+
+process_words& row_of(words_table& table, process_id const& process)
+{
+    auto const [row, is_new] = table.rows.try_emplace(process);
+    if (!is_new)
+        return row->second;
+    row->second.number = ++table.last_number;
+    if (table.rows.size() > rows_limit)
+        remove_oldest(table);
+    return row->second;
+}
+
+} // namespace
+
+process_words find_words(words_table const& table, process_id const& process)
+{
+    auto const found = table.rows.find(process);
+    return found == table.rows.end() ? process_words{} : found->second;
+}
+
+bool record_leaving(words_table& table, process_id const& process)
+{
+    return !std::exchange(row_of(table, process).is_leaving, true);
+}
+
+bool record_pause(words_table& table, process_id const& process,
+                  std::chrono::milliseconds pause, mono_time now)
+{
+    auto& words = row_of(table, process);
+    bool const is_news = words.paused_until <= now;
+    words.paused_until = std::max(words.paused_until, now + pause);
+    return is_news;
+}
+
+} // namespace jujubestand::dispatch
--- /dev/null
+++ b/jujubestand/dispatch/process_words.hpp
@@ -0,0 +1,57 @@
+#ifndef JUJUBESTAND_DISPATCH_PROCESS_WORDS_HPP
+#define JUJUBESTAND_DISPATCH_PROCESS_WORDS_HPP
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <jujubestand/core/time.hpp>
+#include <map>
+#include <string>
+
+namespace jujubestand::dispatch
+{
+
+/// \brief One process of an upstream.
+struct process_id
+{
+    std::string upstream;
+    std::uint64_t born_ms = 0;
+
+    auto operator<=>(process_id const&) const = default;
+};
+
+/// \brief What a process has stated of itself in its answers.
+struct process_words
+{
+    /// It receives no new calls for the rest of its life.
+    bool is_leaving = false;
+    /// It asked this gateway for no calls before this time.
+    mono_time paused_until{};
+    /// Position in the order in which processes first stated something.
+    std::uint64_t number = 0;
+};
+
+/// \brief Statements of processes. They outlive the processes' records, which
+/// may be removed and come back.
+struct words_table
+{
+    std::map<process_id, process_words> rows;
+    std::uint64_t last_number = 0;
+};
+
+/// \brief What a process has stated; nothing if it is not known.
+[[nodiscard]] process_words find_words(words_table const& table,
+                                       process_id const& process);
+
+/// \brief Records that a process leaves.
+/// \returns whether that is news
+bool record_leaving(words_table& table, process_id const& process);
+
+/// \brief Records that a process asked for a pause.
+/// \returns whether it was not in one
+bool record_pause(words_table& table, process_id const& process,
+                  std::chrono::milliseconds pause, mono_time now);
+
+} // namespace jujubestand::dispatch
+
+#endif
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -7,6 +7,7 @@
 #include <jujubestand/core/enum_table.hpp>
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
+#include <jujubestand/dispatch/process_words.hpp>
 #include <jujubestand/limits/permit_holder.hpp>
 #include <jujubestand/limits/recent_count.hpp>
 #include <jujubestand/limits/upstream_limit.hpp>
@@ -209,8 +210,8 @@
     /// For a send to an engine: the weights that the call runs on.
     std::string model;
     std::uint64_t weights = 0;
-    /// Start of the upstream's process, as its record had it.
-    std::uint64_t born_ms = 0;
+    /// The process that it was sent to, as its record had it.
+    process_id process{};
 };
 
 /// \brief State of one upstream as seen by this process.
@@ -268,6 +269,7 @@
     std::map<upstream_key, upstream> upstreams;
     std::map<std::string, upstream_key, std::less<>> keys_by_id;
     std::unordered_map<call_key, open_send> sends;
+    words_table words;
     std::map<call_key, call> waiting;
     /// Requested versions of each model, oldest first; at most one of them is
     /// older than `weights_lag`. Never empty.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -119,6 +119,32 @@
                  now + std::chrono::duration_cast<microseconds>(interval));
 }
 
+process_id id_of(upstream const& target)
+{
+    return {target.record.id, target.record.born_ms};
+}
+
+// A record may be the first of its process here, or come back.
+void apply_words(state& dispatcher, upstream& target)
+{
+    auto const process = id_of(target);
+    if (target.record.is_leaving)
+        record_leaving(dispatcher.words, process);
+    auto const words = find_words(dispatcher.words, process);
+    target.record.is_leaving = target.record.is_leaving || words.is_leaving;
+    target.paused_until = std::max(target.paused_until, words.paused_until);
+}
+
+// The upstream whose latest process this is.
+upstream* find_latest(state& dispatcher, process_id const& process)
+{
+    auto const known = dispatcher.keys_by_id.find(process.upstream);
+    if (known == dispatcher.keys_by_id.end())
+        return nullptr;
+    upstream* const target = find(dispatcher, known->second);
+    return target->record.born_ms == process.born_ms ? target : nullptr;
+}
+
 // Two upstreams can't share an address: the one that started later owns it.
 void mark_replaced(state& dispatcher, upstream& added,
                    traffic::upstream_record const& record)
@@ -149,6 +175,10 @@
     }
     bool const is_restarted =
         !is_new && record.born_ms != target.record.born_ms;
+    // A record of a process before the latest comes from an older copy of the
+    // store; the latest still runs.
+    bool const has_next_process =
+        is_restarted && record.born_ms > target.record.born_ms;
     if (is_restarted)
     {
         target.versions.clear();
@@ -158,16 +188,18 @@
         target.failures = 0;
         target.is_replaced = false;
         target.avoid_until = mono_time{};
-        target.paused_until = mono_time{};
         target.limit.reset();
         target.sends = {};
     }
+    if (has_next_process)
+        target.paused_until = mono_time{};
     if (is_new)
         mark_replaced(dispatcher, target, record);
     // An upstream that is leaving keeps that state until its process restarts.
-    bool const was_leaving = target.record.is_leaving && !is_restarted;
+    bool const was_leaving = target.record.is_leaving && !has_next_process;
     target.record = record;
-    target.record.is_leaving = record.is_leaving || was_leaving;
+    apply_words(dispatcher, target);
+    target.record.is_leaving = target.record.is_leaving || was_leaving;
     for (auto const& [model, version] : record.versions)
         raise_version(target.versions, model, version);
     return is_new;
@@ -233,26 +265,50 @@
         return false;
     auto const target = dispatcher.upstreams.find(sent->second.upstream);
     return target != dispatcher.upstreams.end() &&
-           target->second.record.born_ms == sent->second.born_ms;
+           target->second.record.born_ms == sent->second.process.born_ms;
 }
 
-bool on_leaving_stated(state& dispatcher, upstream_key target_key)
+std::optional<process_id> process_of(state const& dispatcher, call_key call)
 {
-    upstream* const target = find(dispatcher, target_key);
-    return target != nullptr && !std::exchange(target->record.is_leaving, true);
+    auto const sent = dispatcher.sends.find(call);
+    if (sent == dispatcher.sends.end())
+        return std::nullopt;
+    return sent->second.process;
 }
 
-bool on_pause_stated(state& dispatcher, upstream_key target_key,
+bool on_leaving_stated(state& dispatcher, process_id const& process)
+{
+    bool const is_news = record_leaving(dispatcher.words, process);
+    if (upstream* const target = find_latest(dispatcher, process))
+        target->record.is_leaving = true;
+    return is_news;
+}
+
+bool on_pause_stated(state& dispatcher, process_id const& process,
                      std::chrono::milliseconds pause, mono_time now)
 {
-    upstream* const target = find(dispatcher, target_key);
-    if (target == nullptr || pause.count() == 0)
+    if (pause.count() == 0)
         return false;
-    bool const is_news = target->paused_until <= now;
-    target->paused_until = std::max(target->paused_until, now + pause);
+    bool const is_news = record_pause(dispatcher.words, process, pause, now);
+    if (upstream* const target = find_latest(dispatcher, process))
+        target->paused_until = std::max(target->paused_until, now + pause);
     return is_news;
 }
 
+bool on_leaving_stated(state& dispatcher, upstream_key target_key)
+{
+    upstream const* const target = find(dispatcher, target_key);
+    return target != nullptr && on_leaving_stated(dispatcher, id_of(*target));
+}
+
+bool on_pause_stated(state& dispatcher, upstream_key target_key,
+                     std::chrono::milliseconds pause, mono_time now)
+{
+    upstream const* const target = find(dispatcher, target_key);
+    return target != nullptr &&
+           on_pause_stated(dispatcher, id_of(*target), pause, now);
+}
+
 limits::limit_change on_limit_statement(state& dispatcher,
                                         upstream_key target_key,
                                         limits::statement const& stated,
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -40,13 +40,26 @@
 /// upstream; what the one before states doesn't concern the latest.
 [[nodiscard]] bool is_at_latest_process(state const& dispatcher, call_key call);
 
-/// \brief An upstream states that it takes no new calls; holds until another
-/// process of it has started, whatever its record says.
+/// \brief The process that a call in flight was sent to; empty if the call is
+/// not in flight.
+[[nodiscard]] std::optional<process_id> process_of(state const& dispatcher,
+                                                   call_key call);
+
+/// \brief A process of an upstream states that it takes no new calls; holds for
+/// the rest of its life, whatever its record says and while it has none.
 /// \returns whether that is news
+bool on_leaving_stated(state& dispatcher, process_id const& process);
+
+/// \brief The same of the latest process of an upstream.
 bool on_leaving_stated(state& dispatcher, upstream_key target_key);
 
-/// \brief An upstream wants no calls from this process for some time.
+/// \brief A process of an upstream wants no calls from this gateway for some
+/// time; holds also if its record is removed and comes back.
 /// \returns whether it had not asked for a pause until now
+bool on_pause_stated(state& dispatcher, process_id const& process,
+                     std::chrono::milliseconds pause, mono_time now);
+
+/// \brief The same of the latest process of an upstream.
 bool on_pause_stated(state& dispatcher, upstream_key target_key,
                      std::chrono::milliseconds pause, mono_time now);
 
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -56,20 +56,14 @@
     end_call(state, key);
 }
 
-// What an upstream says of itself in the head of any answer.
-void apply_statements(gateway_state& state, active_call const& call,
-                      traffic::answer_head const& answer)
+// Holds for the process that answered, even if its record is gone or is that of
+// another process by now.
+void record_words(gateway_state& state, active_call const& call,
+                  dispatch::process_id const& process,
+                  traffic::answer_head const& answer)
 {
-    if (answer.weights && call.dispatch_call.model_prompt)
-        dispatch::on_weights_seen(state.dispatch, call.upstream_key,
-                                  call.dispatch_call.model_prompt->model,
-                                  *answer.weights);
-    // Only what is surely an answer of the upstream can end a limit.
-    if (answer.is_signed || answer.is_not_run ||
-        answer.limit.statement != traffic::limit_statement::none)
-        on_stated_limit(state, call.upstream_key, answer.limit);
     if (answer.is_leaving &&
-        dispatch::on_leaving_stated(state.dispatch, call.upstream_key))
+        dispatch::on_leaving_stated(state.dispatch, process))
         state.log->write(event_number::member_leaving, {},
                          {{"upstream", call.upstream}, {"source", "answer"}});
     if (answer.pause.is_malformed)
@@ -78,13 +72,27 @@
                          {{"key", call.upstream},
                           {"why", "pause of a refusal is malformed"}});
     if (answer.pause.duration &&
-        dispatch::on_pause_stated(state.dispatch, call.upstream_key,
+        dispatch::on_pause_stated(state.dispatch, process,
                                   *answer.pause.duration, mono_now()))
         state.log->write(event_number::upstream_paused, {},
                          {{"upstream", call.upstream},
                           {"pause_ms", answer.pause.duration->count()}});
 }
 
+// What else the latest process of an upstream says in the head of any answer.
+void apply_statements(gateway_state& state, active_call const& call,
+                      traffic::answer_head const& answer)
+{
+    if (answer.weights && call.dispatch_call.model_prompt)
+        dispatch::on_weights_seen(state.dispatch, call.upstream_key,
+                                  call.dispatch_call.model_prompt->model,
+                                  *answer.weights);
+    // Only what is surely an answer of the upstream can end a limit.
+    if (answer.is_signed || answer.is_not_run ||
+        answer.limit.statement != traffic::limit_statement::none)
+        on_stated_limit(state, call.upstream_key, answer.limit);
+}
+
 void on_head(gateway_state& state, dispatch::call_key key,
              http1::message_head const& head)
 {
@@ -97,7 +105,9 @@
                                 answer.other_upstream != call->upstream;
     if (is_misdirected)
         dispatch::on_misdirected(state.dispatch, call->upstream_key);
-    else if (dispatch::is_at_latest_process(state.dispatch, key))
+    else if (auto const process = dispatch::process_of(state.dispatch, key))
+        record_words(state, *call, *process, answer);
+    if (!is_misdirected && dispatch::is_at_latest_process(state.dispatch, key))
         apply_statements(state, *call, answer);
     bool const is_usable =
         answer.is_signed && !answer.is_encoded && !answer.is_not_run;
