--- a/jujubestand/gateway/part_stores.cpp
+++ b/jujubestand/gateway/part_stores.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/gateway/part_stores.hpp>
 
+#include <algorithm>
 #include <jujubestand/http1/text_call.hpp>
 #include <platform/calls.hpp>
 #include <platform/documents.hpp>
@@ -42,7 +43,8 @@
     if (watched.is_reachable)
         status::on_events(watched.cache, *events);
     else
-        watched.next_poll_at = mono_now() + pause_after_failure;
+        watched.next_poll_at =
+            std::max(watched.next_poll_at, mono_now() + pause_after_failure);
     if (was_alive != watched.is_reachable)
         state.log->write(watched.is_reachable
                              ? event_number::engine_reachable
@@ -51,6 +53,19 @@
     update_dispatch(state, name, watched);
 }
 
+// A store that refuses may want no requests from this gateway for some time.
+void on_head(gateway_state& state, std::string const& name,
+             http1::message_head const& head)
+{
+    auto const pause = platform::read_answer(head).pause.duration;
+    if (!pause)
+        return;
+    auto& watched = state.watched_stores[name];
+    watched.next_poll_at = std::max(watched.next_poll_at, mono_now() + *pause);
+    state.log->write(event_number::upstream_paused, {},
+                     {{"part_store", name}, {"pause_ms", pause->count()}});
+}
+
 void request_events(gateway_state& state, address const& where)
 {
     auto const name = to_text(where);
@@ -63,11 +78,16 @@
     auto request =
         platform::cache_events_request(where, watched.cache.next, events_wait);
     request.timeout = events_timeout;
-    http1::ask_for_text(*state.internal_client, std::move(request),
-                        [&state, name](std::optional<std::string> const& body)
-                        {
-                            on_events(state, name, body);
-                        });
+    http1::ask_for_text(
+        *state.internal_client, std::move(request),
+        [&state, name](std::optional<std::string> const& body)
+        {
+            on_events(state, name, body);
+        },
+        [&state, name](http1::message_head const& head)
+        {
+            on_head(state, name, head);
+        });
 }
 
 } // namespace
