--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/agent/call_limit.hpp>
+#include <jujubestand/agent/pauses.hpp>
 #include <jujubestand/agent/weights.hpp>
 
 namespace jujubestand::agent
@@ -68,6 +69,7 @@
     if (state.upstream != request.upstream ||
         state.upstream_incarnation != request.upstream_incarnation)
         forget_limit(state);
+    end_pause_of_process_before(state, request.upstream_incarnation);
     state.upstream = request.upstream;
     state.upstream_incarnation = request.upstream_incarnation;
     state.weights.pool_index = request.pool_index;
--- a/jujubestand/agent/engine.cpp
+++ b/jujubestand/agent/engine.cpp
@@ -2,6 +2,7 @@
 
 #include <jujubestand/agent/answers.hpp>
 #include <jujubestand/agent/call_limit.hpp>
+#include <jujubestand/agent/pauses.hpp>
 #include <jujubestand/agent/weights.hpp>
 #include <jujubestand/http1/text_call.hpp>
 #include <platform/calls.hpp>
@@ -71,20 +72,38 @@
         request_order_permit(state, now);
 }
 
+// Puts a request for the cache off to the end of a pause, if there is one.
+bool is_put_off(agent_state& state)
+{
+    auto const left = state.weights.paused_until - mono_now();
+    if (left <= microseconds{0})
+        return false;
+    state.cache_timer->start(
+        std::chrono::ceil<std::chrono::milliseconds>(left));
+    return true;
+}
+
 void list_cache(agent_state& state)
 {
+    if (is_put_off(state))
+        return;
     auto request = platform::cache_list_request(*state.settings.upstream);
     request.timeout = cache_poll_timeout;
-    http1::ask_for_text(*state.http_client, std::move(request),
-                        [&state](std::optional<std::string> const& body)
-                        {
-                            reason why;
-                            auto const list = platform::decode_cache_list(
-                                body.value_or(""), why);
-                            if (list)
-                                status::on_list(state.cache, *list);
-                            state.cache_timer->start(cache_retry_delay);
-                        });
+    http1::ask_for_text(
+        *state.http_client, std::move(request),
+        [&state](std::optional<std::string> const& body)
+        {
+            reason why;
+            auto const list =
+                platform::decode_cache_list(body.value_or(""), why);
+            if (list)
+                status::on_list(state.cache, *list);
+            state.cache_timer->start(cache_retry_delay);
+        },
+        [&state](http1::message_head const& head)
+        {
+            on_stated_pause(state, head);
+        });
 }
 
 void on_cache_events(agent_state& state, std::optional<std::string> const& body)
@@ -110,7 +129,7 @@
 
 void request_report(agent_state& state)
 {
-    if (state.is_report_in_flight)
+    if (state.is_report_in_flight || mono_now() < state.weights.paused_until)
         return;
     state.is_report_in_flight = true;
     state.report_requested_at = mono_now();
@@ -128,11 +147,14 @@
         [&state](http1::message_head const& head)
         {
             on_stated_limit(state, limit_source::report, head);
+            on_stated_pause(state, head);
         });
 }
 
 void request_cache_events(agent_state& state)
 {
+    if (is_put_off(state))
+        return;
     auto request = platform::cache_events_request(
         *state.settings.upstream, state.cache.next, cache_poll_timeout);
     request.timeout = 2 * cache_poll_timeout;
@@ -145,6 +167,7 @@
         [&state](http1::message_head const& head)
         {
             on_stated_limit(state, limit_source::cache_events, head);
+            on_stated_pause(state, head);
         });
 }
 
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -73,7 +73,7 @@
     /// False while the engine limits the calls that it takes and this agent
     /// has no permit.
     bool is_order_permitted = true;
-    /// The engine asked for no orders before this time.
+    /// The engine asked for no requests before this time.
     mono_time paused_until{};
     /// An order is due but for its permit.
     bool is_permit_awaited = false;
--- a/jujubestand/agent/state.hpp
+++ b/jujubestand/agent/state.hpp
@@ -49,6 +49,8 @@
     /// The engine's id and the start of its process, as gateways name them.
     std::string upstream;
     std::uint64_t upstream_incarnation = 0;
+    /// Latest start of the engine that a gateway has named.
+    std::uint64_t latest_incarnation = 0;
     /// Calls a second that the engine takes from all instances together.
     std::optional<limits::upstream_limit> limit;
     /// Kind of the answers that named the limit.
--- a/jujubestand/agent/weights.cpp
+++ b/jujubestand/agent/weights.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/agent/weights.hpp>
 
 #include <jujubestand/agent/call_limit.hpp>
+#include <jujubestand/agent/pauses.hpp>
 #include <platform/calls.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
@@ -131,9 +132,7 @@
     {
         *status = head.status;
         on_stated_limit(state, limit_source::order, head);
-        auto const pause = platform::read_answer(head).pause.duration;
-        state.weights.paused_until =
-            mono_now() + pause.value_or(std::chrono::milliseconds{0});
+        on_stated_pause(state, head);
     };
     events.on_body = [](std::string_view) {};
     events.on_end = [&state, load_order, status](http1::call_end const&)
