--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -60,7 +60,8 @@
     count_send(dispatcher, target, now);
     open_send in_flight;
     in_flight.upstream = chosen.upstream;
-    in_flight.process = {target.record.id, target.record.born_ms};
+    in_flight.process = latest_process(
+        dispatcher.words, {target.record.id, target.record.born_ms});
     in_flight.sent_at = now;
     in_flight.prefill_tokens = chosen.prefill_tokens;
     in_flight.memory_tokens = chosen.memory_tokens;
--- a/jujubestand/dispatch/process_words.cpp
+++ b/jujubestand/dispatch/process_words.cpp
@@ -1,6 +1,8 @@
 #include <jujubestand/dispatch/process_words.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace jujubestand::dispatch
@@ -35,6 +37,21 @@
 
 } // namespace
 
+void record_process(words_table& table, process_id const& process)
+{
+    row_of(table, process);
+}
+
+process_id latest_process(words_table const& table, process_id const& named)
+{
+    constexpr auto after_all = std::numeric_limits<std::uint64_t>::max();
+    auto const next = table.rows.upper_bound({named.upstream, after_all});
+    if (next == table.rows.begin())
+        return named;
+    auto const& last = std::prev(next)->first;
+    return last.upstream == named.upstream ? std::max(last, named) : named;
+}
+
 process_words find_words(words_table const& table, process_id const& process)
 {
     auto const found = table.rows.find(process);
--- a/jujubestand/dispatch/process_words.hpp
+++ b/jujubestand/dispatch/process_words.hpp
@@ -27,18 +27,26 @@
     bool is_leaving = false;
     /// It asked this gateway for no calls before this time.
     mono_time paused_until{};
-    /// Position in the order in which processes first stated something.
+    /// Position in the order in which processes became known.
     std::uint64_t number = 0;
 };
 
-/// \brief Statements of processes. They outlive the processes' records, which
-/// may be removed and come back.
+/// \brief Processes and their statements. They outlive the processes' records,
+/// which may be removed and come back.
 struct words_table
 {
     std::map<process_id, process_words> rows;
     std::uint64_t last_number = 0;
 };
 
+/// \brief Records that a process has been named by a record of its upstream.
+void record_process(words_table& table, process_id const& process);
+
+/// \brief The latest process of an upstream that is known; an older record may
+/// come from an older copy of the store.
+[[nodiscard]] process_id latest_process(words_table const& table,
+                                        process_id const& named);
+
 /// \brief What a process has stated; nothing if it is not known.
 [[nodiscard]] process_words find_words(words_table const& table,
                                        process_id const& process);
--- a/jujubestand/dispatch/test/pauses_test.cpp
+++ b/jujubestand/dispatch/test/pauses_test.cpp
@@ -110,6 +110,22 @@
     EXPECT_EQ(available_count(dispatcher, "engines", at(3'001)), 1U);
 }
 
+// A pause that the process that runs asked for while an older record of its
+// upstream was in force ended with that record (BUDGET).
+TEST(pauses, a_pause_is_of_the_latest_process_whatever_the_record)
+{
+    auto dispatcher = fleet(1);
+    auto restarted = engine_record(1);
+    restarted.born_ms = 2;
+    on_upstream_record(dispatcher, restarted);
+    on_upstream_removed(dispatcher, "e1");
+    on_upstream_record(dispatcher, engine_record(1));
+    pause(dispatcher, 1, 3'000, 0);
+    on_upstream_record(dispatcher, restarted);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(2'999)), 0U);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(3'001)), 1U);
+}
+
 // Calls waited until their deadline for a pool that paused.
 TEST(pauses, a_call_is_refused_if_the_whole_pool_pauses_for_too_long)
 {
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -119,20 +119,24 @@
                  now + std::chrono::duration_cast<microseconds>(interval));
 }
 
-process_id id_of(upstream const& target)
+// The latest process of an upstream, though its record may be older.
+process_id id_of(state const& dispatcher, upstream const& target)
 {
-    return {target.record.id, target.record.born_ms};
+    return latest_process(dispatcher.words,
+                          {target.record.id, target.record.born_ms});
 }
 
-// A record may be the first of its process here, or come back.
+// A record may be the first of its process here, come back, or come from an
+// older copy of the store.
 void apply_words(state& dispatcher, upstream& target)
 {
-    auto const process = id_of(target);
+    process_id const named{target.record.id, target.record.born_ms};
+    record_process(dispatcher.words, named);
     if (target.record.is_leaving)
-        record_leaving(dispatcher.words, process);
-    auto const words = find_words(dispatcher.words, process);
+        record_leaving(dispatcher.words, named);
+    auto const words = find_words(dispatcher.words, id_of(dispatcher, target));
     target.record.is_leaving = target.record.is_leaving || words.is_leaving;
-    target.paused_until = std::max(target.paused_until, words.paused_until);
+    target.paused_until = words.paused_until;
 }
 
 // The upstream whose latest process this is.
@@ -142,7 +146,7 @@
     if (known == dispatcher.keys_by_id.end())
         return nullptr;
     upstream* const target = find(dispatcher, known->second);
-    return target->record.born_ms == process.born_ms ? target : nullptr;
+    return id_of(dispatcher, *target) == process ? target : nullptr;
 }
 
 // Two upstreams can't share an address: the one that started later owns it.
@@ -175,10 +179,6 @@
     }
     bool const is_restarted =
         !is_new && record.born_ms != target.record.born_ms;
-    // A record of a process before the latest comes from an older copy of the
-    // store; the latest still runs.
-    bool const has_next_process =
-        is_restarted && record.born_ms > target.record.born_ms;
     if (is_restarted)
     {
         target.versions.clear();
@@ -191,15 +191,10 @@
         target.limit.reset();
         target.sends = {};
     }
-    if (has_next_process)
-        target.paused_until = mono_time{};
     if (is_new)
         mark_replaced(dispatcher, target, record);
-    // An upstream that is leaving keeps that state until its process restarts.
-    bool const was_leaving = target.record.is_leaving && !has_next_process;
     target.record = record;
     apply_words(dispatcher, target);
-    target.record.is_leaving = target.record.is_leaving || was_leaving;
     for (auto const& [model, version] : record.versions)
         raise_version(target.versions, model, version);
     return is_new;
@@ -265,7 +260,7 @@
         return false;
     auto const target = dispatcher.upstreams.find(sent->second.upstream);
     return target != dispatcher.upstreams.end() &&
-           target->second.record.born_ms == sent->second.process.born_ms;
+           id_of(dispatcher, target->second) == sent->second.process;
 }
 
 std::optional<process_id> process_of(state const& dispatcher, call_key call)
@@ -298,7 +293,8 @@
 bool on_leaving_stated(state& dispatcher, upstream_key target_key)
 {
     upstream const* const target = find(dispatcher, target_key);
-    return target != nullptr && on_leaving_stated(dispatcher, id_of(*target));
+    return target != nullptr &&
+           on_leaving_stated(dispatcher, id_of(dispatcher, *target));
 }
 
 bool on_pause_stated(state& dispatcher, upstream_key target_key,
@@ -306,7 +302,7 @@
 {
     upstream const* const target = find(dispatcher, target_key);
     return target != nullptr &&
-           on_pause_stated(dispatcher, id_of(*target), pause, now);
+           on_pause_stated(dispatcher, id_of(dispatcher, *target), pause, now);
 }
 
 limits::limit_change on_limit_statement(state& dispatcher,
