--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/agent/call_limit.hpp>
 #include <jujubestand/agent/origins.hpp>
+#include <jujubestand/agent/pauses.hpp>
 #include <jujubestand/agent/weights.hpp>
 
 namespace jujubestand::agent
@@ -69,6 +70,7 @@
     if (state.upstream != request.upstream ||
         state.upstream_incarnation != request.upstream_incarnation)
         forget_limit(state);
+    end_pause_of_process_before(state, request.upstream_incarnation);
     state.upstream = request.upstream;
     state.upstream_incarnation = request.upstream_incarnation;
     state.weights.pool_index = request.pool_index;
