--- /dev/null
+++ b/programs/test/crashing_calls_test.cpp
@@ -0,0 +1,303 @@
+#include <algorithm>
+#include <programs/test/gateways_fixture.hpp>
+#include <random>
+#include <standins/service/crashing_service.hpp>
+
+// A call to plain services ends each one that runs it, and is sent again and
+// again by its callers, at any gateway. Services come back under other ids.
+namespace jujubestand::programs::test
+{
+
+namespace
+{
+
+constexpr char const* crashing_path = "/status/bad";
+
+/// What callers and services do.
+struct call_play
+{
+    standins::service_crash crash{crashing_path};
+    /// From the end of a service to its return.
+    milliseconds down_time{1'200};
+    /// From the end of a service to that of its record.
+    milliseconds lapse_time{0};
+    /// Callers that send the call at the same time.
+    std::size_t callers = 1;
+    milliseconds interval{150};
+    /// How long a caller waits for its answer; zero: for as long as it takes.
+    milliseconds patience{0};
+    /// Kills a gateway at this many ends, and starts it again; zero: never.
+    std::size_t killed_at_end = 0;
+};
+
+class crashing_calls : public gateways_test
+{
+protected:
+    // The bounds of the rule: so long after the third end, no more calls.
+    static constexpr std::size_t ends_allowed = 3;
+    static constexpr milliseconds contact{3'000};
+    static constexpr double served_min = 0.9;
+
+    struct sound_call
+    {
+        mono_time sent_at{};
+        answer_ptr answer;
+    };
+
+    void start(std::size_t gateway_count, std::size_t service_count)
+    {
+        this->start_gateways(gateway_count);
+        this->add_engine("v1", near);
+        for (std::size_t number = 0; number < service_count; ++number)
+            this->add_fragile_service(number);
+        this->wait_ready();
+    }
+
+    /// \brief Sends calls of both kinds for some time.
+    void play(milliseconds duration)
+    {
+        auto const end = mono_now() + duration;
+        auto next_crashing = mono_now();
+        while (mono_now() < end)
+        {
+            if (mono_now() >= next_crashing)
+            {
+                for (std::size_t left = this->rules.callers; left > 0; --left)
+                    this->send_crashing();
+                next_crashing += this->rules.interval;
+            }
+            this->restart_killed();
+            this->send_sound();
+            this->run_until(
+                []
+                {
+                    return false;
+                },
+                sound_interval);
+        }
+    }
+
+    /// \brief Checks that the call was sent no more after the third end, that
+    /// sound calls were served then, and none of them refused as crashing.
+    void expect_bounds()
+    {
+        ASSERT_GE(this->ends.size(), ends_allowed);
+        std::cout << "ends " << this->ends.size() << " arrivals "
+                  << this->arrivals.size() << '\n';
+        auto const counted = this->ends[ends_allowed - 1] + contact;
+        EXPECT_EQ(std::count_if(this->arrivals.begin(), this->arrivals.end(),
+                                [counted](mono_time at)
+                                {
+                                    return at > counted;
+                                }),
+                  0);
+        EXPECT_GE(this->served_after(counted), served_min);
+        EXPECT_EQ(this->sound_refused_as_crashing(), 0);
+    }
+
+    call_play rules;
+    std::vector<mono_time> ends;
+    std::vector<mono_time> arrivals;
+
+private:
+    static constexpr unsigned seed = 20261205;
+    static constexpr std::size_t first_service = 200;
+    static constexpr milliseconds sound_interval{15};
+
+    void add_fragile_service(std::size_t number)
+    {
+        if (this->services.size() <= number)
+            this->services.resize(number + 1);
+        auto const id = "book-" + std::to_string(++this->services_started);
+        standins::crash_events events;
+        events.arrived = [this](std::string const& path)
+        {
+            if (path == crashing_path)
+                this->arrivals.push_back(mono_now());
+        };
+        events.ended = [this, number, id]
+        {
+            this->ends.push_back(mono_now());
+            this->later.run(milliseconds{0},
+                            [this, number, id]
+                            {
+                                this->end_service(number, id);
+                            });
+        };
+        this->services[number] = std::make_unique<standins::crashing_service>(
+            this->base.get(), address{host(first_service + number), 0},
+            this->rules.crash, events);
+        this->add_service(id, this->services[number]->bound());
+    }
+
+    void end_service(std::size_t number, std::string const& id)
+    {
+        if (this->rules.crash.end != standins::service_end::silence)
+            this->services[number].reset();
+        this->later.run(this->rules.lapse_time,
+                        [this, id]
+                        {
+                            this->store.put("keyed.servers", id, "");
+                        });
+        this->later.run(this->rules.down_time,
+                        [this, number]
+                        {
+                            this->services[number].reset();
+                            this->add_fragile_service(number);
+                        });
+    }
+
+    void restart_killed()
+    {
+        if (this->rules.killed_at_end == 0 || this->was_killed ||
+            this->ends.size() < this->rules.killed_at_end)
+            return;
+        this->was_killed = true;
+        this->restart_gateway(0);
+    }
+
+    std::size_t any_gateway()
+    {
+        return this->random() % this->gateways.size();
+    }
+
+    void send_crashing()
+    {
+        stream_call call{"bad-" + std::to_string(++this->calls), "", ""};
+        call.target = crashing_path;
+        auto const answer = this->ask(this->any_gateway(), call);
+        if (this->rules.patience.count() == 0)
+            return;
+        this->later.run(this->rules.patience,
+                        [this, answer]
+                        {
+                            if (!answer->end)
+                                this->caller.cancel(answer->call);
+                        });
+    }
+
+    void send_sound()
+    {
+        stream_call call{"good-" + std::to_string(++this->calls), "", ""};
+        call.target = "/status/good-" + std::to_string(this->calls);
+        this->sound.push_back(
+            {mono_now(), this->ask(this->any_gateway(), call)});
+    }
+
+    [[nodiscard]] double served_after(mono_time time) const
+    {
+        double sent = 0;
+        double served = 0;
+        for (auto const& call : this->sound)
+        {
+            if (call.sent_at < time || !call.answer->end)
+                continue;
+            ++sent;
+            served += call.answer->status == HTTP_OK ? 1 : 0;
+        }
+        return sent == 0 ? 0 : served / sent;
+    }
+
+    [[nodiscard]] std::ptrdiff_t sound_refused_as_crashing() const
+    {
+        return std::count_if(this->sound.begin(), this->sound.end(),
+                             [](sound_call const& call)
+                             {
+                                 return call.answer->body.find("quarantined") !=
+                                        std::string::npos;
+                             });
+    }
+
+    std::mt19937 random{seed};
+    std::size_t calls = 0;
+    std::size_t services_started = 0;
+    bool was_killed = false;
+    std::vector<sound_call> sound;
+    std::vector<std::unique_ptr<standins::crashing_service>> services;
+    standins::delays later{this->base.get()};
+};
+
+/// One way for services to end.
+struct end_kind
+{
+    char const* name;
+    standins::service_end end;
+};
+
+// For the names of failed tests.
+std::ostream& operator<<(std::ostream& out, end_kind const& kind)
+{
+    return out << kind.name;
+}
+
+class call_ends : public crashing_calls,
+                  public testing::WithParamInterface<end_kind>
+{
+};
+
+constexpr std::array<end_kind, 4> end_kinds{{
+    {"close", standins::service_end::close},
+    {"half_answer", standins::service_end::half_answer},
+    {"half_unframed_answer", standins::service_end::half_unframed},
+    {"silence", standins::service_end::silence},
+}};
+
+std::string name_of(testing::TestParamInfo<end_kind> const& info)
+{
+    return info.param.name;
+}
+
+} // namespace
+
+// Three services that one call ended at the same time counted as one, as if a
+// rack had failed, so that those that came back were ended as well (BUDGET).
+TEST_F(crashing_calls, three_services_ended_at_once_are_enough)
+{
+    this->rules.callers = 3;
+    this->rules.lapse_time = milliseconds{2'500};
+    this->rules.down_time = milliseconds{3'300};
+    this->start(2, 3);
+    this->play(milliseconds{9'000});
+    this->expect_bounds();
+}
+
+// However callers saw services end, the call went on to the next ones (BUDGET).
+TEST_P(call_ends, the_call_is_refused_and_no_other)
+{
+    this->rules.crash.end = this->GetParam().end;
+    if (this->rules.crash.end == standins::service_end::silence)
+    {
+        this->rules.patience = milliseconds{1'000};
+        this->rules.lapse_time = milliseconds{2'500};
+        this->rules.down_time = milliseconds{3'000};
+    }
+    this->start(2, 6);
+    this->play(milliseconds{9'000});
+    this->expect_bounds();
+}
+
+INSTANTIATE_TEST_SUITE_P(services_end, call_ends, testing::ValuesIn(end_kinds),
+                         name_of);
+
+// A gateway that was killed took what it knew along (BUDGET).
+TEST_F(crashing_calls, the_call_is_refused_though_a_gateway_is_killed)
+{
+    this->rules.killed_at_end = 2;
+    this->start(2, 6);
+    this->play(milliseconds{7'000});
+    this->expect_bounds();
+}
+
+// Gateways that were all restarted together had forgotten the call (BUDGET).
+TEST_F(crashing_calls, the_call_is_known_after_all_gateways_restart)
+{
+    this->start(2, 6);
+    this->play(milliseconds{5'000});
+    ASSERT_GE(this->ends.size(), ends_allowed);
+    this->restart_gateways();
+    this->wait_ready();
+    this->play(milliseconds{3'000});
+    this->expect_bounds();
+}
+
+} // namespace jujubestand::programs::test
