Count each upstream that ended under a whole request (BUDGET)

Seen by services of the users: a call under which three of them had ended was sent to those that came back, 6 to 20 times more.

Cause: upstreams that end within 50 ms count once, since a rack may have failed. Three services that one call ended at 5.210, 5.239 and 5.296 s were two events, and a culprit needs three.

Change: for a whole request each end counts, unless most of the upstreams that ended together did not run it, as in a rack that fails. Parts are judged as before: many sound requests share one.

--- a/jujubestand/quarantine/suspects.cpp
+++ b/jujubestand/quarantine/suspects.cpp
@@ -266,15 +266,34 @@
     return result;
 }
 
+bool was_at_most_of(crash_analysis const& of, crash_event const& event)
+{
+    auto const together = static_cast<std::size_t>(
+        std::count_if(of.sizes.begin(), of.sizes.end(),
+                      [&](auto const& row)
+                      {
+                          return is_of_event(of, event, row.first, row.second);
+                      }));
+    return 2 * event.size() >= together;
+}
+
+// Upstreams that end together count once, since a rack may have failed. Copies
+// of one whole request were at most of them by no chance.
+bool counts_each_crash(crash_analysis const& of, crash_event const& event)
+{
+    return event.front().depth == whole_request_depth &&
+           was_at_most_of(of, event);
+}
+
 void add_event(crash_analysis const& of, suspect& to, crash_event const& event)
 {
-    bool is_unexplained = false;
+    std::size_t unexplained = 0;
     bool has_begun = false;
     for (auto const& recorded : event)
     {
         if (explanation_of(of, key_of(recorded)) == explanation::none)
         {
-            is_unexplained = true;
+            ++unexplained;
             to.unexplained_keys.insert(key_of(recorded));
         }
         has_begun = has_begun || is_begun(of, recorded);
@@ -283,8 +302,10 @@
     if (to.crashes == 0)
         to.first_crash_ms = event.front().at_ms;
     to.last_crash_ms = event.front().at_ms;
-    ++to.crashes;
-    to.unexplained += is_unexplained ? 1 : 0;
+    bool const counts_each = counts_each_crash(of, event);
+    to.crashes += counts_each ? event.size() : 1;
+    to.unexplained +=
+        counts_each ? unexplained : std::min<std::size_t>(unexplained, 1);
     to.begun += has_begun ? 1 : 0;
     to.surprise += surprise_of(of, event);
 }
--- a/jujubestand/quarantine/suspects.hpp
+++ b/jujubestand/quarantine/suspects.hpp
@@ -30,7 +30,8 @@
     std::int64_t answered_at_ms = 0;
     std::int64_t first_crash_ms = 0;
     std::int64_t last_crash_ms = 0;
-    /// Crashes that no part explains; engines that crashed together count once.
+    /// Crashes that no part explains. Engines that crashed together count once,
+    /// but each counts for a whole request that most of them had.
     std::size_t crashes = 0;
     /// Those of them that nothing explains.
     std::size_t unexplained = 0;
--- a/jujubestand/quarantine/test/evidence_events_test.cpp
+++ b/jujubestand/quarantine/test/evidence_events_test.cpp
@@ -68,4 +68,40 @@
     EXPECT_EQ(all.judged(1), only(crashing_part));
 }
 
+// Copies of one request ended three services within 90 ms, two of them within
+// 30 ms; these counted as one, so that the request was sent on (BUDGET).
+TEST(evidence, a_request_that_ends_three_upstreams_at_once_is_a_culprit)
+{
+    group all(2);
+    auto const keys = std::vector{whole_request(500)};
+    for (auto const after : {30, 57, 300})
+    {
+        auto const service = all.next_engine();
+        all.cut(0, service, keys, false);
+        all.cut(1, service, {whole_request(all.next_request++)}, false);
+        all.lose_engine();
+        all.now += milliseconds{after};
+    }
+    EXPECT_EQ(all.judged(1),
+              std::vector<digest>{whole_request(500).fingerprint});
+}
+
+// A rack that fails ends what it runs: copies of a sound request were at three
+// of its ten upstreams (LOST).
+TEST(evidence, a_request_at_some_upstreams_of_a_rack_is_no_culprit)
+{
+    constexpr int upstreams = 10;
+    group all(2);
+    for (int number = 0; number < upstreams; ++number)
+    {
+        auto const service = all.next_engine();
+        if (number < 3)
+            all.cut(0, service, {whole_request(500)}, false);
+        all.cut(1, service, {whole_request(all.next_request++)}, false);
+        all.lose_engine();
+    }
+    all.now += milliseconds{300};
+    EXPECT_TRUE(all.judged(1).empty());
+}
+
 } // namespace jujubestand::quarantine
