Refuse all whole requests under which three upstreams ended (BUDGET)

Seen by plain services: two calls that had been at the same three services, one of which ended them, were both sent on until six had ended.

Cause: suspects that nothing tells apart wait for more crashes, whole requests as well. A sound call that is cut and sent again beside a crashing one is in the same crashes.

Ruled out: choosing one of them; chosen wrongly, the other goes on for two ends more.

Change: parts still wait; whole requests don't. A sound one is refused with it, which costs its caller alone; an answer clears strikes as before.

--- a/jujubestand/quarantine/culprits.cpp
+++ b/jujubestand/quarantine/culprits.cpp
@@ -106,8 +106,8 @@
     return is_alone ? &*most : nullptr;
 }
 
-std::optional<digest> find_culprit(crash_analysis const& of,
-                                   std::set<digest> const& known)
+std::vector<suspect> convincing_suspects(crash_analysis const& of,
+                                         std::set<digest> const& known)
 {
     std::vector<suspect> suspects;
     for (auto const& [fingerprint, entry] : of.evidence.strikes.entries)
@@ -121,14 +121,35 @@
         if (is_convincing(of, suspected))
             suspects.push_back(std::move(suspected));
     }
+    return suspects;
+}
+
+std::vector<digest> whole_requests_among(std::vector<suspect> const& suspects)
+{
+    std::vector<digest> result;
+    for (auto const& suspected : suspects)
+    {
+        if (is_whole_request(suspected))
+            result.push_back(suspected.fingerprint);
+    }
+    return result;
+}
+
+// Where nothing tells suspects apart, parts wait for more crashes. Whole
+// requests don't: each further send may end one upstream more, and refusing a
+// sound one as well costs its caller alone.
+std::vector<digest> strongest_culprits(crash_analysis const& of,
+                                       std::set<digest> const& known)
+{
+    auto const suspects = convincing_suspects(of, known);
     if (suspects.empty())
-        return std::nullopt;
+        return {};
     auto const& part =
         *std::min_element(suspects.begin(), suspects.end(), is_stronger_part);
     if (is_ambiguous(part, suspects, of.options))
-        return std::nullopt;
+        return whole_requests_among(suspects);
     auto const* const whole = whole_request_of(suspects, part);
-    return whole != nullptr ? whole->fingerprint : part.fingerprint;
+    return {whole != nullptr ? whole->fingerprint : part.fingerprint};
 }
 
 } // namespace
@@ -139,13 +160,15 @@
 {
     std::vector<digest> result;
     auto all = known;
-    while (auto const found =
-               find_culprit(make_analysis(evidence, all, options, now), all))
+    for (;;)
     {
-        result.push_back(*found);
-        all.insert(*found);
+        auto const found =
+            strongest_culprits(make_analysis(evidence, all, options, now), all);
+        if (found.empty())
+            return result;
+        result.insert(result.end(), found.begin(), found.end());
+        all.insert(found.begin(), found.end());
     }
-    return result;
 }
 
 } // namespace jujubestand::quarantine
--- a/jujubestand/quarantine/test/evidence_events_test.cpp
+++ b/jujubestand/quarantine/test/evidence_events_test.cpp
@@ -104,4 +104,19 @@
     EXPECT_TRUE(all.judged(1).empty());
 }
 
+// Two requests, one of them sound, were at the same three upstreams: nothing
+// tells them apart, and both were sent on until six had ended (BUDGET).
+TEST(evidence, requests_in_the_same_three_ends_are_culprits_both)
+{
+    group all(2);
+    for (int end = 0; end < 3; ++end)
+    {
+        auto const service = all.next_engine();
+        all.cut(0, service, {whole_request(500)}, false);
+        all.cut(1, service, {whole_request(501)}, false);
+        all.settle(upstream_condition::lost);
+    }
+    EXPECT_EQ(all.judged(1).size(), 2U);
+}
+
 } // namespace jujubestand::quarantine
