--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/gateway/apply_records.hpp>
 
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/record_age.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
@@ -116,6 +117,7 @@
         auto const& record = state.dispatch.upstreams.at(known->second).record;
         record_software(state.origins, record.pool, record.software_version,
                         mono_now());
+        record_upstream_end(state, known->second);
     }
     dispatch::on_upstream_removed(state.dispatch, id);
     state.log->write(event_number::member_gone, {}, {{"upstream", id}});
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -226,6 +226,8 @@
     state.log->write(event_number::caller_closed,
                      call.caller_request.request_id,
                      {{"upstream", call.upstream}});
+    if (call.upstream_call != http1::call_id{})
+        record_unanswered(state, call);
     state.upstream_client->cancel(call.upstream_call);
     dispatch::on_send_end(state.dispatch, key,
                           dispatch::send_outcome::cancelled, mono_now());
--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -93,6 +93,12 @@
     return {upstream_condition::alive, wall_now() - age};
 }
 
+// Nothing reports on it, so that it may be lost without a sign.
+bool is_unwatched(dispatch::upstream const& target)
+{
+    return !target.load && !target.is_replaced;
+}
+
 void log_strikes(gateway_state& state, quarantine::notice const& news)
 {
     if (news.strikes.empty())
@@ -281,6 +287,28 @@
     record_answer(state, call);
 }
 
+void record_unanswered(gateway_state& state, active_call const& call)
+{
+    auto const target = state.dispatch.upstreams.find(call.upstream_key);
+    if (call.has_survived || target == state.dispatch.upstreams.end() ||
+        !is_unwatched(target->second) || target->second.record.is_leaving)
+        return;
+    quarantine::on_cut(state.crashes.evidence, call.upstream_key,
+                       upstream_id{call.upstream},
+                       incarnation_id{target->second.record.born_ms},
+                       call.suspect_keys, stage_of(call), wall_now());
+}
+
+void record_upstream_end(gateway_state& state, dispatch::upstream_key key)
+{
+    for (auto const& [call_key, call] : state.active_calls)
+    {
+        if (call.upstream_key == key && call.upstream_call != http1::call_id{})
+            record_unanswered(state, call);
+    }
+    settle(state, key, {quarantine::upstream_condition::lost});
+}
+
 void record_attempt(gateway_state& state, active_call const& call,
                     dispatch::send_outcome outcome, http1::call_end const& end)
 {
@@ -292,6 +320,11 @@
     if (call.has_survived || target == state.dispatch.upstreams.end())
         return;
     incarnation_id const incarnation{target->second.record.born_ms};
+    if (end.is_complete && !ends_by_close(call) && is_unwatched(target->second))
+        settle(state, call.upstream_key,
+               {quarantine::upstream_condition::alive, wall_now()});
+    if (end.why.code == reason_code::upstream_timeout)
+        record_unanswered(state, call);
     if (outcome == send_outcome::served &&
         is_success(call.response_head.status))
         record_whole_answer(state, call, incarnation);
--- a/jujubestand/gateway/crashes.hpp
+++ b/jujubestand/gateway/crashes.hpp
@@ -26,6 +26,15 @@
 void record_attempt(gateway_state& state, active_call const& call,
                     dispatch::send_outcome outcome, http1::call_end const& end);
 
+/// \brief Records that a call ended without an answer, by its caller or its
+/// deadline. It is evidence if its upstream, on which nothing reports, turns
+/// out to be lost.
+void record_unanswered(gateway_state& state, active_call const& call);
+
+/// \brief Records that an upstream's process is gone, by its record; before
+/// the record changes.
+void record_upstream_end(gateway_state& state, dispatch::upstream_key key);
+
 /// \brief Refuses a call that is known to crash upstreams.
 /// \returns whether the call was refused, and has ended
 bool refuse_quarantined(gateway_state& state, dispatch::call_key key);
