Count the end of a service that is back under its id (BUDGET)

Seen by services that start again at once under the id that they had, with few calls: 15 of them ended under one call, 6 sends later than 3 s after the third.

Cause: a broken connection counts once its upstream is lost: its record goes, or a connection is refused. A record that names a later process did neither.

Change: such a record settles what is suspected of the process before.

--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -136,9 +136,13 @@
     record_software(state.origins, record->pool, record->software_version,
                     mono_now());
     auto const known = state.dispatch.keys_by_id.find(record->id);
+    bool const is_known = known != state.dispatch.keys_by_id.end();
     bool const was_leaving =
-        known != state.dispatch.keys_by_id.end() &&
+        is_known &&
         state.dispatch.upstreams.at(known->second).record.is_leaving;
+    if (is_known && state.dispatch.upstreams.at(known->second).record.born_ms <
+                        record->born_ms)
+        record_upstream_end(state, known->second);
     bool const is_new = dispatch::on_upstream_record(state.dispatch, *record);
     if (is_new)
         state.log->write(event_number::member_live, {},
--- a/programs/test/crashing_calls_test.cpp
+++ b/programs/test/crashing_calls_test.cpp
@@ -24,10 +24,13 @@
     /// Callers that send the call at the same time.
     std::size_t callers = 1;
     milliseconds interval{150};
+    milliseconds sound_interval{15};
     /// How long a caller waits for its answer; zero: for as long as it takes.
     milliseconds patience{0};
     /// Kills a gateway at this many ends, and starts it again; zero: never.
     std::size_t killed_at_end = 0;
+    /// Services come back under the ids that they had.
+    bool keeps_ids = false;
 };
 
 class crashing_calls : public gateways_test
@@ -73,7 +76,7 @@
                 {
                     return false;
                 },
-                sound_interval);
+                this->rules.sound_interval);
         }
     }
 
@@ -102,13 +105,15 @@
 private:
     static constexpr unsigned seed = 20261205;
     static constexpr std::size_t first_service = 200;
-    static constexpr milliseconds sound_interval{15};
 
     void add_fragile_service(std::size_t number)
     {
         if (this->services.size() <= number)
             this->services.resize(number + 1);
-        auto const id = "book-" + std::to_string(++this->services_started);
+        ++this->services_started;
+        auto const id = "book-" + std::to_string(this->rules.keeps_ids
+                                                     ? number
+                                                     : this->services_started);
         standins::crash_events events;
         events.arrived = [this](std::string const& path)
         {
@@ -127,18 +132,20 @@
         this->services[number] = std::make_unique<standins::crashing_service>(
             this->base.get(), address{host(first_service + number), 0},
             this->rules.crash, events);
-        this->add_service(id, this->services[number]->bound());
+        this->add_service(id, this->services[number]->bound(),
+                          this->services_started);
     }
 
     void end_service(std::size_t number, std::string const& id)
     {
         if (this->rules.crash.end != standins::service_end::silence)
             this->services[number].reset();
-        this->later.run(this->rules.lapse_time,
-                        [this, id]
-                        {
-                            this->store.put("keyed.servers", id, "");
-                        });
+        if (!this->rules.keeps_ids)
+            this->later.run(this->rules.lapse_time,
+                            [this, id]
+                            {
+                                this->store.put("keyed.servers", id, "");
+                            });
         this->later.run(this->rules.down_time,
                         [this, number]
                         {
@@ -279,6 +286,19 @@
 INSTANTIATE_TEST_SUITE_P(services_end, call_ends, testing::ValuesIn(end_kinds),
                          name_of);
 
+// Services that were back before their records lapsed had never ended, for
+// gateways that were refused no connection meanwhile (BUDGET).
+TEST_F(crashing_calls, services_that_are_back_at_once_have_ended)
+{
+    this->rules.keeps_ids = true;
+    this->rules.down_time = milliseconds{20};
+    this->rules.interval = milliseconds{1'500};
+    this->rules.sound_interval = this->rules.interval;
+    this->start(2, 6);
+    this->play(milliseconds{7'000});
+    this->expect_bounds();
+}
+
 // A gateway that was killed took what it knew along (BUDGET).
 TEST_F(crashing_calls, the_call_is_refused_though_a_gateway_is_killed)
 {
--- a/programs/test/engines_fixture.hpp
+++ b/programs/test/engines_fixture.hpp
@@ -179,10 +179,12 @@
     }
 
     /// \brief Registers a plain service.
-    void add_service(std::string const& id, address const& where)
+    /// \param starts how often it has started
+    void add_service(std::string const& id, address const& where,
+                     std::uint64_t starts = 0)
     {
         this->store.put("keyed.servers", id,
-                        service_record(where, ++this->sequence));
+                        service_record(where, ++this->sequence, starts));
     }
 
     void pause_all_after(std::uint64_t event)
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -109,12 +109,16 @@
 }
 
 /// \brief Record of a plain service.
-inline std::string service_record(address const& where, std::uint64_t sequence)
+/// \param starts how often it has started
+inline std::string service_record(address const& where, std::uint64_t sequence,
+                                  std::uint64_t starts = 0)
 {
-    return nlohmann::json{{"service", "books"}, {"address", to_text(where)},
-                          {"zone", near},       {"version", "v1"},
-                          {"slots", 6},         {"state", "ready"},
-                          {"born", 1'000},      {"sequence", sequence}}
+    constexpr std::uint64_t first_born_ms = 1'000;
+    return nlohmann::json{
+        {"service", "books"},   {"address", to_text(where)},
+        {"zone", near},         {"version", "v1"},
+        {"slots", 6},           {"state", "ready"},
+        {"sequence", sequence}, {"born", first_born_ms + starts}}
         .dump();
 }
 
