--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -99,6 +99,22 @@
     return !target.load && !target.is_replaced;
 }
 
+// The first few whole requests; their keys are those of culprits in the log.
+std::string whole_requests_text(std::vector<quarantine::strike> const& strikes)
+{
+    constexpr std::size_t keys_limit = 4;
+    std::string result;
+    std::size_t count = 0;
+    for (auto const& strike : strikes)
+    {
+        if (strike.depth != quarantine::whole_request_depth ||
+            count++ >= keys_limit)
+            continue;
+        result += (result.empty() ? "" : ",") + to_text(strike.fingerprint);
+    }
+    return result;
+}
+
 void log_strikes(gateway_state& state, quarantine::notice const& news)
 {
     if (news.strikes.empty())
@@ -110,7 +126,8 @@
         event_number::strike_recorded, {},
         {{"upstream", news.strikes.front().upstream.text},
          {"strikes", static_cast<std::int64_t>(news.strikes.size())},
-         {"begun", begun}});
+         {"begun", begun},
+         {"keys", whole_requests_text(news.strikes)}});
 }
 
 void settle(gateway_state& state, dispatch::upstream_key key,
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -308,7 +308,10 @@
          {"events", static_cast<std::int64_t>(call->events.response_events)},
          {"limit", to_text(call->response_head.limit)},
          {"why", why.text},
-         {"again", why_not == reason_code::none ? "yes" : to_name(why_not)}});
+         {"again", why_not == reason_code::none ? "yes" : to_name(why_not)},
+         {"key", outcome == dispatch::send_outcome::cut
+                     ? to_text(call->suspect_keys.back().fingerprint)
+                     : ""}});
     if (why_not == reason_code::none)
     {
         retry_call(state, key);
