--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -50,6 +50,19 @@
                        });
 }
 
+// The last group waits for the longest time, the others in the order of their
+// loads: engines that are always busy would otherwise all load together.
+std::chrono::milliseconds long_call_wait(rollout const& state)
+{
+    auto const last_group = (std::max<std::size_t>(state.pool_size, 1) - 1) /
+                            concurrent_loads(state);
+    auto const groups_after =
+        last_group - std::min(group_of(state), last_group);
+    return state.limits.long_call_wait_limit -
+           state.limits.group_interval *
+               static_cast<std::int64_t>(groups_after);
+}
+
 // Long calls get time to end before the engine stops accepting calls; those
 // that still run then are moved to another engine where allowed.
 bool is_waiting_for_long_calls(rollout const& state,
@@ -57,8 +70,7 @@
                                mono_time now)
 {
     return requested.is_age_known && has_long_call(state, now) &&
-           now < requested.requested_at.value_or(now) +
-                     state.limits.long_call_wait_limit;
+           now < requested.requested_at.value_or(now) + long_call_wait(state);
 }
 
 // Calls that were sent before the notice may still be queued or in prefill.
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -29,8 +29,8 @@
     /// A call that runs for longer than this is a long call: a load waits for
     /// its end, and gateways keep sending calls in the meantime.
     std::chrono::milliseconds long_call_min{600};
-    /// A load stops waiting for long calls this long after the operator
-    /// requested the version.
+    /// The last group of engines stops waiting for long calls this long after
+    /// the operator requested the version.
     std::chrono::milliseconds long_call_wait_limit{2'600};
     /// The engine rejects calls that are queued or in prefill when an order
     /// arrives; the order is delayed for them by at most this long.
--- a/jujubestand/agent/test/rollout_test.cpp
+++ b/jujubestand/agent/test/rollout_test.cpp
@@ -58,6 +58,28 @@
         EXPECT_EQ(count, 4);
 }
 
+// Busy engines all waited for their long calls until one and the same time, and
+// then loaded together: for seconds no engine took calls, and those that waited
+// were sent to the first ones back all at once (GONE).
+TEST(rollout, engines_with_long_calls_load_a_few_at_a_time)
+{
+    std::map<int, int> starts;
+    for (std::size_t index = 0; index < 20; ++index)
+    {
+        auto state = ready(index, 20);
+        state.limits.long_call_wait_limit = std::chrono::milliseconds{5'400};
+        update_running_calls(state, {1}, at(0));
+        record_request(state, "m", 2, at(1'000));
+        ++starts[first_order(state, engine(1, 0), 1'000)];
+    }
+    EXPECT_EQ(starts.size(), 5U);
+    for (auto const& [when, count] : starts)
+    {
+        EXPECT_EQ(count, 4);
+        EXPECT_LE(when, 1'000 + 5'400 + 500);
+    }
+}
+
 TEST(rollout, an_order_has_the_newest_version_and_the_accepted_count)
 {
     auto state = ready(0, 9);
@@ -135,7 +157,7 @@
 
 TEST(rollout, loads_wait_for_long_calls_up_to_a_limit)
 {
-    auto state = ready(0, 9);
+    auto state = ready(8, 9);
     update_running_calls(state, {11}, at(0));
     record_request(state, "m", 2, at(1'000));
     update_running_calls(state, {11, 12}, at(2'900));
