--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -86,7 +86,7 @@
 [[nodiscard]] std::vector<call_key> overdue_calls(state const& dispatcher,
                                                   mono_time now);
 
-/// \brief Calls without output at engines that stand still.
+/// \brief Calls at engines that stand still.
 [[nodiscard]] std::vector<call_key> stranded_calls(state const& dispatcher,
                                                    mono_time now);
 
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -105,8 +105,9 @@
     /// An older report does not reflect the current load.
     std::chrono::milliseconds report_age_limit{1'500};
     /// An engine with open calls that has not been reported on and has sent no
-    /// byte for so long stands still.
-    std::chrono::milliseconds silence_limit{1'500};
+    /// byte for so long stands still. Its callers leave after 2 s without
+    /// output, of which they may have waited for an engine before.
+    std::chrono::milliseconds silence_limit{600};
     std::size_t waiting_limit = 2'000;
 };
 
@@ -288,6 +289,8 @@
     std::map<std::string, std::vector<wanted_version>> weights;
     std::vector<part_store> stores;
     upstream_key last_key = 0;
+    /// When this process started, or last went on after it had stood still.
+    mono_time running_since{};
     /// No call is sent before: limits may apply that are not known yet.
     mono_time held_until{};
     /// Number of gateways that share the upstreams, including this one.
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -196,10 +196,20 @@
            state.records_server->listen(own, why);
 }
 
+// A tick that comes so late shows that the process has stood still.
+void note_pause(gateway_state& state, mono_time now)
+{
+    constexpr auto late_tick = 4 * tick_interval;
+    if (now - state.ticked_at > late_tick)
+        state.dispatch.running_since = now;
+    state.ticked_at = now;
+}
+
 // Runs on a timer, since record age, expiries and deadlines change without any
 // event.
 void on_tick(gateway_state& state)
 {
+    note_pause(state, mono_now());
     follow::on_copy_age(
         state.lapses, state.upstream_topic->known().current_as_of, mono_now());
     remove_lapsed_upstreams(state);
--- a/jujubestand/gateway/migration.cpp
+++ b/jujubestand/gateway/migration.cpp
@@ -70,8 +70,6 @@
     active_call* const call = find_call(state, key);
     constexpr auto outcome = dispatch::send_outcome::cut;
     if (call == nullptr || !is_retryable(*call) ||
-        !dispatch::has_alternative(state.dispatch, call->dispatch_call,
-                                   call->upstream_key, now) ||
         call->possible_runs + 1 >= call->route.attempts_limit ||
         acquire_retry(state, *call, outcome, now) != reason_code::none)
         return;
--- a/jujubestand/gateway/migration.hpp
+++ b/jujubestand/gateway/migration.hpp
@@ -15,8 +15,8 @@
 /// engine's weights, and retries them elsewhere where allowed.
 void withdraw_overdue_calls(gateway_state& state);
 
-/// \brief Sends calls without output at engines that stand still elsewhere
-/// where they may be repeated; the others wait for their engine.
+/// \brief Sends calls at engines that stand still elsewhere where they may be
+/// repeated or resumed; the others wait for their engine.
 void move_stranded_calls(gateway_state& state);
 
 } // namespace jujubestand::gateway
