--- a/jujubestand/platform/list_client.cpp
+++ b/jujubestand/platform/list_client.cpp
@@ -32,7 +32,9 @@
     auto const state = from_name(listed_state_names, text_of(row, "state"));
     auto const link = parse_address(text_of(row, "link"), why);
     auto const http = parse_address(text_of(row, "http"), why);
-    if (result.instance.empty() || !role || !state || !link || !http)
+    bool const has_addresses =
+        link && http && link->port != 0 && http->port != 0;
+    if (result.instance.empty() || !role || !state || !has_addresses)
     {
         why = {reason_code::settings_invalid, "bad row of the instance list",
                result.instance.text};
@@ -45,32 +47,72 @@
     return result;
 }
 
+// A row is parsed by itself: one that is nested too deeply, or has a number
+// that is too large, would make the whole document unreadable.
+void add_row(instance_list& list, std::string_view json)
+{
+    simdjson::dom::parser parser;
+    simdjson::dom::element row;
+    reason why;
+    if (parser.parse(simdjson::padded_string(json)).get(row) !=
+        simdjson::SUCCESS)
+    {
+        list.unreadable.push_back({{}, "row is no JSON that can be read"});
+        return;
+    }
+    if (auto parsed = parse_row(row, why))
+        list.instances.push_back(std::move(*parsed));
+    else
+        list.unreadable.push_back(
+            {instance_id(text_of(row, "instance")), why.text});
+}
+
 } // namespace
 
 std::optional<instance_list> parse_instance_list(std::string const& json,
                                                  reason& why)
 {
-    simdjson::dom::parser parser;
-    simdjson::dom::element root;
-    simdjson::dom::array rows;
+    simdjson::ondemand::parser parser;
+    simdjson::padded_string const padded(json);
+    simdjson::ondemand::document root;
+    simdjson::ondemand::array rows;
     instance_list list;
-    if (parser.parse(json).get(root) != simdjson::SUCCESS ||
-        root["version"].get_uint64().get(list.version) != simdjson::SUCCESS ||
-        root["instances"].get_array().get(rows) != simdjson::SUCCESS)
+    auto const fail = [&why]
     {
         why = {reason_code::malformed_json, "not an instance list", {}};
         return std::nullopt;
-    }
-    for (auto const row : rows)
+    };
+    if (parser.iterate(padded).get(root) != simdjson::SUCCESS ||
+        root.find_field_unordered("version").get_uint64().get(list.version) !=
+            simdjson::SUCCESS ||
+        root.find_field_unordered("instances").get_array().get(rows) !=
+            simdjson::SUCCESS)
+        return fail();
+    for (auto row : rows)
     {
-        auto parsed = parse_row(row, why);
-        if (!parsed)
-            return std::nullopt;
-        list.instances.push_back(std::move(*parsed));
+        std::string_view row_json;
+        if (simdjson::to_json_string(row).get(row_json) != simdjson::SUCCESS)
+            return fail();
+        add_row(list, row_json);
     }
     return list;
 }
 
+void keep_unreadable_rows(instance_list& list, instance_list const& previous)
+{
+    for (auto const& row : list.unreadable)
+    {
+        auto const known =
+            std::find_if(previous.instances.begin(), previous.instances.end(),
+                         [&row](listed_instance const& instance)
+                         {
+                             return instance.instance == row.instance;
+                         });
+        if (known != previous.instances.end())
+            list.instances.push_back(*known);
+    }
+}
+
 std::chrono::milliseconds list_period(list_client_options const& options,
                                       std::size_t bytes) noexcept
 {
@@ -86,6 +128,8 @@
     http_client* http = nullptr;
     list_client_options options;
     backoff failures;
+    /// The list that was read last.
+    instance_list last;
     http_call_id call;
     event_ptr timer;
 
@@ -136,6 +180,11 @@
     std::chrono::milliseconds const jitter(
         static_cast<std::int64_t>(next_random(this->failures.seed) % spread));
     this->schedule(period - jitter);
+    keep_unreadable_rows(*list, this->last);
+    this->last = *list;
+    for (auto const& row : list->unreadable)
+        this->owner->failed.emit(
+            reason{reason_code::settings_invalid, row.why, row.instance.text});
     this->owner->received.emit(*list);
 }
 
--- a/jujubestand/platform/list_client.hpp
+++ b/jujubestand/platform/list_client.hpp
@@ -56,18 +56,31 @@
     listed_state state = listed_state::live;
 };
 
+/// \brief A row of the instance list that cannot be read.
+struct unreadable_row
+{
+    /// Empty if not even this can be read.
+    instance_id instance;
+    std::string why;
+};
+
 /// \brief The instance list, some seconds old.
 struct instance_list
 {
     std::uint64_t version = 0;
     std::vector<listed_instance> instances;
+    std::vector<unreadable_row> unreadable;
 };
 
-/// \brief Reads the list's JSON; a row that cannot be read fails the whole,
-/// so that a bad list never looks like a short one.
+/// \brief Reads the list's JSON. Rows that cannot be read are named apart, so
+/// that they don't take the others with them.
 [[nodiscard]] std::optional<instance_list>
 parse_instance_list(std::string const& json, reason& why);
 
+/// \brief Adds the rows of a previous list whose instances the list names in
+/// rows that cannot be read: such a row does not say that they are gone.
+void keep_unreadable_rows(instance_list& list, instance_list const& previous);
+
 /// \brief Where the list is, and how often to read it.
 struct list_client_options
 {
@@ -102,7 +115,8 @@
 
     /// \brief A list that was read.
     sigc::signal<void(instance_list const&)> received;
-    /// \brief A read that failed; the next follows after a back-off.
+    /// \brief A read that failed; the next follows after a back-off. Also a row
+    /// that cannot be read, of a list that was received.
     sigc::signal<void(reason const&)> failed;
 
 private:
