--- a/jujubestand/orders/records.cpp
+++ b/jujubestand/orders/records.cpp
@@ -1,5 +1,6 @@
 #include <array>
 #include <exception>
+#include <jujubestand/core/bounded_unpack.hpp>
 #include <jujubestand/orders/records.hpp>
 #include <tuple>
 
@@ -33,7 +34,7 @@
 {
     try
     {
-        auto const handle = msgpack::unpack(bytes.data(), bytes.size());
+        auto const handle = bounded_unpack(bytes);
         auto const [tag, body] =
             handle.get().as<std::tuple<std::string, msgpack::object>>();
         if (tag == tags[0])
