Play a refusal that comes once more and an error inside a stream (REFUSED, ORDER)

Two reports of operators of systems like the users', provoked here: - a service writes an earlier refusal, with that call's id, once more on a kept connection: stray_answers.an_earlier_refusal_once_more_promises_nothing - a stream that began breaks off and the next engine answers 400, 404, 500, 502 or 503 with a text of its own: begun_streams.an_error_of_the_next_engine_is_ not_passed_on at gateways, streams_test.an_error_of_a_second_engine_is_not_ relayed at the entry

The first is not played at the sidecar, whose engines name no call in a refusal.

--- a/jujubestand/entry/test/streams_test.cpp
+++ b/jujubestand/entry/test/streams_test.cpp
@@ -158,6 +158,28 @@
     EXPECT_EQ(this->answer(id).body.find("other"), std::string::npos);
 }
 
+// A stream had begun and broke off; the next engine answered with an error,
+// whose text must not stand in the middle of the stream, nor end it as if it
+// were complete (ORDER, MIXED).
+TEST_F(streams_test, an_error_of_a_second_engine_is_not_relayed)
+{
+    this->start_path(2);
+    auto const id = this->begin(greedy_body(), 2);
+    auto& first = this->asked_pair();
+    first.upstream->abort(first.seen.at(0).caller);
+    first.seen.clear();
+    ASSERT_TRUE(this->run_until_asked(1));
+    auto& second = this->asked_pair();
+    second.upstream->reply(second.seen.at(0).caller, 500,
+                           {{"Content-Type", event_stream}},
+                           "data: boom\n\ndata: [DONE]\n\n");
+    ASSERT_TRUE(this->run_to_end(id));
+    EXPECT_FALSE(this->answer(id).end->is_complete);
+    EXPECT_TRUE(this->answer(id).body.starts_with(this->sent));
+    EXPECT_EQ(this->answer(id).body.find("boom"), std::string::npos);
+    EXPECT_EQ(this->answer(id).body.find("HTTP/1"), std::string::npos);
+}
+
 TEST_F(streams_test, a_sampled_stream_cut_midway_ends_with_an_error)
 {
     this->start_path(2);
--- a/programs/test/begun_streams_test.cpp
+++ b/programs/test/begun_streams_test.cpp
@@ -80,6 +80,30 @@
 }
 
 // A stream that its caller resumed at another gateway went on at an engine of
+// A stream had begun and broke off; the next engine answered with an error,
+// whose text must not stand in the middle of the stream, nor end it as if it
+// were complete (ORDER, MIXED).
+TEST_F(begun_streams, an_error_of_the_next_engine_is_not_passed_on)
+{
+    this->start_old_pool(1);
+    for (int const status : {400, 404, 500, 502, 503})
+    {
+        for (auto const& engine : this->engines)
+            engine.engine->refuse_resumed(status);
+        this->pause_all_after(begun);
+        auto const id = "first-" + std::to_string(status);
+        auto const answer = this->ask(0, {id, "", ""});
+        ASSERT_TRUE(this->run_to_events(answer, begun)) << status;
+        for (auto const& engine : this->engines)
+            engine.engine->cut_streams();
+        ASSERT_TRUE(this->run_to_end(answer)) << status;
+        EXPECT_FALSE(answer->end->is_complete) << status;
+        EXPECT_EQ(answer->events(), events_of("v1", 1, begun)) << status;
+        EXPECT_EQ(answer->body.find("boom"), std::string::npos) << status;
+        EXPECT_EQ(answer->body.find("HTTP/1"), std::string::npos) << status;
+    }
+}
+
 // another version (ORDER).
 TEST_F(begun_streams, a_stream_continues_at_its_version_at_another_gateway)
 {
--- a/programs/test/stray_answers_test.cpp
+++ b/programs/test/stray_answers_test.cpp
@@ -90,4 +90,25 @@
     EXPECT_GE(served, 190U);
 }
 
+// A service wrote an earlier refusal once more on a kept connection: it was
+// taken for the call in flight, which ran (REFUSED), or ran at a second service
+// as well (TWICE).
+TEST_F(stray_answers, an_earlier_refusal_once_more_promises_nothing)
+{
+    standins::service_faults faults;
+    faults.refused = 0.2;
+    faults.repeated_refusal = 0.3;
+    this->start(faults);
+    this->play(200);
+    std::size_t served = 0;
+    for (auto const& [id, call] : this->calls)
+    {
+        EXPECT_LE(call.runs, 1U) << id;
+        EXPECT_FALSE(call.answer->status == HTTP_SERVUNAVAIL && call.runs > 0)
+            << id;
+        served += call.answer->status == HTTP_OK ? 1 : 0;
+    }
+    EXPECT_GE(served, 190U);
+}
+
 } // namespace jujubestand::programs::test
--- a/standins/service/recording_service.cpp
+++ b/standins/service/recording_service.cpp
@@ -23,6 +23,13 @@
     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n";
 
+std::string refusal_of(std::string const& id)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+           "X-Request-Id: " +
+           id + "\r\nX-Response-Stamp: books\r\nContent-Length: 0\r\n\r\n";
+}
+
 } // namespace
 
 recording_service::recording_service(event_base* loop, address const& where,
@@ -86,6 +93,7 @@
     if (luck < 0)
     {
         this->sign(call.request, id);
+        this->refused_id = id;
         evhttp_add_header(evhttp_request_get_output_headers(call.request),
                           "X-Not-Executed", "1");
         reply(call.request, HTTP_SERVUNAVAIL, "");
@@ -101,6 +109,10 @@
         std::uniform_real_distribution<double>()(this->random) <
             this->faults.stray_refusal)
         write_raw(call.request, stray_refusal_bytes);
+    if (this->faults.repeated_refusal > 0 && !this->refused_id.empty() &&
+        std::uniform_real_distribution<double>()(this->random) <
+            this->faults.repeated_refusal)
+        write_raw(call.request, refusal_of(this->refused_id));
     std::uniform_int_distribution<std::int64_t> work_ms(0,
                                                         longest_work.count());
     auto const held_call = this->held.hold(call.request, longest_hold, cut);
--- a/standins/service/recording_service.hpp
+++ b/standins/service/recording_service.hpp
@@ -24,6 +24,8 @@
     double failed = 0;
     /// Preceded by a refusal that belongs to no call: it names none.
     double stray_refusal = 0;
+    /// Preceded by the refusal of an earlier call, once more.
+    double repeated_refusal = 0;
 };
 
 /// \brief Callbacks of a recording service.
@@ -65,6 +67,8 @@
 
     service_faults faults;
     service_events events;
+    /// The call that was refused last.
+    std::string refused_id;
     upstream_words words;
     std::mt19937_64 random;
     http_server server;
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -74,6 +74,11 @@
         unwatch_close(stream.request);
 }
 
+void stream_engine::refuse_resumed(int status)
+{
+    this->resumed_status = status;
+}
+
 void stream_engine::pause_after(std::uint64_t event, std::size_t bytes)
 {
     this->last_event = event;
@@ -270,6 +275,13 @@
         refuse_for_pause(call.request, this->words.pause);
         return;
     }
+    if (this->resumed_status != 0 && !from.empty())
+    {
+        this->sign(call);
+        reply(call.request, this->resumed_status, "data: boom\n\n",
+              "text/event-stream");
+        return;
+    }
     if (auto const* const script = this->script_of(call))
     {
         this->answer_until_crash(call, *script);
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -53,6 +53,9 @@
     stream_engine(stream_engine const&) = delete;
     stream_engine& operator=(stream_engine const&) = delete;
 
+    /// \brief Answers new streams that are to go on with this error; 0: none.
+    void refuse_resumed(int status);
+
     /// \brief Stops new streams in the middle of the event after this one, and
     /// keeps them open.
     /// \param bytes sent of the next event
@@ -138,6 +141,7 @@
     http_server server;
     std::uint64_t last_event = stream_events;
     std::size_t partial_bytes = 0;
+    int resumed_status = 0;
     bool is_framed = true;
     upstream_words words;
     std::chrono::milliseconds event_interval{0};
