--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -189,6 +189,7 @@
     /// By IP address: when an agent last reported the gateway.
     std::map<std::string, mono_time> gateway_seen_at;
     mono_time drain_started_at{};
+    /// Time of the last `on_tick`.
     mono_time ticked_at{};
     mono_time started_at{};
 };
--- a/jujubestand/quarantine/suspects.cpp
+++ b/jujubestand/quarantine/suspects.cpp
@@ -266,7 +266,8 @@
     return result;
 }
 
-bool was_at_most_of(crash_analysis const& of, crash_event const& event)
+// Whether most of the upstreams that ended together have strikes in the event.
+bool covers_most(crash_analysis const& of, crash_event const& event)
 {
     auto const together = static_cast<std::size_t>(
         std::count_if(of.sizes.begin(), of.sizes.end(),
@@ -277,12 +278,11 @@
     return 2 * event.size() >= together;
 }
 
-// Upstreams that end together count once, since a rack may have failed. Copies
-// of one whole request were at most of them by no chance.
+// Upstreams that end together count once, since a rack may have failed. But it
+// is no chance if one whole request was in flight at most of them.
 bool counts_each_crash(crash_analysis const& of, crash_event const& event)
 {
-    return event.front().depth == whole_request_depth &&
-           was_at_most_of(of, event);
+    return event.front().depth == whole_request_depth && covers_most(of, event);
 }
 
 void add_event(crash_analysis const& of, suspect& to, crash_event const& event)
