Let instance lists be made without unreadable rows

A cold build of all tests failed at a list that a test makes of version and rows alone (missing initializer). And one concatenation that the linter refused, in the test of odd rows.

--- a/jujubestand/platform/list_client.hpp
+++ b/jujubestand/platform/list_client.hpp
@@ -69,7 +69,7 @@
 {
     std::uint64_t version = 0;
     std::vector<listed_instance> instances;
-    std::vector<unreadable_row> unreadable;
+    std::vector<unreadable_row> unreadable{};
 };
 
 /// \brief Reads the list's JSON. Rows that cannot be read are named apart, so
--- a/jujubestand/platform/test/clients_test.cpp
+++ b/jujubestand/platform/test/clients_test.cpp
@@ -358,8 +358,10 @@
           with(usual, "1e999"), with(usual, "99999999999999999999999"),
           with(usual, nested), nested})
     {
-        auto const read = parse_instance_list(
-            head + good + ',' + odd + ',' + good + "]}", why);
+        std::string json = head;
+        json.append(good).append(",").append(odd);
+        json.append(",").append(good).append("]}");
+        auto const read = parse_instance_list(json, why);
         ASSERT_TRUE(read) << odd.substr(0, 200);
         EXPECT_EQ(read->instances.size(), 2U) << odd.substr(0, 200);
         EXPECT_EQ(read->unreadable.size(), 1U) << odd.substr(0, 200);
