Play calls that end engines after these stood still, and restarts between ends (BUDGET)

Found by reading the last changes: a call that is moved away from a silent engine, or whose caller leaves an engine that has an agent, leaves no evidence if the engine ends afterwards. And a call's ends are kept in memory until there are three, so that gateways which all restart between them count anew.

--- a/jujubestand/quarantine/test/evidence_events_test.cpp
+++ b/jujubestand/quarantine/test/evidence_events_test.cpp
@@ -119,4 +119,25 @@
     EXPECT_EQ(all.judged(1).size(), 2U);
 }
 
+// A caller left an engine just before a call ended it; the report between the
+// two spoke for that call as well (BUDGET).
+TEST(evidence, a_report_speaks_for_what_was_cut_before_it_alone)
+{
+    group all(2);
+    for (int end = 0; end < 3; ++end)
+    {
+        auto const engine = all.next_engine();
+        all.cut(0, engine, {whole_request(all.next_request++)}, false);
+        auto const reported_at = all.now + milliseconds{120};
+        all.now += milliseconds{150};
+        all.cut(0, engine, {whole_request(500)}, false);
+        all.tell(0, on_condition(all.members[0], all.next_upstream,
+                                 {upstream_condition::alive, reported_at},
+                                 all.now));
+        all.settle(upstream_condition::lost);
+    }
+    EXPECT_EQ(all.judged(1),
+              std::vector<digest>{whole_request(500).fingerprint});
+}
+
 } // namespace jujubestand::quarantine
--- a/programs/test/crashing_calls_test.cpp
+++ b/programs/test/crashing_calls_test.cpp
@@ -13,6 +13,9 @@
 
 constexpr char const* crashing_path = "/status/bad";
 
+/// One that gateways never send twice, so that each call ends one service.
+constexpr char const* crashing_once_path = "/book/bad";
+
 /// What callers and services do.
 struct call_play
 {
@@ -31,6 +34,12 @@
     std::size_t killed_at_end = 0;
     /// Services come back under the ids that they had.
     bool keeps_ids = false;
+    /// Kills all gateways so long after this many ends, and starts them again;
+    /// zero ends: never.
+    std::size_t all_killed_at_end = 0;
+    milliseconds all_killed_after{1'000};
+    /// All sound calls are the same one.
+    bool has_same_sound_call = false;
 };
 
 class crashing_calls : public gateways_test
@@ -117,7 +126,7 @@
         standins::crash_events events;
         events.arrived = [this](std::string const& path)
         {
-            if (path == crashing_path)
+            if (path == this->rules.crash.path)
                 this->arrivals.push_back(mono_now());
         };
         events.ended = [this, number, id]
@@ -154,13 +163,25 @@
                         });
     }
 
+    [[nodiscard]] bool has_ended(std::size_t count, milliseconds ago) const
+    {
+        return count > 0 && this->ends.size() >= count &&
+               mono_now() - this->ends[count - 1] >= ago;
+    }
+
     void restart_killed()
     {
-        if (this->rules.killed_at_end == 0 || this->was_killed ||
-            this->ends.size() < this->rules.killed_at_end)
+        if (this->was_killed)
             return;
-        this->was_killed = true;
-        this->restart_gateway(0);
+        bool const is_one_due =
+            this->has_ended(this->rules.killed_at_end, milliseconds{0});
+        bool const are_all_due = this->has_ended(this->rules.all_killed_at_end,
+                                                 this->rules.all_killed_after);
+        this->was_killed = is_one_due || are_all_due;
+        if (is_one_due)
+            this->restart_gateway(0);
+        if (are_all_due)
+            this->restart_gateways();
     }
 
     std::size_t any_gateway()
@@ -171,7 +192,7 @@
     void send_crashing()
     {
         stream_call call{"bad-" + std::to_string(++this->calls), "", ""};
-        call.target = crashing_path;
+        call.target = this->rules.crash.path;
         auto const answer = this->ask(this->any_gateway(), call);
         if (this->rules.patience.count() == 0)
             return;
@@ -186,7 +207,9 @@
     void send_sound()
     {
         stream_call call{"good-" + std::to_string(++this->calls), "", ""};
-        call.target = "/status/good-" + std::to_string(this->calls);
+        call.target =
+            "/status/good-" +
+            std::to_string(this->rules.has_same_sound_call ? 0 : this->calls);
         this->sound.push_back(
             {mono_now(), this->ask(this->any_gateway(), call)});
     }
@@ -308,6 +331,32 @@
     this->expect_bounds();
 }
 
+// Gateways that were all restarted between two ends counted from the first one
+// again (BUDGET).
+TEST_F(crashing_calls, ends_count_though_all_gateways_restart_between_them)
+{
+    this->rules.all_killed_at_end = 2;
+    this->rules.interval = milliseconds{2'000};
+    this->rules.crash.path = crashing_once_path;
+    this->start(2, 6);
+    this->play(milliseconds{12'000});
+    this->expect_bounds();
+    EXPECT_EQ(this->ends.size(), ends_allowed);
+}
+
+// A sound call that was in flight at two ends is no suspect any more once it is
+// answered, for gateways that start later either (LOST).
+TEST_F(crashing_calls, an_answered_call_is_cleared_though_all_gateways_restart)
+{
+    this->rules.all_killed_at_end = 2;
+    this->rules.interval = milliseconds{2'000};
+    this->rules.has_same_sound_call = true;
+    this->rules.crash.path = crashing_once_path;
+    this->start(2, 6);
+    this->play(milliseconds{12'000});
+    this->expect_bounds();
+}
+
 // Gateways that were all restarted together had forgotten the call (BUDGET).
 TEST_F(crashing_calls, the_call_is_known_after_all_gateways_restart)
 {
--- a/programs/test/crashing_engines.hpp
+++ b/programs/test/crashing_engines.hpp
@@ -33,6 +33,13 @@
     milliseconds spontaneous_interval{0};
     /// Kills a gateway at this many crashes, and starts it again; zero: never.
     std::size_t killed_at_crash = 0;
+    /// An engine that gets a call with the part stands still, as its agent
+    /// does, from then to its crash.
+    bool is_still_before_crash = false;
+    /// All calls with the part are the same one.
+    bool is_same_call = false;
+    /// How long callers wait for calls with the part; zero: to their end.
+    milliseconds patience{0};
 };
 
 /// \brief Calls with one part in their prompts crash each engine that begins to
@@ -164,6 +171,18 @@
         return sent == 0 ? 0 : served / sent;
     }
 
+    [[nodiscard]] std::size_t sound_refused_as_crashing() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->sound.begin(), this->sound.end(),
+                          [](sound_call const& call)
+                          {
+                              return call.answer->status == HTTP_SERVUNAVAIL &&
+                                     call.answer->body.find("quarantined") !=
+                                         std::string::npos;
+                          }));
+    }
+
     crash_play rules;
     std::vector<part_event> crashes;
     std::vector<part_event> crashing_sends;
@@ -199,19 +218,27 @@
                             this->crash(number, part);
                         });
         engine.on_stream(
-            [this](standins::stream_request const& sent)
+            [this, number](standins::stream_request const& sent)
             {
                 for (auto const part : {crashing_part, second_crashing_part})
                 {
                     if (sent.parts.find(part) != std::string::npos)
-                        this->crashing_sends.push_back(
-                            {std::string(part), mono_now()});
+                        this->on_crashing_send(number, std::string(part));
                 }
             });
         if (this->is_started)
             this->drop_agent(number);
     }
 
+    void on_crashing_send(std::size_t number, std::string const& part)
+    {
+        this->crashing_sends.push_back({part, mono_now()});
+        if (!this->rules.is_still_before_crash)
+            return;
+        this->engines[number].agent.reset();
+        this->engines[number].engine->pause_after(0, 0);
+    }
+
     // Until the start each agent names the gateways.
     void drop_agent(std::size_t number)
     {
@@ -280,14 +307,24 @@
         bool const is_second =
             this->rules.has_second_part && this->random() % 2 == 0;
         auto const part = is_second ? second_crashing_part : crashing_part;
-        call.parts =
-            "aaaa:30," + std::string(part) + ":40," + this->unique_part();
+        call.parts = "aaaa:30," + std::string(part) + ":40," +
+                     (this->rules.is_same_call ? "10:10" : this->unique_part());
+        if (this->rules.is_same_call)
+            call.request_id = "bad-" + std::to_string(++this->calls);
         if (!this->rules.last_event.empty())
         {
             call.last_event = this->rules.last_event;
             call.resumes = this->last_whole;
         }
-        this->ask(this->any_gateway(), call);
+        auto const answer = this->ask(this->any_gateway(), call);
+        if (this->rules.patience.count() == 0)
+            return;
+        this->later.run(this->rules.patience,
+                        [this, answer]
+                        {
+                            if (!answer->end)
+                                this->caller.cancel(answer->call);
+                        });
     }
 
     // Sound streams pass through the same routes; their ids can be resumed.
@@ -303,18 +340,6 @@
         this->last_whole = call.request_id;
     }
 
-    [[nodiscard]] std::size_t sound_refused_as_crashing() const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(this->sound.begin(), this->sound.end(),
-                          [](sound_call const& call)
-                          {
-                              return call.answer->status == HTTP_SERVUNAVAIL &&
-                                     call.answer->body.find("quarantined") !=
-                                         std::string::npos;
-                          }));
-    }
-
     std::mt19937 random{seed};
     std::size_t calls = 0;
     std::string last_whole;
