Clear only what was cut before a report (BUDGET)

A report of an upstream cleared all that was cut there since the first cut, also calls that were cut after it: a caller that left just before the end took the evidence along.

Ruled out: the margin of 100 ms for the time of a report; it holds for each cut by itself now.

Change: suspected calls are cleared by the time of their own cut.

Test: evidence.a_report_speaks_for_what_was_cut_before_it_alone found no culprit before, finds it now; test_quarantine: 29 of 29 pass.

--- a/jujubestand/quarantine/evidence.cpp
+++ b/jujubestand/quarantine/evidence.cpp
@@ -74,23 +74,28 @@
     {
         known->stage = std::max(known->stage, added.stage);
         known->depth = std::max(known->depth, added.depth);
+        known->at_ms = std::max(known->at_ms, added.at_ms);
         return;
     }
     if (strikes.size() < strikes_limit || added.stage != answer_stage::none)
         strikes.push_back(added);
 }
 
-void forget_cuts(suspected_crash& crash)
+// Callers leave at any time, also just before their upstream is lost: what was
+// cut later stays.
+void forget_cuts(suspected_crash& crash, wall_time before)
 {
-    crash.cut_at.reset();
-    crash.strikes.clear();
+    std::erase_if(crash.strikes,
+                  [before_ms = ms_of(before)](strike const& recorded)
+                  {
+                      return recorded.at_ms < before_ms;
+                  });
 }
 
 // What stays unsettled for too long was no crash, and proves nothing else.
 void drop_settled(suspected_crash& crash, wall_time until)
 {
-    if (crash.cut_at && *crash.cut_at <= until)
-        forget_cuts(crash);
+    forget_cuts(crash, until + std::chrono::milliseconds{1});
     std::erase_if(crash.answers,
                   [until](unconfirmed_answer const& answer)
                   {
@@ -127,8 +132,7 @@
                                  update.clearances.end());
         crash.answers.erase(crash.answers.begin());
     }
-    if (crash.cut_at && *crash.cut_at < until)
-        forget_cuts(crash);
+    forget_cuts(crash, until);
     return result;
 }
 
@@ -139,8 +143,6 @@
             answer_stage stage, wall_time now)
 {
     auto& crash = state.suspected[number];
-    if (!crash.cut_at)
-        crash.cut_at = now;
     for (auto const& key : keys)
         add_strike(crash.strikes, strike_of(key, id, incarnation, stage, now));
 }
@@ -201,7 +203,7 @@
                                  now);
     bool const is_lost = sign.condition == upstream_condition::lost;
     drop_settled(crash, is_lost ? now : now - settle_limit);
-    if (!crash.cut_at && crash.answers.empty())
+    if (crash.strikes.empty() && crash.answers.empty())
         state.suspected.erase(found);
     return result;
 }
--- a/jujubestand/quarantine/evidence.hpp
+++ b/jujubestand/quarantine/evidence.hpp
@@ -34,9 +34,7 @@
 /// \brief An upstream that broke connections, or ended answers with them.
 struct suspected_crash
 {
-    /// When it first broke a connection; empty if it only ended answers.
-    std::optional<wall_time> cut_at;
-    /// At most one for each fingerprint.
+    /// At most one for each fingerprint, of the time when it was last cut.
     std::vector<strike> strikes;
     /// Oldest first.
     std::vector<unconfirmed_answer> answers;
