--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <jujubestand/dispatch/dispatch.hpp>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/answers.hpp>
@@ -308,7 +309,7 @@
 {
     auto const target = state.dispatch.upstreams.find(call.upstream_key);
     if (call.has_survived || target == state.dispatch.upstreams.end() ||
-        !is_unwatched(target->second) || target->second.record.is_leaving)
+        target->second.is_replaced || target->second.record.is_leaving)
         return;
     quarantine::on_cut(state.crashes.evidence, call.upstream_key,
                        upstream_id{call.upstream},
@@ -318,9 +319,15 @@
 
 void record_upstream_end(gateway_state& state, dispatch::upstream_key key)
 {
+    auto const& target = state.dispatch.upstreams.at(key);
+    // The record of an engine may lapse while its calls go on.
+    bool const is_silent =
+        is_unwatched(target) ||
+        dispatch::stands_still(state.dispatch, target, mono_now());
     for (auto const& [call_key, call] : state.active_calls)
     {
-        if (call.upstream_key == key && call.upstream_call != http1::call_id{})
+        if (is_silent && call.upstream_key == key &&
+            call.upstream_call != http1::call_id{})
             record_unanswered(state, call);
     }
     settle(state, key, {quarantine::upstream_condition::lost});
@@ -337,7 +344,7 @@
     if (call.has_survived || target == state.dispatch.upstreams.end())
         return;
     incarnation_id const incarnation{target->second.record.born_ms};
-    if (end.is_complete && !ends_by_close(call) && is_unwatched(target->second))
+    if (end.is_complete && !ends_by_close(call))
         settle(state, call.upstream_key,
                {quarantine::upstream_condition::alive, wall_now()});
     if (end.why.code == reason_code::upstream_timeout)
--- a/jujubestand/gateway/crashes.hpp
+++ b/jujubestand/gateway/crashes.hpp
@@ -26,9 +26,9 @@
 void record_attempt(gateway_state& state, active_call const& call,
                     dispatch::send_outcome outcome, http1::call_end const& end);
 
-/// \brief Records that a call ended without an answer, by its caller or its
-/// deadline. It is evidence if its upstream, on which nothing reports, turns
-/// out to be lost.
+/// \brief Records that a call left its upstream without an answer: its caller
+/// left, its time ran out, or it was moved. It is evidence if the upstream
+/// turns out to be lost.
 void record_unanswered(gateway_state& state, active_call const& call);
 
 /// \brief Records that an upstream's process is gone, by its record; before
--- a/jujubestand/gateway/migration.cpp
+++ b/jujubestand/gateway/migration.cpp
@@ -3,6 +3,7 @@
 #include <jujubestand/dispatch/dispatch.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/gateway/upstream_responses.hpp>
@@ -23,6 +24,7 @@
 void cancel_attempt(gateway_state& state, active_call& call,
                     dispatch::send_outcome outcome, mono_time now)
 {
+    record_unanswered(state, call);
     state.upstream_client->cancel(call.upstream_call);
     call.upstream_call = http1::call_id{};
     call.outcome = worst(call.outcome, verdict::may_have_run);
