--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -1,14 +1,13 @@
 #include <jujubestand/gateway/crashes.hpp>
 
-#include <charconv>
 #include <jujubestand/dispatch/dispatch.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/answers.hpp>
+#include <jujubestand/gateway/quarantine_records.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
-#include <platform/names.hpp>
 
 namespace jujubestand::gateway
 {
@@ -25,9 +24,12 @@
 /// Culprits are sent for as long as they are refused, for new gateways.
 constexpr std::chrono::milliseconds culprits_interval{2'000};
 
-/// Gateways find a culprit at the same time; one of them writes it first.
-constexpr std::chrono::milliseconds write_delay_limit{500};
-constexpr std::chrono::milliseconds write_retry_delay{1'000};
+/// A gateway writes the crashes that another one has noticed only if that one
+/// has not done it by then.
+constexpr std::chrono::milliseconds others_write_time{1'000};
+
+/// Most calls in flight at a crash are answered soon after, one by one.
+constexpr std::chrono::milliseconds clearance_write_time{3'000};
 
 /// An upstream that has written an answer for so long doesn't crash by it.
 constexpr std::chrono::milliseconds survival_time{2'000};
@@ -54,7 +56,12 @@
 {
     if (news.empty())
         return;
-    state.crashes.changed_at = mono_now();
+    auto const now = mono_now();
+    state.crashes.changed_at = now;
+    schedule_crash_writes(state, news,
+                          news.strikes.empty() ? clearance_write_time
+                                               : std::chrono::milliseconds{0},
+                          now);
     send_to_gateways(state, news);
 }
 
@@ -205,16 +212,6 @@
                      {{"key", to_text(fingerprint)}, {"source", source}});
 }
 
-// Gateways write at different times, so that mostly one of them has to.
-void schedule_write(gateway_state& state, digest const& fingerprint,
-                    mono_time now)
-{
-    std::uniform_int_distribution<std::int64_t> delay_ms(
-        0, write_delay_limit.count());
-    state.crashes.unwritten[fingerprint] =
-        now + std::chrono::milliseconds{delay_ms(state.random_engine)};
-}
-
 void look_for_culprits(gateway_state& state, mono_time now)
 {
     auto& crashes = state.crashes;
@@ -224,7 +221,7 @@
     for (auto const& fingerprint : found)
     {
         log_culprit(state, fingerprint, "evidence");
-        schedule_write(state, fingerprint, now);
+        schedule_culprit_write(state, fingerprint, now);
     }
     if (found.empty())
         return;
@@ -232,39 +229,6 @@
     send_to_gateways(state, {});
 }
 
-// A write that fails is repeated until the topic shows the culprit.
-void write_culprits(gateway_state& state, mono_time now)
-{
-    auto& unwritten = state.crashes.unwritten;
-    auto const& written = state.quarantine_topic->known().newest;
-    std::erase_if(unwritten,
-                  [&](auto const& row)
-                  {
-                      return written.contains(to_text(row.first));
-                  });
-    for (auto& [fingerprint, due_at] : unwritten)
-    {
-        if (due_at > now)
-            continue;
-        due_at = now + write_retry_delay;
-        auto const& until = state.crashes.evidence.culprits[fingerprint];
-        state.store->put(platform::names::quarantine_topic,
-                         to_text(fingerprint),
-                         std::to_string(until.time_since_epoch().count()),
-                         [](platform::append_end const&) {});
-    }
-}
-
-void add_culprit(gateway_state& state, digest const& fingerprint,
-                 wall_time until, char const* source)
-{
-    if (until <= wall_now() ||
-        !quarantine::add_culprit(state.crashes.evidence, fingerprint, until))
-        return;
-    log_culprit(state, fingerprint, source);
-    withdraw_quarantined(state);
-}
-
 } // namespace
 
 std::vector<quarantine::suspect_key> suspect_keys_of(active_call const& call)
@@ -385,12 +349,35 @@
     return true;
 }
 
+void apply_culprit(gateway_state& state, digest const& fingerprint,
+                   wall_time until, char const* source)
+{
+    if (until <= wall_now() ||
+        !quarantine::add_culprit(state.crashes.evidence, fingerprint, until))
+        return;
+    log_culprit(state, fingerprint, source);
+    withdraw_quarantined(state);
+}
+
+void apply_notice(gateway_state& state, quarantine::notice const& evidence)
+{
+    auto const result =
+        quarantine::on_notice(state.crashes.evidence, evidence, wall_now());
+    auto const now = mono_now();
+    if (result.is_news)
+    {
+        state.crashes.changed_at = now;
+        schedule_crash_writes(state, evidence, others_write_time, now);
+    }
+    send_news(state, result.reply);
+}
+
 void review_crashes(gateway_state& state)
 {
     auto const now = mono_now();
     settle_suspected(state);
     look_for_culprits(state, now);
-    write_culprits(state, now);
+    write_quarantine_records(state, now);
     announce(state, now);
 }
 
@@ -399,48 +386,11 @@
     auto const notice = status::from_datagram<status::crash_notice>(bytes);
     if (!notice)
         return;
-    auto const wall = wall_now();
-    auto& evidence = state.crashes.evidence;
-    auto const result = quarantine::on_notice(evidence, notice->evidence, wall);
-    if (result.is_news)
-        state.crashes.changed_at = mono_now();
-    send_news(state, result.reply);
+    apply_notice(state, notice->evidence);
+    auto const until =
+        wall_now() + state.crashes.evidence.strikes.options.lifetime;
     for (auto const& fingerprint : notice->culprits)
-        add_culprit(state, fingerprint,
-                    wall + evidence.strikes.options.lifetime, "gateway");
-}
-
-void write_culprits_again(gateway_state& state)
-{
-    auto const wall = wall_now();
-    for (auto const& [fingerprint, until] : state.crashes.evidence.culprits)
-    {
-        if (until > wall)
-            schedule_write(state, fingerprint, mono_now());
-    }
-}
-
-void apply_quarantine_records(gateway_state& state,
-                              std::vector<follow::record> const& changes)
-{
-    for (auto const& row : changes)
-    {
-        // The store has lost the culprit; this gateway keeps it.
-        if (row.value.empty())
-            continue;
-        auto const fingerprint = digest_from_text(row.key);
-        std::int64_t until_ms = 0;
-        auto const* const last = row.value.data() + row.value.size();
-        auto const read = std::from_chars(row.value.data(), last, until_ms);
-        if (!fingerprint || read.ec != std::errc{} || read.ptr != last)
-        {
-            state.log->write(event_number::record_rejected, {},
-                             {{"key", row.key}, {"why", "not a culprit"}});
-            continue;
-        }
-        add_culprit(state, *fingerprint,
-                    wall_time{std::chrono::milliseconds{until_ms}}, "store");
-    }
+        apply_culprit(state, fingerprint, until, "gateway");
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/crashes.hpp
+++ b/jujubestand/gateway/crashes.hpp
@@ -1,7 +1,6 @@
 #ifndef JUJUBESTAND_GATEWAY_CRASHES_HPP
 #define JUJUBESTAND_GATEWAY_CRASHES_HPP
 
-#include <chrono>
 #include <jujubestand/gateway/state.hpp>
 #include <string_view>
 #include <vector>
@@ -11,9 +10,6 @@
 namespace jujubestand::gateway
 {
 
-/// Long-poll time of the topic of culprits; each gateway reads it by itself.
-inline constexpr std::chrono::milliseconds quarantine_poll_timeout{15'000};
-
 /// \brief Fingerprints of a call and of the shared parts of its prompt.
 [[nodiscard]] std::vector<quarantine::suspect_key>
 suspect_keys_of(active_call const& call);
@@ -46,12 +42,13 @@
 /// \brief Handles a crash notice of another gateway.
 void on_crash_datagram(gateway_state& state, std::string_view bytes);
 
-/// \brief Writes to the store again the culprits that it has lost.
-void write_culprits_again(gateway_state& state);
+/// \brief Applies evidence of another gateway.
+void apply_notice(gateway_state& state, quarantine::notice const& evidence);
 
-/// \brief Applies culprits that the store holds.
-void apply_quarantine_records(gateway_state& state,
-                              std::vector<follow::record> const& changes);
+/// \brief Refuses calls with a culprit that another gateway found.
+/// \param source for the log
+void apply_culprit(gateway_state& state, digest const& fingerprint,
+                   wall_time until, char const* source);
 
 } // namespace jujubestand::gateway
 
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
+#include <jujubestand/gateway/quarantine_records.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/loop/signals.hpp>
@@ -51,7 +52,7 @@
     if (topic == upstreams_name)
         follow::on_store_return(state.lapses, mono_now());
     if (topic == quarantine_name)
-        write_culprits_again(state);
+        write_quarantine_records_again(state);
     state.software.stored.clear();
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -109,7 +109,13 @@
     /// When evidence or culprits were last sent to the other gateways.
     mono_time announced_at{};
     /// When each culprit that this gateway found is to be written to the store.
-    std::map<digest, mono_time> unwritten;
+    std::map<digest, mono_time> unwritten_culprits;
+    /// When each crash that the store may lack is to be written.
+    std::map<quarantine::crash_key, mono_time> unwritten_crashes;
+    /// A write of a crash, or the removal of one, is under way.
+    bool is_crash_write_open = false;
+    /// When to look for crashes that the store needs no more.
+    mono_time removal_due_at{};
 };
 
 /// \brief What a gateway does about the limits of upstreams for all gateways.
@@ -141,7 +147,7 @@
     std::unique_ptr<platform::store> store;
     std::unique_ptr<follow::follower> operator_topic;
     std::unique_ptr<follow::follower> upstream_topic;
-    /// Culprits that gateways found, so that a restart forgets none.
+    /// Culprits and crashes, so that a restart forgets none.
     std::unique_ptr<follow::follower> quarantine_topic;
     crash_watch crashes;
     limit_exchange limits;
