Send no further calls to engines that lack three reports (GONE)

For the 0.6 s until they count as standing still they seem to have room, and get what waits; the callers leave from there.

Cause: an engine was taken for available until its silence was certain.

Ruled out: a lower silence_limit (a false alarm costs a repeat and what the engine has prefilled); ending once-only calls before their callers leave (tells them nothing).

Change: an engine without a report and without a byte of any answer for 0.3 s gets no further call until its next sign, while the gateway hears half of the pool. Once its last report is over 1.5 s old its agent counts as lost, as before.

Tests: silence.an_engine_that_lacks_three_reports_gets_no_further_calls is new (the engine got the call before: no such limit); an_engine_that_answers_or_all_others... guards against false alarms. The fixture of the older tests sets the new limit to the old one's value: they check the same times.

--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -43,7 +43,7 @@
 
 // If not, the gateway itself is cut off, or has stood still.
 bool hears_half_of_pool(state const& dispatcher, std::string const& pool,
-                        mono_time now)
+                        std::chrono::milliseconds limit, mono_time now)
 {
     std::size_t known = 0;
     std::size_t heard = 0;
@@ -52,12 +52,24 @@
         if (target.record.pool != pool || target.is_replaced || !target.load)
             continue;
         ++known;
-        heard +=
-            now - target.load->reported_at < dispatcher.limits.silence_limit;
+        heard += now - target.load->reported_at < limit;
     }
     return 2 * heard >= known;
 }
 
+// Calls that wait would all go to an engine that stands still, since it seems
+// to have room. One whose agent has ended is known by its answers, or once its
+// last report is too old to say anything.
+bool is_quiet(state const& dispatcher, upstream const& target, mono_time now)
+{
+    auto const limit = dispatcher.limits.quiet_limit;
+    return has_fresh_report(dispatcher, target, now) &&
+           now - target.load->reported_at >= limit &&
+           now - target.answered_at >= limit &&
+           now - dispatcher.running_since >= limit &&
+           hears_half_of_pool(dispatcher, target.record.pool, limit, now);
+}
+
 } // namespace
 
 bool has_fresh_report(state const& dispatcher, upstream const& target,
@@ -71,7 +83,8 @@
                   mono_time now)
 {
     return is_silent(dispatcher, target, now) &&
-           hears_half_of_pool(dispatcher, target.record.pool, now);
+           hears_half_of_pool(dispatcher, target.record.pool,
+                              dispatcher.limits.silence_limit, now);
 }
 
 bool is_available(state const& dispatcher, upstream const& target,
@@ -85,7 +98,8 @@
         return false;
     bool const is_known_down =
         has_fresh_report(dispatcher, target, now) && target.load->is_down;
-    return !is_known_down && !stands_still(dispatcher, target, now);
+    return !is_known_down && !is_quiet(dispatcher, target, now) &&
+           !stands_still(dispatcher, target, now);
 }
 
 bool has_software(upstream const& target, call const& request)
--- a/jujubestand/dispatch/test/silence_test.cpp
+++ b/jujubestand/dispatch/test/silence_test.cpp
@@ -36,6 +36,7 @@
 {
     auto dispatcher = fleet(engines);
     dispatcher.limits.silence_limit = std::chrono::milliseconds{1'500};
+    dispatcher.limits.quiet_limit = dispatcher.limits.silence_limit;
     auto& silent = engine(dispatcher, 1);
     hold_parts(silent, shared_part);
     EXPECT_EQ(submit(dispatcher, small_call(1, 100), at(100)).upstream,
@@ -88,6 +89,37 @@
     EXPECT_FALSE(is_available(dispatcher, engine(dispatcher, 1), at(700)));
 }
 
+// All calls that waited were sent to the engines that stood still, as these had
+// room; their callers left from there (GONE).
+TEST(silence, an_engine_that_lacks_three_reports_gets_no_further_calls)
+{
+    auto dispatcher = fleet_with_a_silent_engine(3);
+    dispatcher.limits = options{};
+    auto const silent = engine(dispatcher, 1).key;
+    report_others(dispatcher, silent, 390);
+    on_load_report(dispatcher, silent, idle_load(100));
+    EXPECT_EQ(target_of_next(dispatcher, 2, 390), silent);
+    EXPECT_NE(target_of_next(dispatcher, 3, 400), silent);
+    EXPECT_TRUE(stranded_calls(dispatcher, at(400)).empty());
+    on_load_report(dispatcher, silent, idle_load(410));
+    EXPECT_EQ(target_of_next(dispatcher, 4, 410), silent);
+}
+
+// The agent may have ended alone, or the gateway may lag.
+TEST(silence, an_engine_that_answers_or_all_others_lack_reports_gets_calls)
+{
+    auto dispatcher = fleet_with_a_silent_engine(3);
+    dispatcher.limits = options{};
+    auto const silent = engine(dispatcher, 1).key;
+    on_load_report(dispatcher, silent, idle_load(100));
+    report_others(dispatcher, silent, 100);
+    EXPECT_EQ(target_of_next(dispatcher, 2, 450), silent);
+    report_others(dispatcher, silent, 450);
+    EXPECT_NE(target_of_next(dispatcher, 3, 451), silent);
+    on_answer_bytes(dispatcher, 2, at(452));
+    EXPECT_EQ(target_of_next(dispatcher, 4, 452), silent);
+}
+
 // A gateway that goes on after a pause reads first what came from some engines.
 TEST(silence, engines_are_not_silent_while_the_gateway_stood_still)
 {
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -108,6 +108,9 @@
     /// byte for so long stands still. Its callers leave after 2 s without
     /// output, of which they may have waited for an engine before.
     std::chrono::milliseconds silence_limit{600};
+    /// An engine that has given no sign for so long, though reports come each
+    /// 0.1 s, may stand still: it gets no further calls for the time being.
+    std::chrono::milliseconds quiet_limit{300};
     std::size_t waiting_limit = 2'000;
 };
 
@@ -239,6 +242,8 @@
     /// Time of the last byte of an answer while sends are in flight, or of the
     /// first of them.
     std::optional<mono_time> unanswered_since;
+    /// Time of the last byte of any answer.
+    mono_time answered_at{};
     /// Recent failures at `failures_at`; decays by `failure_half_life`.
     double failures = 0;
     mono_time failures_at{};
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -297,8 +297,10 @@
     if (found == dispatcher.sends.end())
         return;
     upstream* const target = find(dispatcher, found->second.upstream);
-    if (target != nullptr)
-        target->unanswered_since = now;
+    if (target == nullptr)
+        return;
+    target->unanswered_since = now;
+    target->answered_at = now;
 }
 
 void on_first_output(state& dispatcher, call_key call)
