Play callers that leave streams which go on at a second engine (GONE)

Three tests of whole gateway processes: a caller leaves after its stream has gone on at another engine, the same while the gateway stands still, and before it goes on. All pass on the code as it is. With the cancel in on_caller_disconnected taken out the first two fail; the third passes, since the close is seen before the retry.

Not played: a connection under way. A test with a listener whose queue is full could not fail (the connection is given up after 0.6 s, before the system tries again), and was dropped.

--- /dev/null
+++ b/programs/test/left_streams_test.cpp
@@ -0,0 +1,119 @@
+#include <csignal>
+#include <programs/test/gateways_fixture.hpp>
+
+// Callers leave streams that go on at a second engine.
+namespace jujubestand::programs::test
+{
+
+namespace
+{
+
+constexpr milliseconds work_limit{500};
+
+class left_streams : public gateways_test
+{
+protected:
+    /// \brief Starts a gateway and two engines whose streams stop after some
+    /// events.
+    void start()
+    {
+        this->start_gateways(1);
+        this->add_engine("v1", near);
+        this->add_engine("v1", near);
+        this->wait_ready();
+        for (std::size_t number = 0; number < this->engines.size(); ++number)
+            this->wait_logged(0, "member_live", number);
+        this->pause_all_after(begun);
+    }
+
+    /// \brief Begins a stream, and has it go on at the second engine.
+    answer_ptr begin_resumed()
+    {
+        stream_call asked{"first", "", ""};
+        asked.parts = "aaaa:30,c1:40,1001:10";
+        auto answer = this->ask(0, asked);
+        EXPECT_TRUE(this->run_to_events(answer, begun));
+        auto const first = this->engine_with_stream();
+        this->second = 1 - first;
+        this->engines[first].engine->cut_streams();
+        return answer;
+    }
+
+    void wait_resumed()
+    {
+        ASSERT_TRUE(this->run_until(
+            [this]
+            {
+                return this->engines[this->second].engine->open_streams() == 1;
+            }));
+    }
+
+    void expect_left()
+    {
+        EXPECT_TRUE(this->run_until(
+            [this]
+            {
+                return this->engines[this->second].engine->open_streams() == 0;
+            },
+            work_limit));
+    }
+
+    void run_for(milliseconds time)
+    {
+        this->run_until(
+            []
+            {
+                return false;
+            },
+            time);
+    }
+
+    static constexpr std::uint64_t begun = 3;
+    std::size_t second = 0;
+};
+
+} // namespace
+
+// A stream went on at a second engine though its caller had left (GONE).
+TEST_F(left_streams, an_engine_learns_of_it_after_a_stream_was_resumed)
+{
+    this->start();
+    auto const answer = this->begin_resumed();
+    this->wait_resumed();
+    this->caller.cancel(answer->call);
+    this->expect_left();
+}
+
+// The same through a gateway that stood still meanwhile (GONE).
+TEST_F(left_streams, an_engine_learns_of_it_after_the_gateway_paused)
+{
+    this->start();
+    auto const answer = this->begin_resumed();
+    this->wait_resumed();
+    this->gateways.front().process->signal(SIGSTOP);
+    this->caller.cancel(answer->call);
+    this->run_for(milliseconds{1'000});
+    this->gateways.front().process->signal(SIGCONT);
+    this->expect_left();
+}
+
+// A stream was resumed though its caller had left while the gateway stood still
+// (GONE).
+TEST_F(left_streams, a_stream_is_not_resumed_for_a_caller_that_has_left)
+{
+    this->start();
+    stream_call asked{"first", "", ""};
+    asked.parts = "aaaa:30,c1:40,1001:10";
+    auto const answer = this->ask(0, asked);
+    ASSERT_TRUE(this->run_to_events(answer, begun));
+    auto const first = this->engine_with_stream();
+    this->gateways.front().process->signal(SIGSTOP);
+    this->engines[first].engine->cut_streams();
+    this->caller.cancel(answer->call);
+    this->run_for(milliseconds{300});
+    this->gateways.front().process->signal(SIGCONT);
+    this->run_for(work_limit);
+    EXPECT_EQ(this->engines[1 - first].engine->open_streams(), 0U);
+}
+
+} // namespace jujubestand::programs::test
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -220,6 +220,11 @@
     reply(call.request, accepted, "");
 }
 
+std::size_t stream_engine::open_streams() const noexcept
+{
+    return this->paused.size();
+}
+
 std::vector<mono_time> const& stream_engine::questions() const noexcept
 {
     return this->question_times;
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -101,6 +101,9 @@
     /// \brief Ends the paused streams where they are, as if they were whole.
     void truncate_streams();
 
+    /// \brief Streams that are paced or paused and whose callers are there.
+    [[nodiscard]] std::size_t open_streams() const noexcept;
+
     /// \brief Times at which it was asked for reports or changes of its cache.
     [[nodiscard]] std::vector<mono_time> const& questions() const noexcept;
 
