Let a refused request explain a crash only if it is the only one there (BUDGET)

Cause: streams that may be resumed pass through three crashes with those of the part, and are refused since, all together. Each of them then explained its crashes, which no longer counted against the part.

Ruled out: load alone; the logs show whole requests refused every half second and the part only after 4.6 to 6.1 s.

Change: of several refused requests in a crash none explains it; a single one does, as before.

Conclusion: mended. The rule's tie (two calls in the same three ends are refused both) stays.

--- a/jujubestand/quarantine/suspects.cpp
+++ b/jujubestand/quarantine/suspects.cpp
@@ -34,10 +34,26 @@
            recorded.at_ms <= ms_of(of.now - of.options.settling_time);
 }
 
+/// Culprits that were in flight at a crash.
+struct known_culprits
+{
+    std::size_t requests = 0;
+    std::size_t parts = 0;
+};
+
+// Of several requests that are refused, most may be sound: what they have in
+// common, a part maybe, is still to be found.
+explanation explanation_by(known_culprits const& known)
+{
+    if (known.parts > 0)
+        return explanation::part;
+    return known.requests == 1 ? explanation::request : explanation::none;
+}
+
 std::map<crash_key, explanation> explain(crash_analysis const& of,
                                          std::set<digest> const& known)
 {
-    std::map<crash_key, explanation> result;
+    std::map<crash_key, known_culprits> culprits;
     for (auto const& fingerprint : known)
     {
         auto const found = of.evidence.strikes.entries.find(fingerprint);
@@ -45,11 +61,13 @@
             continue;
         for (auto const& recorded : found->second.strikes)
         {
-            auto& why = result[key_of(recorded)];
-            why = std::max(why, is_part(fingerprint) ? explanation::part
-                                                     : explanation::request);
+            auto& at = culprits[key_of(recorded)];
+            ++(is_part(fingerprint) ? at.parts : at.requests);
         }
     }
+    std::map<crash_key, explanation> result;
+    for (auto const& [key, at] : culprits)
+        result[key] = explanation_by(at);
     return result;
 }
 
--- a/jujubestand/quarantine/suspects.hpp
+++ b/jujubestand/quarantine/suspects.hpp
@@ -16,7 +16,7 @@
 enum class explanation : std::uint8_t
 {
     none,
-    request, ///< a whole request; one of its parts may be the reason
+    request, ///< one whole request; one of its parts may be the reason
     part,
 };
 
--- a/jujubestand/quarantine/test/evidence_events_test.cpp
+++ b/jujubestand/quarantine/test/evidence_events_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <jujubestand/quarantine/test/evidence_group.hpp>
 
@@ -140,4 +141,44 @@
               std::vector<digest>{whole_request(500).fingerprint});
 }
 
+// Sound streams and those with a crashing part went on from engine to engine
+// together. They were refused after three crashes, and counted as the reason
+// for these, so that the part was not found (BUDGET).
+TEST(evidence, streams_that_pass_through_crashes_do_not_hide_their_part)
+{
+    constexpr std::uint64_t engines_per_stream = 3;
+    constexpr std::uint64_t sound_parts = 7;
+    constexpr std::uint64_t sound_streams = 2;
+    constexpr std::uint64_t crashes_allowed = 9;
+    constexpr int answers = 100;
+    group all(2);
+    for (int number = 0; number < answers; ++number)
+        all.answer(0, request(10 + number % sound_parts, all.next_request++));
+    std::uint64_t crashes = 0;
+    bool is_found = false;
+    while (!is_found && crashes < 2 * crashes_allowed)
+    {
+        auto const engine = all.next_engine();
+        ++crashes;
+        // Each stream is numbered by the crash at which it came.
+        for (auto begun = crashes;
+             begun > 0 && begun + engines_per_stream > crashes; --begun)
+        {
+            all.cut(0, engine, request(crashing_part, 1'000 + begun),
+                    answer_stage::output);
+            for (std::uint64_t sound = 0; sound < sound_streams; ++sound)
+                all.cut(1, engine,
+                        request(10 + (begun + sound) % sound_parts,
+                                2'000 + sound_streams * begun + sound),
+                        answer_stage::output);
+        }
+        all.lose_engine();
+        all.now += milliseconds{300};
+        auto const found = all.judged(0);
+        is_found = std::find(found.begin(), found.end(),
+                             only(crashing_part).front()) != found.end();
+    }
+    EXPECT_LE(crashes, crashes_allowed);
+}
+
 } // namespace jujubestand::quarantine
