--- a/jujubestand/gateway/quarantine_records.cpp
+++ b/jujubestand/gateway/quarantine_records.cpp
@@ -15,7 +15,7 @@
 /// it first.
 constexpr std::chrono::milliseconds culprit_delay_limit{500};
 constexpr std::chrono::milliseconds crash_delay_limit{150};
-constexpr std::chrono::milliseconds write_retry_delay{1'500};
+constexpr std::chrono::milliseconds write_retry_delay{1'000};
 
 /// How often a gateway looks for records of crashes to remove.
 constexpr std::chrono::milliseconds removal_interval{60'000};
@@ -133,12 +133,13 @@
     auto& crashes = state.crashes;
     if (now < crashes.removal_due_at || crashes.is_crash_write_open)
         return;
+    crashes.removal_due_at =
+        random_time(state, now + removal_interval, removal_interval);
     auto const obsolete = obsolete_record(state, wall_now());
-    if (obsolete)
-        put_crash_record(state, *obsolete, {});
-    else
-        crashes.removal_due_at =
-            random_time(state, now + removal_interval, removal_interval);
+    if (!obsolete)
+        return;
+    put_crash_record(state, *obsolete, {});
+    crashes.removal_due_at = now + write_retry_delay;
 }
 
 void reject(gateway_state& state, follow::record const& row, char const* why)
--- a/jujubestand/quarantine/crash_records.cpp
+++ b/jujubestand/quarantine/crash_records.cpp
@@ -59,8 +59,10 @@
 
 std::string record_key_of(crash_key const& crash)
 {
-    return std::string(key_prefix) + crash.first.text + "/" +
-           std::to_string(crash.second.value);
+    std::string identity;
+    append_part(identity, crash.first.text);
+    append_part(identity, std::to_string(crash.second.value));
+    return std::string(key_prefix) + to_text(digest_of(identity));
 }
 
 bool is_crash_record(std::string_view key) noexcept
--- a/jujubestand/quarantine/crash_records.hpp
+++ b/jujubestand/quarantine/crash_records.hpp
@@ -13,7 +13,8 @@
 namespace jujubestand::quarantine
 {
 
-/// \brief Key of the record of a crash.
+/// \brief Key of the record of a crash: of one length, however long the name of
+/// its upstream is.
 [[nodiscard]] std::string record_key_of(crash_key const& crash);
 
 /// \brief Whether a key is that of the record of a crash.
--- a/jujubestand/quarantine/test/crash_records_test.cpp
+++ b/jujubestand/quarantine/test/crash_records_test.cpp
@@ -103,4 +103,16 @@
     EXPECT_EQ(crashes_of(known, news), (std::vector<crash_key>{first, second}));
 }
 
+// The store's keys have at most 255 bytes, as names of upstreams may have.
+TEST(crash_records, keys_are_short_and_differ)
+{
+    constexpr std::size_t key_limit = 255;
+    upstream_id const longest{std::string(key_limit, 'x')};
+    auto const key = record_key_of({longest, incarnation_id{1}});
+    EXPECT_LT(key.size(), key_limit);
+    EXPECT_TRUE(is_crash_record(key));
+    EXPECT_NE(key, record_key_of({longest, incarnation_id{2}}));
+    EXPECT_NE(key, record_key_of({upstream_id{"x"}, incarnation_id{1}}));
+}
+
 } // namespace jujubestand::quarantine
