--- a/jujubestand/quarantine/test/evidence_events_test.cpp
+++ b/jujubestand/quarantine/test/evidence_events_test.cpp
@@ -150,9 +150,9 @@
     constexpr std::uint64_t sound_parts = 7;
     constexpr std::uint64_t sound_streams = 2;
     constexpr std::uint64_t crashes_allowed = 9;
-    constexpr int answers = 100;
+    constexpr std::uint64_t answers = 100;
     group all(2);
-    for (int number = 0; number < answers; ++number)
+    for (std::uint64_t number = 0; number < answers; ++number)
         all.answer(0, request(10 + number % sound_parts, all.next_request++));
     std::uint64_t crashes = 0;
     bool is_found = false;
