--- a/jujubestand/quarantine/crash_records.cpp
+++ b/jujubestand/quarantine/crash_records.cpp
@@ -13,11 +13,6 @@
 /// Requests in the record of one crash; all processes keep the same ones.
 constexpr std::size_t requests_limit = 256;
 
-crash_key key_of(strike const& recorded)
-{
-    return {recorded.upstream, recorded.incarnation};
-}
-
 void add_request(evidence const& state, crash_key const& crash,
                  std::int64_t crashed_at_ms, digest const& fingerprint,
                  notice& result)
@@ -27,7 +22,7 @@
         return;
     for (auto const& recorded : found->second.strikes)
     {
-        if (key_of(recorded) == crash)
+        if (crash_of(recorded) == crash)
             result.strikes.push_back(recorded);
     }
     if (found->second.cleared_until_ms >= crashed_at_ms)
@@ -111,7 +106,7 @@
     for (auto const& recorded : news.strikes)
     {
         if (!is_part(recorded.fingerprint))
-            result.insert(key_of(recorded));
+            result.insert(crash_of(recorded));
     }
     for (auto const& item : news.clearances)
     {
--- a/jujubestand/quarantine/culprits.hpp
+++ b/jujubestand/quarantine/culprits.hpp
@@ -50,6 +50,12 @@
 /// \brief An engine and the incarnation that crashed.
 using crash_key = std::pair<upstream_id, incarnation_id>;
 
+/// \brief The crash that a strike is of.
+[[nodiscard]] inline crash_key crash_of(strike const& recorded)
+{
+    return {recorded.upstream, recorded.incarnation};
+}
+
 /// \brief The requests that were in flight at a crash, also those that were
 /// cleared since.
 struct crash_record
--- a/jujubestand/quarantine/suspects.cpp
+++ b/jujubestand/quarantine/suspects.cpp
@@ -18,11 +18,6 @@
 /// Crashes whose requests are remembered.
 constexpr std::size_t crashes_limit = 64;
 
-crash_key key_of(strike const& recorded)
-{
-    return {recorded.upstream, recorded.incarnation};
-}
-
 std::int64_t ms_of(wall_time time)
 {
     return time.time_since_epoch().count();
@@ -34,43 +29,6 @@
            recorded.at_ms <= ms_of(of.now - of.options.settling_time);
 }
 
-/// Culprits that were in flight at a crash.
-struct known_culprits
-{
-    std::size_t requests = 0;
-    std::size_t parts = 0;
-};
-
-// Of several requests that are refused, most may be sound: what they have in
-// common, a part maybe, is still to be found.
-explanation explanation_by(known_culprits const& known)
-{
-    if (known.parts > 0)
-        return explanation::part;
-    return known.requests == 1 ? explanation::request : explanation::none;
-}
-
-std::map<crash_key, explanation> explain(crash_analysis const& of,
-                                         std::set<digest> const& known)
-{
-    std::map<crash_key, known_culprits> culprits;
-    for (auto const& fingerprint : known)
-    {
-        auto const found = of.evidence.strikes.entries.find(fingerprint);
-        if (found == of.evidence.strikes.entries.end())
-            continue;
-        for (auto const& recorded : found->second.strikes)
-        {
-            auto& at = culprits[key_of(recorded)];
-            ++(is_part(fingerprint) ? at.parts : at.requests);
-        }
-    }
-    std::map<crash_key, explanation> result;
-    for (auto const& [key, at] : culprits)
-        result[key] = explanation_by(at);
-    return result;
-}
-
 explanation explanation_of(crash_analysis const& of, crash_key const& key)
 {
     auto const found = of.explained.find(key);
@@ -148,9 +106,9 @@
     return std::any_of(event.begin(), event.end(),
                        [&](strike const& recorded)
                        {
-                           if (key_of(recorded) == key)
+                           if (crash_of(recorded) == key)
                                return true;
-                           auto const own = of.sizes.find(key_of(recorded));
+                           auto const own = of.sizes.find(crash_of(recorded));
                            return own != of.sizes.end() &&
                                   is_together(own->second.at_ms, size.at_ms,
                                               of.options);
@@ -163,7 +121,7 @@
     return std::any_of(event.begin(), event.end(),
                        [&](strike const& recorded)
                        {
-                           return key_of(recorded) == key &&
+                           return crash_of(recorded) == key &&
                                   recorded.stage >= stage;
                        });
 }
@@ -215,7 +173,7 @@
 // Whether the engine had begun to answer it, or nothing else.
 bool is_begun(crash_analysis const& of, strike const& recorded)
 {
-    auto const found = of.evidence.crashes.find(key_of(recorded));
+    auto const found = of.evidence.crashes.find(crash_of(recorded));
     return recorded.stage != answer_stage::none ||
            found == of.evidence.crashes.end() ||
            requests_from(found->second, answer_stage::output) == 0;
@@ -259,7 +217,7 @@
     for (auto const& recorded : entry.strikes)
     {
         if (is_settled(of, recorded) &&
-            explanation_of(of, key_of(recorded)) != explanation::part)
+            explanation_of(of, crash_of(recorded)) != explanation::part)
             result.push_back(recorded);
     }
     std::sort(result.begin(), result.end(),
@@ -309,10 +267,10 @@
     bool has_begun = false;
     for (auto const& recorded : event)
     {
-        if (explanation_of(of, key_of(recorded)) == explanation::none)
+        if (explanation_of(of, crash_of(recorded)) == explanation::none)
         {
             ++unexplained;
-            to.unexplained_keys.insert(key_of(recorded));
+            to.unexplained_keys.insert(crash_of(recorded));
         }
         has_begun = has_begun || is_begun(of, recorded);
         to.depth = std::max(to.depth, recorded.depth);
@@ -358,7 +316,7 @@
 {
     for (auto const& recorded : strikes)
     {
-        auto& crash = crashes[key_of(recorded)];
+        auto& crash = crashes[crash_of(recorded)];
         if (crash.at_ms == 0 || recorded.at_ms < crash.at_ms)
             crash.at_ms = recorded.at_ms;
         if (is_part(recorded.fingerprint))
@@ -376,7 +334,7 @@
 {
     crash_analysis result{
         evidence, options, now, parts_in_use(evidence, options), {}, {}};
-    result.explained = explain(result, known);
+    result.explained = explain(evidence.strikes, known);
     result.sizes = sizes_of(result);
     return result;
 }
--- a/jujubestand/quarantine/suspects.hpp
+++ b/jujubestand/quarantine/suspects.hpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <jujubestand/quarantine/culprits.hpp>
+#include <jujubestand/quarantine/explanations.hpp>
 #include <map>
 #include <set>
 
@@ -12,14 +12,6 @@
 namespace jujubestand::quarantine
 {
 
-/// \brief What explains a crash.
-enum class explanation : std::uint8_t
-{
-    none,
-    request, ///< one whole request; one of its parts may be the reason
-    part,
-};
-
 /// \brief A fingerprint and its crashes.
 struct suspect
 {
--- a/programs/test/crashing_calls_test.cpp
+++ b/programs/test/crashing_calls_test.cpp
@@ -194,14 +194,7 @@
         stream_call call{"bad-" + std::to_string(++this->calls), "", ""};
         call.target = this->rules.crash.path;
         auto const answer = this->ask(this->any_gateway(), call);
-        if (this->rules.patience.count() == 0)
-            return;
-        this->later.run(this->rules.patience,
-                        [this, answer]
-                        {
-                            if (!answer->end)
-                                this->caller.cancel(answer->call);
-                        });
+        this->leave_after(answer, this->rules.patience);
     }
 
     void send_sound()
@@ -244,7 +237,6 @@
     bool was_killed = false;
     std::vector<sound_call> sound;
     std::vector<std::unique_ptr<standins::crashing_service>> services;
-    standins::delays later{this->base.get()};
 };
 
 /// One way for services to end.
--- a/programs/test/crashing_engines.hpp
+++ b/programs/test/crashing_engines.hpp
@@ -317,14 +317,7 @@
             call.resumes = this->last_whole;
         }
         auto const answer = this->ask(this->any_gateway(), call);
-        if (this->rules.patience.count() == 0)
-            return;
-        this->later.run(this->rules.patience,
-                        [this, answer]
-                        {
-                            if (!answer->end)
-                                this->caller.cancel(answer->call);
-                        });
+        this->leave_after(answer, this->rules.patience);
     }
 
     // Sound streams pass through the same routes; their ids can be resumed.
@@ -345,7 +338,6 @@
     std::string last_whole;
     bool is_started = false;
     bool was_killed = false;
-    standins::delays later{this->base.get()};
 };
 
 } // namespace jujubestand::programs::test
--- a/programs/test/faulty_gateways.hpp
+++ b/programs/test/faulty_gateways.hpp
@@ -92,7 +92,6 @@
 
     unsigned seed = number_from("JUJUBESTAND_FAULT_SEED", 20261204);
     std::mt19937 random{seed};
-    standins::delays later{this->base.get()};
 };
 
 } // namespace jujubestand::programs::test
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -120,6 +120,20 @@
         return start_call(this->caller, std::move(request));
     }
 
+    /// \brief Has the caller leave if it has no answer by then.
+    /// \param patience zero: it waits for as long as it takes
+    void leave_after(answer_ptr const& answer, milliseconds patience)
+    {
+        if (patience.count() == 0)
+            return;
+        this->later.run(patience,
+                        [this, answer]
+                        {
+                            if (!answer->end)
+                                this->caller.cancel(answer->call);
+                        });
+    }
+
     /// \brief Asks again while a gateway promises that the call has not run,
     /// a few times, as callers do: a slow machine may delay the datagrams
     /// between gateways for longer than these wait.
@@ -188,6 +202,7 @@
     std::string more_bounds;
     std::vector<running_gateway> gateways;
     http1::client caller;
+    standins::delays later{this->base.get()};
 
 private:
     static constexpr std::size_t first_gateway_number = 10;
--- a/programs/test/left_streams_test.cpp
+++ b/programs/test/left_streams_test.cpp
@@ -97,23 +97,30 @@
     this->expect_left();
 }
 
-// A stream was resumed though its caller had left while the gateway stood still
-// (GONE).
-TEST_F(left_streams, a_stream_is_not_resumed_for_a_caller_that_has_left)
+// A stream that waited for a second engine, which had asked for a pause, went
+// on there though its caller had left (GONE).
+TEST_F(left_streams, a_stream_that_waits_does_not_go_on)
 {
+    constexpr milliseconds past_pause{2'500};
     this->start();
     stream_call asked{"first", "", ""};
     asked.parts = "aaaa:30,c1:40,1001:10";
     auto const answer = this->ask(0, asked);
     ASSERT_TRUE(this->run_to_events(answer, begun));
     auto const first = this->engine_with_stream();
-    this->gateways.front().process->signal(SIGSTOP);
+    auto& other = *this->engines[1 - first].engine;
+    other.ask_for_pause("1");
     this->engines[first].engine->cut_streams();
+    ASSERT_TRUE(this->run_until(
+        [&]
+        {
+            return other.seen().size() == 1;
+        }));
+    other.ask_for_pause("");
+    this->run_for(milliseconds{100});
     this->caller.cancel(answer->call);
-    this->run_for(milliseconds{300});
-    this->gateways.front().process->signal(SIGCONT);
-    this->run_for(work_limit);
-    EXPECT_EQ(this->engines[1 - first].engine->open_streams(), 0U);
+    this->run_for(past_pause);
+    EXPECT_EQ(other.seen().size(), 1U);
 }
 
 } // namespace jujubestand::programs::test
--- a/programs/test/played_calls.hpp
+++ b/programs/test/played_calls.hpp
@@ -245,7 +245,6 @@
     std::map<std::string, std::vector<mono_time>> arrivals;
     std::map<std::string, std::size_t> arrivals_by_call;
     std::vector<std::unique_ptr<standins::recording_service>> services;
-    standins::delays later{this->base.get()};
 };
 
 } // namespace jujubestand::programs::test
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -220,11 +220,6 @@
     reply(call.request, accepted, "");
 }
 
-std::size_t stream_engine::open_streams() const noexcept
-{
-    return this->paused.size();
-}
-
 std::vector<mono_time> const& stream_engine::questions() const noexcept
 {
     return this->question_times;
@@ -240,11 +235,6 @@
     return this->order_fences;
 }
 
-std::vector<stream_request> const& stream_engine::seen() const noexcept
-{
-    return this->requests;
-}
-
 address stream_engine::bound() const
 {
     return this->server.bound();
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -102,7 +102,10 @@
     void truncate_streams();
 
     /// \brief Streams that are paced or paused and whose callers are there.
-    [[nodiscard]] std::size_t open_streams() const noexcept;
+    [[nodiscard]] std::size_t open_streams() const noexcept
+    {
+        return this->paused.size();
+    }
 
     /// \brief Times at which it was asked for reports or changes of its cache.
     [[nodiscard]] std::vector<mono_time> const& questions() const noexcept;
@@ -113,7 +116,11 @@
     /// \brief Fencing tokens of these orders.
     [[nodiscard]] std::vector<std::uint64_t> const& fences() const noexcept;
 
-    [[nodiscard]] std::vector<stream_request> const& seen() const noexcept;
+    [[nodiscard]] std::vector<stream_request> const& seen() const noexcept
+    {
+        return this->requests;
+    }
+
     [[nodiscard]] address bound() const;
 
 private:
