--- a/jujubestand/gateway/quarantine_records.cpp
+++ b/jujubestand/gateway/quarantine_records.cpp
@@ -20,9 +20,6 @@
 /// How often a gateway looks for records of crashes to remove.
 constexpr std::chrono::milliseconds removal_interval{60'000};
 
-/// Records of crashes that are kept, the latest ones.
-constexpr std::size_t crash_records_limit = 128;
-
 mono_time random_time(gateway_state& state, mono_time from,
                       std::chrono::milliseconds limit)
 {
@@ -102,30 +99,16 @@
     }
 }
 
-// The record of a crash that counts no more, or of the oldest one if there are
-// too many.
-std::optional<std::string> obsolete_record(gateway_state const& state,
-                                           wall_time now)
+std::map<std::string, quarantine::notice>
+stored_crashes(gateway_state const& state)
 {
-    std::size_t count = 0;
-    std::optional<std::string> oldest;
-    std::int64_t oldest_ms = 0;
+    std::map<std::string, quarantine::notice> result;
     for (auto const& [key, row] : state.quarantine_topic->known().newest)
     {
-        if (row.value.empty() || !quarantine::is_crash_record(key))
-            continue;
-        ++count;
-        auto const last_ms =
-            quarantine::last_time_ms(stored_notice(state, key));
-        if (oldest && last_ms >= oldest_ms)
-            continue;
-        oldest = key;
-        oldest_ms = last_ms;
+        if (!row.value.empty() && quarantine::is_crash_record(key))
+            result[key] = stored_notice(state, key);
     }
-    auto const lifetime = state.crashes.evidence.strikes.options.lifetime;
-    bool const is_expired =
-        wall_time{std::chrono::milliseconds{oldest_ms}} + lifetime <= now;
-    return is_expired || count > crash_records_limit ? oldest : std::nullopt;
+    return result;
 }
 
 void remove_obsolete(gateway_state& state, mono_time now)
@@ -135,7 +118,9 @@
         return;
     crashes.removal_due_at =
         random_time(state, now + removal_interval, removal_interval);
-    auto const obsolete = obsolete_record(state, wall_now());
+    auto const obsolete = quarantine::obsolete_record(
+        stored_crashes(state), crashes.evidence.strikes.options.lifetime,
+        wall_now());
     if (!obsolete)
         return;
     put_crash_record(state, *obsolete, {});
--- a/jujubestand/quarantine/crash_records.cpp
+++ b/jujubestand/quarantine/crash_records.cpp
@@ -13,6 +13,9 @@
 /// Requests in the record of one crash; all processes keep the same ones.
 constexpr std::size_t requests_limit = 256;
 
+/// Records that are kept, the latest ones.
+constexpr std::size_t records_limit = 128;
+
 void add_request(evidence const& state, crash_key const& crash,
                  std::int64_t crashed_at_ms, digest const& fingerprint,
                  notice& result)
@@ -50,6 +53,17 @@
                        });
 }
 
+// When the last strike or clearance of a record was; 0: it has none.
+std::int64_t last_time_ms(notice const& stored) noexcept
+{
+    std::int64_t result = 0;
+    for (auto const& recorded : stored.strikes)
+        result = std::max(result, recorded.at_ms);
+    for (auto const& item : stored.clearances)
+        result = std::max(result, item.until_ms);
+    return result;
+}
+
 } // namespace
 
 std::string record_key_of(crash_key const& crash)
@@ -119,14 +133,23 @@
     return {result.begin(), result.end()};
 }
 
-std::int64_t last_time_ms(notice const& stored) noexcept
+std::optional<std::string>
+obsolete_record(std::map<std::string, notice> const& stored,
+                std::chrono::milliseconds lifetime, wall_time now)
 {
-    std::int64_t result = 0;
-    for (auto const& recorded : stored.strikes)
-        result = std::max(result, recorded.at_ms);
-    for (auto const& item : stored.clearances)
-        result = std::max(result, item.until_ms);
-    return result;
+    auto const oldest = std::min_element(stored.begin(), stored.end(),
+                                         [](auto const& left, auto const& right)
+                                         {
+                                             return last_time_ms(left.second) <
+                                                    last_time_ms(right.second);
+                                         });
+    if (oldest == stored.end())
+        return std::nullopt;
+    std::chrono::milliseconds const last{last_time_ms(oldest->second)};
+    bool const is_expired = wall_time{last} + lifetime <= now;
+    if (is_expired || stored.size() > records_limit)
+        return oldest->first;
+    return std::nullopt;
 }
 
 } // namespace jujubestand::quarantine
--- a/jujubestand/quarantine/crash_records.hpp
+++ b/jujubestand/quarantine/crash_records.hpp
@@ -1,7 +1,10 @@
 #ifndef JUJUBESTAND_QUARANTINE_CRASH_RECORDS_HPP
 #define JUJUBESTAND_QUARANTINE_CRASH_RECORDS_HPP
 
+#include <chrono>
 #include <jujubestand/quarantine/evidence.hpp>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,8 +36,11 @@
 [[nodiscard]] std::vector<crash_key> crashes_of(evidence const& state,
                                                 notice const& news);
 
-/// \brief When the last strike or clearance of a record was; 0: it has none.
-[[nodiscard]] std::int64_t last_time_ms(notice const& stored) noexcept;
+/// \brief The record to remove: the oldest one, if it counts no more or if
+/// there are too many; empty if none. \param stored by their keys
+[[nodiscard]] std::optional<std::string>
+obsolete_record(std::map<std::string, notice> const& stored,
+                std::chrono::milliseconds lifetime, wall_time now);
 
 } // namespace jujubestand::quarantine
 
--- a/jujubestand/quarantine/test/crash_records_test.cpp
+++ b/jujubestand/quarantine/test/crash_records_test.cpp
@@ -115,4 +115,29 @@
     EXPECT_NE(key, record_key_of({upstream_id{"x"}, incarnation_id{1}}));
 }
 
+// Records of crashes stayed in the store for ever, or too many of them.
+TEST(crash_records, the_oldest_record_is_removed_in_time)
+{
+    constexpr std::chrono::hours lifetime{1};
+    constexpr std::size_t records_limit = 128;
+    group all(2);
+    std::map<std::string, notice> stored;
+    EXPECT_FALSE(obsolete_record(stored, lifetime, all.now));
+    auto const first = end_engine(all);
+    stored[record_key_of(first)] = record_of(all, first);
+    auto const first_at = all.now;
+    EXPECT_FALSE(obsolete_record(stored, lifetime, first_at));
+    EXPECT_EQ(obsolete_record(stored, lifetime, first_at + lifetime),
+              record_key_of(first));
+    while (stored.size() < records_limit)
+    {
+        auto const crash = end_engine(all);
+        stored[record_key_of(crash)] = record_of(all, crash);
+    }
+    EXPECT_FALSE(obsolete_record(stored, lifetime, all.now));
+    auto const last = end_engine(all);
+    stored[record_key_of(last)] = record_of(all, last);
+    EXPECT_EQ(obsolete_record(stored, lifetime, all.now), record_key_of(first));
+}
+
 } // namespace jujubestand::quarantine
--- a/programs/test/crashing_calls_test.cpp
+++ b/programs/test/crashing_calls_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 #include <programs/test/gateways_fixture.hpp>
 #include <random>
 #include <standins/service/crashing_service.hpp>
@@ -38,6 +39,9 @@
     /// zero ends: never.
     std::size_t all_killed_at_end = 0;
     milliseconds all_killed_after{1'000};
+    /// The store returns from a copy without any crash so long after these
+    /// ends; zero: never.
+    milliseconds store_returns_after{0};
     /// All sound calls are the same one.
     bool has_same_sound_call = false;
 };
@@ -78,6 +82,7 @@
                     this->send_crashing();
                 next_crashing += this->rules.interval;
             }
+            this->return_store();
             this->restart_killed();
             this->send_sound();
             this->run_until(
@@ -112,6 +117,12 @@
     std::vector<mono_time> arrivals;
 
 private:
+    struct live_service
+    {
+        std::string id;
+        std::uint64_t starts = 0;
+    };
+
     static constexpr unsigned seed = 20261205;
     static constexpr std::size_t first_service = 200;
 
@@ -143,10 +154,12 @@
             this->rules.crash, events);
         this->add_service(id, this->services[number]->bound(),
                           this->services_started);
+        this->live[number] = {id, this->services_started};
     }
 
     void end_service(std::size_t number, std::string const& id)
     {
+        this->live.erase(number);
         if (this->rules.crash.end != standins::service_end::silence)
             this->services[number].reset();
         if (!this->rules.keeps_ids)
@@ -169,6 +182,24 @@
                mono_now() - this->ends[count - 1] >= ago;
     }
 
+    void return_store()
+    {
+        bool const is_due = this->rules.store_returns_after.count() > 0 &&
+                            this->has_ended(this->rules.all_killed_at_end,
+                                            this->rules.store_returns_after);
+        if (!is_due || std::exchange(this->has_returned, true))
+            return;
+        ASSERT_FALSE(this->store.keys("keyed.quarantine").empty());
+        this->store.return_from_copy();
+        // The copy has the first services; those that live write again.
+        for (std::size_t first = 1; first <= this->services.size(); ++first)
+            this->store.put("keyed.servers", "book-" + std::to_string(first),
+                            "");
+        for (auto const& [number, running] : this->live)
+            this->add_service(running.id, this->services[number]->bound(),
+                              running.starts);
+    }
+
     void restart_killed()
     {
         if (this->was_killed)
@@ -235,6 +266,8 @@
     std::size_t calls = 0;
     std::size_t services_started = 0;
     bool was_killed = false;
+    bool has_returned = false;
+    std::map<std::size_t, live_service> live;
     std::vector<sound_call> sound;
     std::vector<std::unique_ptr<standins::crashing_service>> services;
 };
@@ -336,6 +369,22 @@
     EXPECT_EQ(this->ends.size(), ends_allowed);
 }
 
+// The store had lost the ends when it returned from an older copy, so that
+// gateways that started after that counted anew (BUDGET).
+TEST_F(crashing_calls, ends_are_stored_again_after_the_store_returns)
+{
+    this->rules.all_killed_at_end = 2;
+    this->rules.all_killed_after = milliseconds{3'000};
+    this->rules.store_returns_after = milliseconds{1'000};
+    this->rules.interval = milliseconds{4'500};
+    this->rules.crash.path = crashing_once_path;
+    this->start(2, 6);
+    this->store.keep_copy();
+    this->play(milliseconds{19'000});
+    this->expect_bounds();
+    EXPECT_EQ(this->ends.size(), ends_allowed);
+}
+
 // A sound call that was in flight at two ends is no suspect any more once it is
 // answered, for gateways that start later either (LOST).
 TEST_F(crashing_calls, an_answered_call_is_cleared_though_all_gateways_restart)
--- a/programs/test/crashing_parts_test.cpp
+++ b/programs/test/crashing_parts_test.cpp
@@ -8,6 +8,15 @@
 
 class crashing_parts : public crashing_engines
 {
+protected:
+    /// \brief Whether the store holds the crashing part as a culprit; crashes
+    /// stand in the same topic.
+    [[nodiscard]] bool is_part_stored() const
+    {
+        constexpr std::string_view key = "706172740000000000000000bad0bad0";
+        auto const keys = this->store.keys("keyed.quarantine");
+        return std::find(keys.begin(), keys.end(), key) != keys.end();
+    }
 };
 
 /// One way for a part to crash engines.
@@ -135,11 +144,11 @@
     this->start(2, 8);
     this->store.keep_copy();
     this->play(milliseconds{5'000});
-    ASSERT_TRUE(this->store.has_keys("keyed.quarantine"));
+    ASSERT_TRUE(this->is_part_stored());
     this->store.return_from_copy();
-    ASSERT_FALSE(this->store.has_keys("keyed.quarantine"));
+    ASSERT_TRUE(this->store.keys("keyed.quarantine").empty());
     this->play(milliseconds{4'000});
-    EXPECT_TRUE(this->store.has_keys("keyed.quarantine"));
+    EXPECT_TRUE(this->is_part_stored());
 }
 
 // Gateways that were all restarted together had forgotten the part (BUDGET).
--- a/standins/keyed/keyed_store.cpp
+++ b/standins/keyed/keyed_store.cpp
@@ -172,10 +172,18 @@
     this->answer(call.request, HTTP_OK, body.dump());
 }
 
-bool keyed_store::has_keys(std::string const& topic) const
+std::vector<std::string> keyed_store::keys(std::string const& topic) const
 {
+    std::vector<std::string> result;
     auto const found = this->topics.find(topic);
-    return found != this->topics.end() && !found->second.newest.empty();
+    if (found == this->topics.end())
+        return result;
+    for (auto const& [key, row] : found->second.newest)
+    {
+        if (!row.value.empty())
+            result.push_back(key);
+    }
+    return result;
 }
 
 void keyed_store::answer_read(evhttp_request* request, waiting_read const& read)
--- a/standins/keyed/keyed_store.hpp
+++ b/standins/keyed/keyed_store.hpp
@@ -22,8 +22,8 @@
     keyed_store(keyed_store const&) = delete;
     keyed_store& operator=(keyed_store const&) = delete;
 
-    /// \brief Whether the newest record of a topic's key has a value.
-    [[nodiscard]] bool has_keys(std::string const& topic) const;
+    /// \brief The keys of a topic whose newest records have values, in order.
+    [[nodiscard]] std::vector<std::string> keys(std::string const& topic) const;
 
     /// \brief Appends a record; an empty value removes the key.
     void put(std::string const& topic, std::string const& key,
