Believe one refusal of a call by an upstream, not a second (REFUSED, TWICE)

Callers were told "not run, try again" of calls that ran, or their calls ran at a second service.

Cause: a call that all services had refused was sent to one of them again, under the same id, as the platform asks. The service's earlier refusal, written once more, names the call, and was taken for an answer to the second send. Ruled out: refusals of other calls (named otherwise; skipped), and those that name none (the test before).

A second refusal of one upstream is now `unproven`: the call may have run. So that this is rare, calls that may run once go to upstreams that have not refused them while one is available. Entries are not affected: sidecars open a connection a call and take no refusal of an upstream for a proof.

--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -251,6 +251,29 @@
     return result;
 }
 
+bool is_usable(state const& dispatcher, upstream const& target,
+               call const& request, mono_time now)
+{
+    return target.record.pool == request.pool &&
+           !was_tried(request, target.key) && has_software(target, request) &&
+           is_available(dispatcher, target, now);
+}
+
+// A call that may run once can't be sent again after a second refusal of one
+// upstream, so that it waits for those that have not refused it.
+bool avoids_refusers(state const& dispatcher, call const& request,
+                     mono_time now)
+{
+    return !request.is_repeatable && !request.refused_by.empty() &&
+           std::any_of(dispatcher.upstreams.begin(), dispatcher.upstreams.end(),
+                       [&](auto const& row)
+                       {
+                           return !was_refused(request, row.first) &&
+                                  is_usable(dispatcher, row.second, request,
+                                            now);
+                       });
+}
+
 } // namespace
 
 std::optional<choice> choose(state const& dispatcher, call const& request,
@@ -268,12 +291,12 @@
         sources = find_sources(dispatcher, request, split, now);
         home = home_engine(dispatcher, request.pool, split.home_part, now);
     }
+    bool const is_avoiding = avoids_refusers(dispatcher, request, now);
     std::optional<choice> best;
     for (auto const& [key, target] : dispatcher.upstreams)
     {
-        if (target.record.pool != request.pool || was_tried(request, key) ||
-            !has_software(target, request) ||
-            !is_available(dispatcher, target, now))
+        if (!is_usable(dispatcher, target, request, now) ||
+            (is_avoiding && was_refused(request, key)))
             continue;
         auto const candidate =
             request.model_prompt
--- a/jujubestand/dispatch/failures.cpp
+++ b/jujubestand/dispatch/failures.cpp
@@ -28,6 +28,7 @@
         return 1.0;
     case send_outcome::served:
     case send_outcome::refused:
+    case send_outcome::unproven:
     case send_outcome::cancelled:
         break;
     }
@@ -116,7 +117,7 @@
     target.failures = std::min(target.failures + weight, failures_limit);
     if (weight > 0)
         record_step(target, weight, sent_at, now);
-    if (outcome == send_outcome::refused)
+    if (outcome == send_outcome::refused || outcome == send_outcome::unproven)
     {
         constexpr std::chrono::milliseconds refused_pause{60};
         target.avoid_until = std::max(target.avoid_until, now + refused_pause);
--- a/jujubestand/dispatch/standing.cpp
+++ b/jujubestand/dispatch/standing.cpp
@@ -114,6 +114,12 @@
            request.tried.end();
 }
 
+bool was_refused(call const& request, upstream_key key)
+{
+    return std::find(request.refused_by.begin(), request.refused_by.end(),
+                     key) != request.refused_by.end();
+}
+
 // New upstreams usually run the newest software, so a call without a needed
 // version always has a candidate to wait for.
 bool has_candidate(state const& dispatcher, call const& request)
--- a/jujubestand/dispatch/standing.hpp
+++ b/jujubestand/dispatch/standing.hpp
@@ -29,9 +29,12 @@
 /// stream that has begun continues only at the version that began it.
 [[nodiscard]] bool has_software(upstream const& target, call const& request);
 
-/// \brief Whether a call was already sent to an upstream.
+/// \brief Whether a call may have run at an upstream already.
 [[nodiscard]] bool was_tried(call const& request, upstream_key key);
 
+/// \brief Whether an upstream has refused a call.
+[[nodiscard]] bool was_refused(call const& request, upstream_key key);
+
 /// \brief Whether a pool has an upstream that could serve a call now or later,
 /// regardless of free capacity.
 [[nodiscard]] bool has_candidate(state const& dispatcher, call const& request);
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -141,8 +141,13 @@
     mono_time arrived_at{};
     mono_time deadline{};
     std::chrono::milliseconds target_latency{1'000};
-    /// Upstreams that the call was already sent to.
+    /// The call may run more than once.
+    bool is_repeatable = false;
+    /// Upstreams that the call was already sent to and may have run at.
     std::vector<upstream_key> tried;
+    /// Upstreams that refused the call. What they send next may be that
+    /// refusal once more, so that it proves nothing of a second send.
+    std::vector<upstream_key> refused_by;
     /// For a stream that has begun: the software version that it continues at.
     std::optional<std::string> software_version;
 };
@@ -189,15 +194,17 @@
 {
     served,      ///< complete answer
     refused,     ///< the upstream did not run the call
+    unproven,    ///< refusal that may be an earlier one of the call, repeated
     failed,      ///< answer that reports a failure
     unreachable, ///< nothing could be sent
     cut,         ///< incomplete answer
     cancelled,   ///< cancelled by this process
 };
 
-inline constexpr std::array<enum_name<send_outcome>, 6> send_outcome_names{{
+inline constexpr std::array<enum_name<send_outcome>, 7> send_outcome_names{{
     {send_outcome::served, "served"},
     {send_outcome::refused, "refused"},
+    {send_outcome::unproven, "unproven"},
     {send_outcome::failed, "failed"},
     {send_outcome::unreachable, "unreachable"},
     {send_outcome::cut, "cut"},
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -78,6 +78,7 @@
     result.arrived_at = call.arrived_at;
     result.deadline = call.deadline;
     result.target_latency = call.route.target_latency;
+    result.is_repeatable = is_retryable(call);
     return result;
 }
 
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/gateway/upstream_responses.hpp>
 
 #include <algorithm>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/call_limits.hpp>
@@ -246,7 +247,9 @@
     if (!end.is_complete)
         return send_outcome::cut;
     if (call.response_head.is_not_run)
-        return send_outcome::refused;
+        return dispatch::was_refused(call.dispatch_call, call.upstream_key)
+                   ? send_outcome::unproven
+                   : send_outcome::refused;
     if (call.is_response_discarded || is_broken_off(call))
         return send_outcome::cut;
     return call.response_head.status >= first_server_error
@@ -274,6 +277,8 @@
     call->outcome = worst(call->outcome, verdict_of(outcome));
     record_attempt(state, *call, outcome, end);
     dispatch::on_send_end(state.dispatch, key, outcome, now);
+    if (outcome == dispatch::send_outcome::refused)
+        call->dispatch_call.refused_by.push_back(call->upstream_key);
     if (verdict_of(outcome) != verdict::not_run)
         count_possible_run(*call);
     if (is_final(*call, outcome))
--- a/programs/test/stray_answers_test.cpp
+++ b/programs/test/stray_answers_test.cpp
@@ -19,7 +19,8 @@
         std::size_t runs = 0;
     };
 
-    void start(standins::service_faults faults)
+    void start(standins::service_faults faults,
+               std::size_t service_count = usual_service_count)
     {
         this->start_gateways(1);
         this->add_engine("v1", near);
@@ -61,7 +62,7 @@
             EXPECT_TRUE(this->run_to_end(call.answer)) << id;
     }
 
-    static constexpr std::size_t service_count = 3;
+    static constexpr std::size_t usual_service_count = 3;
     static constexpr std::size_t first_service = 200;
     static constexpr std::uint64_t seed = 20261204;
 
@@ -111,4 +112,25 @@
     EXPECT_GE(served, 190U);
 }
 
+// A call was refused, and sent to the same service again: the earlier refusal,
+// written once more, names the call, but says nothing of the second send
+// (REFUSED, TWICE).
+TEST_F(stray_answers, a_second_refusal_of_one_call_promises_nothing)
+{
+    standins::service_faults faults;
+    faults.refused = 0.4;
+    faults.repeated_refusal = 0.8;
+    this->start(faults, 1);
+    this->play(100);
+    std::size_t served = 0;
+    for (auto const& [id, call] : this->calls)
+    {
+        EXPECT_LE(call.runs, 1U) << id;
+        EXPECT_FALSE(call.answer->status == HTTP_SERVUNAVAIL && call.runs > 0)
+            << id;
+        served += call.answer->status == HTTP_OK ? 1 : 0;
+    }
+    EXPECT_GE(served, 50U);
+}
+
 } // namespace jujubestand::programs::test
