--- a/jujubestand/dispatch/process_words.cpp
+++ b/jujubestand/dispatch/process_words.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace jujubestand::dispatch
@@ -35,21 +36,38 @@
     return row->second;
 }
 
+std::optional<process_id> last_process(words_table const& table,
+                                       std::string const& upstream)
+{
+    constexpr auto after_all = std::numeric_limits<std::uint64_t>::max();
+    auto const next = table.rows.upper_bound({upstream, after_all});
+    if (next == table.rows.begin() ||
+        std::prev(next)->first.upstream != upstream)
+        return std::nullopt;
+    return std::prev(next)->first;
+}
+
 } // namespace
 
+// The process before had ended when this one started. Clocks that differ may
+// prolong a pause of the one before, which costs less than a pause not kept.
 void record_process(words_table& table, process_id const& process)
 {
-    row_of(table, process);
+    auto const last = last_process(table, process.upstream);
+    auto& words = row_of(table, process);
+    if (!last || *last >= process)
+        return;
+    auto const before = find_words(table, *last);
+    wall_time const born{std::chrono::milliseconds{process.born_ms}};
+    if (before.pause_stated_at < born)
+        return;
+    words.paused_until = before.paused_until;
+    words.pause_stated_at = before.pause_stated_at;
 }
 
 process_id latest_process(words_table const& table, process_id const& named)
 {
-    constexpr auto after_all = std::numeric_limits<std::uint64_t>::max();
-    auto const next = table.rows.upper_bound({named.upstream, after_all});
-    if (next == table.rows.begin())
-        return named;
-    auto const& last = std::prev(next)->first;
-    return last.upstream == named.upstream ? std::max(last, named) : named;
+    return std::max(last_process(table, named.upstream).value_or(named), named);
 }
 
 process_words find_words(words_table const& table, process_id const& process)
@@ -64,9 +82,11 @@
 }
 
 bool record_pause(words_table& table, process_id const& process,
-                  std::chrono::milliseconds pause, mono_time now)
+                  std::chrono::milliseconds pause, wall_time wall_now,
+                  mono_time now)
 {
     auto& words = row_of(table, process);
+    words.pause_stated_at = wall_now;
     bool const is_news = words.paused_until <= now;
     words.paused_until = std::max(words.paused_until, now + pause);
     return is_news;
--- a/jujubestand/dispatch/process_words.hpp
+++ b/jujubestand/dispatch/process_words.hpp
@@ -27,6 +27,8 @@
     bool is_leaving = false;
     /// It asked this gateway for no calls before this time.
     mono_time paused_until{};
+    /// When it last did so, on the wall clock, as upstreams state their start.
+    wall_time pause_stated_at{};
     /// Position in the order in which processes became known.
     std::uint64_t number = 0;
 };
@@ -39,7 +41,9 @@
     std::uint64_t last_number = 0;
 };
 
-/// \brief Records that a process has been named by a record of its upstream.
+/// \brief Records that a process has been named by a record of its upstream. A
+/// pause that was asked for since its start, while an older record named the
+/// upstream, is its own.
 void record_process(words_table& table, process_id const& process);
 
 /// \brief The latest process of an upstream that is known; an older record may
@@ -58,7 +62,8 @@
 /// \brief Records that a process asked for a pause.
 /// \returns whether it was not in one
 bool record_pause(words_table& table, process_id const& process,
-                  std::chrono::milliseconds pause, mono_time now);
+                  std::chrono::milliseconds pause, wall_time wall_now,
+                  mono_time now);
 
 } // namespace jujubestand::dispatch
 
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -228,11 +228,13 @@
 }
 
 bool on_pause_stated(state& dispatcher, process_id const& process,
-                     std::chrono::milliseconds pause, mono_time now)
+                     std::chrono::milliseconds pause, wall_time wall_now,
+                     mono_time now)
 {
     if (pause.count() == 0)
         return false;
-    bool const is_news = record_pause(dispatcher.words, process, pause, now);
+    bool const is_news =
+        record_pause(dispatcher.words, process, pause, wall_now, now);
     if (upstream* const target = find_latest(dispatcher, process))
         target->paused_until = std::max(target->paused_until, now + pause);
     return is_news;
@@ -246,11 +248,13 @@
 }
 
 bool on_pause_stated(state& dispatcher, upstream_key target_key,
-                     std::chrono::milliseconds pause, mono_time now)
+                     std::chrono::milliseconds pause, wall_time wall_now,
+                     mono_time now)
 {
     upstream const* const target = find(dispatcher, target_key);
     return target != nullptr &&
-           on_pause_stated(dispatcher, id_of(dispatcher, *target), pause, now);
+           on_pause_stated(dispatcher, id_of(dispatcher, *target), pause,
+                           wall_now, now);
 }
 
 limits::limit_change on_limit_statement(state& dispatcher,
--- a/jujubestand/dispatch/upstreams.hpp
+++ b/jujubestand/dispatch/upstreams.hpp
@@ -55,13 +55,16 @@
 
 /// \brief A process of an upstream wants no calls from this gateway for some
 /// time; holds also if its record is removed and comes back.
+/// \param wall_now the time of day; upstreams state their start by it
 /// \returns whether it had not asked for a pause until now
 bool on_pause_stated(state& dispatcher, process_id const& process,
-                     std::chrono::milliseconds pause, mono_time now);
+                     std::chrono::milliseconds pause, wall_time wall_now,
+                     mono_time now);
 
 /// \brief The same of the latest process of an upstream.
 bool on_pause_stated(state& dispatcher, upstream_key target_key,
-                     std::chrono::milliseconds pause, mono_time now);
+                     std::chrono::milliseconds pause, wall_time wall_now,
+                     mono_time now);
 
 /// \brief Applies a statement of an upstream on its limit.
 /// \param is_own this process received it from the upstream itself
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -74,7 +74,8 @@
                           {"why", "pause of a refusal is malformed"}});
     if (answer.pause.duration &&
         dispatch::on_pause_stated(state.dispatch, process,
-                                  *answer.pause.duration, mono_now()))
+                                  *answer.pause.duration, wall_now(),
+                                  mono_now()))
         state.log->write(event_number::upstream_paused, {},
                          {{"upstream", call.upstream},
                           {"pause_ms", answer.pause.duration->count()}});
