End streams without output before their callers leave (GONE)

The adapter now reads from a route how long its callers wait for output. 60 ms before, where no stream can be served in time any more, a call that waits is refused as not run, so that its caller can come back in the time that it has left; one at an engine is ended, and the engine told, with 504. Retries that can't be served in 60 ms are no longer begun.

`exchange.a_call_with*`, `output_deadline.*`, `documents.a_stream_route*`.

--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -76,7 +76,7 @@
         call.team.is_isolated ? "team " + call.team.name : "all";
     result.priority = call.team.priority.value_or(call.route.priority);
     result.arrived_at = call.arrived_at;
-    result.deadline = call.deadline;
+    result.deadline = output_deadline(call);
     result.target_latency = call.route.target_latency;
     result.is_repeatable = is_retryable(call);
     return result;
--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -32,6 +32,7 @@
     options.budget_per_second = 0;
     options.filled_from = state.started_at + limits.retry_window;
     options.backoff_base = std::chrono::milliseconds{0};
+    options.time_left_min = state.dispatch.limits.service_time_min;
     return options;
 }
 
@@ -66,6 +67,14 @@
                : verdict::may_have_run;
 }
 
+mono_time output_deadline(active_call const& call)
+{
+    if (call.is_response_started || !call.route.output_patience)
+        return call.deadline;
+    return std::min(call.deadline,
+                    call.arrived_at + *call.route.output_patience);
+}
+
 // The route's attempt limit counts only upstreams that may have executed the
 // call.
 void count_possible_run(active_call& call)
@@ -89,7 +98,7 @@
     progress.attempts = call.upstream_attempts;
     progress.worst = is_retryable(call) ? verdict::not_run : call.outcome;
     progress.is_idempotent = is_retryable(call);
-    progress.deadline = call.deadline;
+    progress.deadline = output_deadline(call);
     retries::attempt_failure failure;
     failure.outcome = verdict_of(outcome);
     failure.has_alternative = true;
--- a/jujubestand/gateway/retries.hpp
+++ b/jujubestand/gateway/retries.hpp
@@ -21,6 +21,10 @@
 /// \brief Whether a call ran, as far as the outcome of its attempt shows.
 [[nodiscard]] verdict verdict_of(dispatch::send_outcome outcome);
 
+/// \brief When a call needs output: the caller of a stream that has not begun
+/// may leave before the call's deadline.
+[[nodiscard]] mono_time output_deadline(active_call const& call);
+
 /// \brief Counts an attempt that may have executed the call and excludes its
 /// upstream from further attempts.
 void count_possible_run(active_call& call);
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -88,6 +88,14 @@
     request.connect_timeout = connect_timeout;
     request.timeout =
         std::max(time_left(*call, now), std::chrono::milliseconds{1});
+    // A stream without output by then can't be served in time; its caller is
+    // told while it still waits.
+    if (call->route.kind == traffic::call_kind::stream)
+        request.output_timeout =
+            std::max(std::chrono::duration_cast<std::chrono::milliseconds>(
+                         call->dispatch_call.deadline - now -
+                         state.dispatch.limits.service_time_min),
+                     std::chrono::milliseconds{1});
     request.idle_limit = is_retryable(*call) ? idle_limit : once_idle_limit;
     auto const weights = weights_of(state, *call, target_upstream, now);
     state.log->write(
--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -225,4 +225,17 @@
     }
 }
 
+// Calls waited for engines until their deadline, though their callers had left
+// long before for want of output (GONE).
+TEST(output_deadline, a_stream_needs_output_before_its_caller_leaves)
+{
+    auto call = stream_call();
+    call.arrived_at = at(1'000);
+    EXPECT_EQ(output_deadline(call), at(5'000));
+    call.route.output_patience = std::chrono::milliseconds{2'000};
+    EXPECT_EQ(output_deadline(call), at(3'000));
+    call.is_response_started = true;
+    EXPECT_EQ(output_deadline(call), at(5'000));
+}
+
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -223,6 +223,7 @@
     {
         call->is_response_started = true;
         call->dispatch_call.software_version = call->software_version;
+        call->dispatch_call.deadline = output_deadline(*call);
         if (!is_resumed(*call))
             announce_origin(state, *call);
         state.caller_server->begin(call->exchange, call->response_head.status,
--- a/jujubestand/http1/client.hpp
+++ b/jujubestand/http1/client.hpp
@@ -32,6 +32,8 @@
     std::vector<http::field> fields;
     std::string body;
     std::chrono::milliseconds connect_timeout{1'000};
+    /// From the start to the first byte of the answer's body; 0: none.
+    std::chrono::milliseconds output_timeout{0};
     /// From the start to the end of the answer; 0: none.
     std::chrono::milliseconds timeout{0};
     /// A kept connection that was idle for longer is not used.
--- a/jujubestand/http1/client_state.cpp
+++ b/jujubestand/http1/client_state.cpp
@@ -71,10 +71,14 @@
         held->owner->write(*open, *waiting);
 }
 
+// Times the end of a call, or the first output of its answer if that is due.
 void client::state::start_timer(call& started)
 {
     using std::chrono::milliseconds;
-    auto const limit = started.request.timeout;
+    auto const& request = started.request;
+    bool const awaits_output =
+        !started.has_output && request.output_timeout > milliseconds{0};
+    auto const limit = awaits_output ? request.output_timeout : request.timeout;
     if (limit <= milliseconds{0})
     {
         started.timer.reset();
@@ -219,6 +223,9 @@
         return false;
     if (!result.body.empty() && !found->is_skipping)
     {
+        if (!std::exchange(found->has_output, true) &&
+            found->request.output_timeout.count() > 0)
+            this->start_timer(*found);
         events->on_body(result.body);
     }
     found = this->calls.find(of);
--- a/jujubestand/http1/client_state.hpp
+++ b/jujubestand/http1/client_state.hpp
@@ -50,6 +50,7 @@
         mono_time started_at{};
         /// When the timer is due.
         mono_time due_at{};
+        bool has_output = false;
         bool has_sent = false;
         bool is_keep_alive = false;
         unsigned foreign = 0;
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -345,6 +345,40 @@
     close(silent);
 }
 
+// A call without output was given up at its deadline only, when its caller had
+// left (GONE).
+TEST_F(exchange, a_call_without_output_ends_sooner)
+{
+    constexpr std::chrono::milliseconds sooner{100};
+    fixed_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", false,
+                    true);
+    client from(this->base.get());
+    auto request = to(peer.where);
+    request.output_timeout = sooner;
+    auto const started_at = mono_now();
+    auto const seen = this->call(from, std::move(request));
+    EXPECT_LT(mono_now() - started_at, std::chrono::milliseconds{1'000});
+    EXPECT_EQ(seen.status, 200);
+    EXPECT_EQ(seen.end.why.code, reason_code::upstream_timeout);
+}
+
+TEST_F(exchange, a_call_with_output_has_its_whole_time)
+{
+    constexpr std::chrono::milliseconds sooner{100};
+    constexpr std::chrono::milliseconds timeout{300};
+    fixed_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", false,
+                    true);
+    client from(this->base.get());
+    auto request = to(peer.where);
+    request.output_timeout = sooner;
+    request.timeout = timeout;
+    auto const started_at = mono_now();
+    auto const seen = this->call(from, std::move(request));
+    EXPECT_GE(mono_now() - started_at, timeout);
+    EXPECT_EQ(seen.body, "o");
+    EXPECT_EQ(seen.end.why.code, reason_code::upstream_timeout);
+}
+
 TEST_F(exchange, a_smuggled_request_is_not_read)
 {
     int served = 0;
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -56,6 +56,9 @@
     bool has_prompts = false;
     std::chrono::milliseconds timeout{30'000};
     std::chrono::milliseconds target_latency{1'000};
+    /// How long callers wait for the first output of a stream, from their call
+    /// on, before they leave; empty: as long as the call has time.
+    std::optional<std::chrono::milliseconds> output_patience;
     /// 0 is the most urgent.
     std::uint8_t priority = 5;
     /// Upstreams that one call may be sent to.
--- a/programs/test/left_streams_test.cpp
+++ b/programs/test/left_streams_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <csignal>
 #include <programs/test/gateways_fixture.hpp>
 
@@ -58,6 +59,33 @@
             work_limit));
     }
 
+    /// \brief Checks that a call whose engine gives no output is answered in
+    /// time, and that the engine learns of it.
+    void expect_ended_within(milliseconds time, milliseconds deadline)
+    {
+        for (auto const& engine : this->engines)
+            engine.engine->pause_after(0, 0);
+        stream_call asked{"first", "", ""};
+        asked.parts = "aaaa:30,c1:40,1001:10";
+        asked.deadline_ms = static_cast<unsigned>(deadline.count());
+        auto const asked_at = mono_now();
+        auto const answer = this->ask(0, asked);
+        ASSERT_TRUE(this->run_to_end(answer));
+        EXPECT_EQ(answer->status, 504);
+        EXPECT_LT(mono_now() - asked_at, time);
+        EXPECT_TRUE(this->run_until(
+            [this]
+            {
+                return std::all_of(this->engines.begin(), this->engines.end(),
+                                   [](running_engine const& engine)
+                                   {
+                                       return engine.engine->open_streams() ==
+                                              0;
+                                   });
+            },
+            work_limit));
+    }
+
     void run_for(milliseconds time)
     {
         this->run_until(
@@ -123,4 +151,21 @@
     EXPECT_EQ(other.seen().size(), 1U);
 }
 
+// Engines that stood still kept the calls of callers that had left at their
+// deadline, or for want of output, though it was clear before that no stream
+// could end, or begin, in time (GONE).
+TEST_F(left_streams, a_stream_that_has_not_begun_ends_before_its_deadline)
+{
+    this->start();
+    this->expect_ended_within(milliseconds{1'500}, milliseconds{1'500});
+}
+
+TEST_F(left_streams, a_stream_that_has_not_begun_ends_before_its_caller_leaves)
+{
+    // Four times the target latency of the route.
+    constexpr milliseconds patience{4'000};
+    this->start();
+    this->expect_ended_within(patience, milliseconds{60'000});
+}
+
 } // namespace jujubestand::programs::test
--- a/programs/test/stream_caller.hpp
+++ b/programs/test/stream_caller.hpp
@@ -63,14 +63,16 @@
     std::string target = "/chat/new";
     /// Parts of the prompt as `ID:TOKENS,...`; empty: no prompt.
     std::string parts{};
+    unsigned deadline_ms = 60'000;
 };
 
 /// \brief Fields of a call for a stream.
 inline std::vector<http::field> fields_of(stream_call const& asked)
 {
-    std::vector<http::field> fields{{"Host", "engines.example"},
-                                    {"X-Request-Id", asked.request_id},
-                                    {"X-Deadline-Ms", "60000"}};
+    std::vector<http::field> fields{
+        {"Host", "engines.example"},
+        {"X-Request-Id", asked.request_id},
+        {"X-Deadline-Ms", std::to_string(asked.deadline_ms)}};
     if (!asked.last_event.empty())
         fields.push_back({"Last-Event-Id", asked.last_event});
     if (!asked.resumes.empty())
