Round the time for output up, so that no hopeless retry follows it

left_streams.a_stream_that_has_not_begun_ends_before_its_deadline failed once in all plain tests: 502 in place of 504. Traced in the gateway's log: the time was cut to whole milliseconds, so that 61 ms were left, a retry was granted from the budget and refused at once as too late.

--- a/jujubestand/gateway/answers.cpp
+++ b/jujubestand/gateway/answers.cpp
@@ -44,7 +44,8 @@
     if (outcome == verdict::not_run)
         return status_unavailable;
     return why == reason_code::upstream_timeout ||
-                   why == reason_code::deadline_passed
+                   why == reason_code::deadline_passed ||
+                   why == reason_code::deadline_unreachable
                ? status_timeout
                : status_bad_gateway;
 }
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -92,7 +92,7 @@
     // told while it still waits.
     if (call->route.kind == traffic::call_kind::stream)
         request.output_timeout =
-            std::max(std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::max(std::chrono::ceil<std::chrono::milliseconds>(
                          call->dispatch_call.deadline - now -
                          state.dispatch.limits.service_time_min),
                      std::chrono::milliseconds{1});
