Wake the loop in the test of calls' time, so that it can fail

With the fix reverted the test passed: a loop that nothing wakes sleeps for the whole time by a finer clock. A timer of 1 ms wakes it now.

--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -333,6 +333,9 @@
     int const silent = listen_anywhere(where);
     listen(silent, calls);
     client from(this->base.get());
+    // The loop looks at its clock whenever something wakes it.
+    loop::timer wake(this->base.get(), [] {});
+    wake.start_every(std::chrono::milliseconds{1});
     for (int number = 0; number < calls; ++number)
     {
         auto request = to(where);
