Answer each call that is open when a stop's grace period ends (LOST)

Report of another operator: in a planned stop of one gateway, in calm, calls that came late in the grace period were passed on and cut at its end without an answer, among them some that may run once only.

Cause: plain calls were accepted until 3 s before the end of the grace period, whatever time they had themselves, and the process ended with all connections open 0.4 s before it. Ruled out: new connections after SIGTERM (they are answered), idle ones. Change: late calls are accepted only if their own deadline lies before the last answers, prompts not at all, as before; 0.6 s before the end of the grace period open calls are answered: 503 if nothing was sent, else 504. The stop has its own source now.

--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -10,6 +10,7 @@
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
+#include <jujubestand/gateway/stop.hpp>
 #include <platform/calls.hpp>
 
 namespace jujubestand::gateway
@@ -20,15 +21,6 @@
 
 constexpr std::chrono::milliseconds stale_tables_retry_after{500};
 
-/// Retry-After while draining: callers may retry at another gateway at once.
-constexpr std::chrono::milliseconds draining_retry_after{50};
-
-/// Time after the start of a drain during which all calls are accepted.
-constexpr std::chrono::milliseconds drain_accept_time{2'500};
-
-/// Longest time allowed for a call that is not a model request.
-constexpr std::chrono::milliseconds plain_call_time_limit{3'000};
-
 /// Interval at which waiting calls are re-evaluated.
 constexpr std::chrono::milliseconds review_interval{15};
 
@@ -101,29 +93,6 @@
     return result;
 }
 
-problem draining_problem()
-{
-    problem error;
-    error.why = reason{reason_code::draining, "gateway is draining", {}};
-    error.retry_after = draining_retry_after;
-    return error;
-}
-
-// The load balancer may route callers here until the process ends. Calls that
-// the end could cut off are rejected before they run. The queueing time of a
-// prompt at an engine is unknown, so prompts are not accepted late in a drain.
-bool ends_before_stop(gateway_state const& state, active_call const& call)
-{
-    if (!state.is_draining)
-        return true;
-    auto const since = call.arrived_at - state.drain_started_at;
-    if (since < drain_accept_time)
-        return true;
-    auto const remaining = state.settings.limits.stop_grace - since;
-    return !call.dispatch_call.model_prompt &&
-           remaining > plain_call_time_limit;
-}
-
 void accept_call(gateway_state& state, active_call call)
 {
     auto const key = ++state.last_call_key;
@@ -145,7 +114,7 @@
                          .count()},
          {"resumes", call.caller_request.resumed_request},
          {"last_event", call.caller_request.last_event}});
-    if (!ends_before_stop(state, call))
+    if (!accepts_call(state, call))
     {
         refuse_request(state, call.exchange, call.caller_request.request_id,
                        draining_problem());
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include <jujubestand/gateway/quarantine_records.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
+#include <jujubestand/gateway/stop.hpp>
 #include <jujubestand/loop/signals.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
@@ -27,14 +28,6 @@
 constexpr char const* quarantine_name = "quarantine";
 
 constexpr std::chrono::milliseconds upstream_pause{500};
-constexpr std::chrono::milliseconds stop_check_interval{50};
-
-/// After SIGTERM the load balancer still routes callers here until its health
-/// check fails.
-constexpr std::chrono::milliseconds stop_notice{2'300};
-
-/// Part of the grace period reserved for an orderly shutdown.
-constexpr std::chrono::milliseconds stop_margin{400};
 
 void log_store(gateway_state& state, char const* topic, reason const* why)
 {
@@ -225,32 +218,6 @@
     query_peers(state);
 }
 
-void begin_stop(gateway_state& state)
-{
-    if (state.is_draining)
-        return;
-    state.is_draining = true;
-    state.drain_started_at = mono_now();
-    state.log->write(
-        event_number::drain_started, {},
-        {{"open_calls", static_cast<std::int64_t>(state.active_calls.size())}});
-    state.caller_server->drain();
-    state.stop_timer->start_every(stop_check_interval);
-}
-
-void check_stop(gateway_state& state)
-{
-    auto const since = mono_now() - state.drain_started_at;
-    bool const is_idle =
-        state.caller_server->busy() == 0 && since >= stop_notice;
-    // Two idle checks in a row: connections that were pending at the listener
-    // during the first check are counted as busy by the second.
-    bool const is_done = is_idle && state.was_idle;
-    state.was_idle = is_idle;
-    if (is_done || since >= state.settings.limits.stop_grace - stop_margin)
-        event_base_loopbreak(state.base);
-}
-
 void start_timers(gateway_state& state)
 {
     state.tick_timer.emplace(state.base,
@@ -318,7 +285,8 @@
     query_peers(state);
     review_software_history(state);
     event_base_dispatch(base);
-    auto const cut = static_cast<std::int64_t>(state.active_calls.size());
+    auto const cut =
+        static_cast<std::int64_t>(state.calls_cut + state.active_calls.size());
     log.write(cut == 0 ? event_number::drain_finished : event_number::drain_cut,
               {}, {{"open_calls", cut}});
     return cut == 0 ? process::exit_code::stopped
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -195,6 +195,8 @@
     /// By IP address: when an agent last reported the gateway.
     std::map<std::string, mono_time> gateway_seen_at;
     mono_time drain_started_at{};
+    /// Calls that were still open at the end of the stop's grace period.
+    std::size_t calls_cut = 0;
     /// Time of the last `on_tick`.
     mono_time ticked_at{};
     mono_time started_at{};
