Infer no software version from old records of the upstreams (ORDER)

Report of another operator: one gateway was out of step for some seconds while engines of new software joined; streams that had begun there through other gateways were resumed at this one and went on at another version.

Cause: where no gateway knows the version of a stream, it is inferred if the pool has had only one. A gateway that was cut off or had stood still does not know the versions that joined meanwhile. Ruled out: the queries to other gateways (they time out while cut off, and the one that began the stream may have ended); streams whose version another one knows. Change: a version is inferred only if all upstreams that registered before the caller's request are known; the stream waits for that, up to 1 s, and the records are read at once. After records were deleted unread, the history of versions is read again before anything is inferred. Cost: while the store can't be read, streams that nobody knows are refused as not run. decide_resume takes the age of the records; the tests that it was called in state that they are current, and new ones check old records.

--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -68,6 +68,9 @@
     };
     events.on_expired = [&state, topic](reason const& why)
     {
+        // Upstreams of a version may have come and left in between.
+        if (std::string_view(topic) == upstreams_name)
+            read_software_history_again(state);
         state.log->write(event_number::log_gap, {},
                          {{"topic", topic}, {"why", to_text(why)}});
     };
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -18,6 +18,9 @@
 /// Longest wait of a resumed stream for the first list of gateways.
 constexpr std::chrono::milliseconds first_list_timeout{500};
 
+/// Longest wait of a resumed stream for current records of the upstreams.
+constexpr std::chrono::milliseconds upstreams_timeout{1'000};
+
 /// Retry-After of a stream whose version is not known here.
 constexpr std::chrono::milliseconds unknown_origin_retry_after{200};
 
@@ -91,30 +94,59 @@
     return true;
 }
 
+// Holds the stream until the upstreams are known as of its arrival. They are
+// read at once: other gateways' confirmations are up to a second old.
+bool start_wait(gateway_state& state, dispatch::call_key key,
+                active_call const& call, mono_time now)
+{
+    if (now - call.arrived_at >= upstreams_timeout)
+        return false;
+    state.upstream_topic->refresh();
+    open_origin_query waiting;
+    waiting.stream = origin_key_of(call.caller_request.resumed_request);
+    waiting.sent_at = now;
+    waiting.awaits_upstreams = true;
+    state.origin_queries[key] = std::move(waiting);
+    return true;
+}
+
+std::optional<mono_time> upstreams_as_of(gateway_state const& state)
+{
+    return state.upstream_topic->known().current_as_of;
+}
+
 void apply_resume(gateway_state& state, dispatch::call_key key,
                   bool was_queried)
 {
     active_call* const call = find_call(state, key);
     if (call == nullptr)
         return;
-    auto const& stream = call->caller_request.resumed_request;
+    resumed_stream stream{call->dispatch_call.pool,
+                          call->caller_request.resumed_request,
+                          call->arrived_at, was_queried};
     auto const now = mono_now();
-    record_registered_software(state.origins, state.dispatch,
-                               call->dispatch_call.pool, now);
-    auto decided = decide_resume(state.origins, call->dispatch_call.pool,
-                                 stream, was_queried, now);
+    record_registered_software(state.origins, state.dispatch, stream.pool, now);
+    auto decided =
+        decide_resume(state.origins, stream, upstreams_as_of(state), now);
     if (decided.step == resume_step::query)
     {
         if (start_query(state, key, *call, now))
             return;
-        decided = decide_resume(state.origins, call->dispatch_call.pool, stream,
-                                true, now);
+        stream.was_queried = true;
+        decided =
+            decide_resume(state.origins, stream, upstreams_as_of(state), now);
         if (known_gateways(state, now).empty())
             decided.step = resume_step::refuse;
     }
+    if (decided.step == resume_step::wait)
+    {
+        if (start_wait(state, key, *call, now))
+            return;
+        decided.step = resume_step::refuse;
+    }
     state.log->write(
         event_number::resume_decided, call->caller_request.request_id,
-        {{"resumes", stream},
+        {{"resumes", stream.request_id},
          {"software", decided.software_version.value_or("unknown")},
          {"step", to_name(resume_step_names, decided.step)}});
     if (decided.step == resume_step::refuse)
@@ -123,8 +155,8 @@
         return;
     }
     call->dispatch_call.software_version = decided.software_version;
-    if (!stream.empty())
-        record_origin(state.origins, origin_key_of(stream),
+    if (!stream.request_id.empty())
+        record_origin(state.origins, origin_key_of(stream.request_id),
                       *decided.software_version);
     submit_call(state, key);
 }
@@ -177,7 +209,8 @@
                 [&](open_origin_query const& query)
                 {
                     return query.stream == response.stream &&
-                           (response.is_known || query.open.empty());
+                           (response.is_known ||
+                            (query.open.empty() && !query.awaits_upstreams));
                 });
 }
 
@@ -228,10 +261,13 @@
 void expire_origin_queries(gateway_state& state)
 {
     auto const now = mono_now();
+    auto const as_of = upstreams_as_of(state);
     end_queries(state,
-                [now](open_origin_query const& query)
+                [now, as_of](open_origin_query const& query)
                 {
-                    return now - query.sent_at >= origin_query_timeout;
+                    return now - query.sent_at >= origin_query_timeout ||
+                           (query.awaits_upstreams && as_of &&
+                            *as_of >= query.sent_at);
                 });
 }
 
--- a/jujubestand/gateway/software_history.cpp
+++ b/jujubestand/gateway/software_history.cpp
@@ -157,6 +157,15 @@
                         now - std::max(left_for, std::chrono::milliseconds{0}));
 }
 
+void read_software_history_again(gateway_state& state)
+{
+    if (!state.software.is_listed)
+        return;
+    state.software.is_listed = false;
+    state.software.list_due_at = mono_time{};
+    state.origins.lacks_history = true;
+}
+
 void review_software_history(gateway_state& state)
 {
     auto const now = mono_now();
--- a/jujubestand/gateway/software_history.hpp
+++ b/jujubestand/gateway/software_history.hpp
@@ -60,6 +60,9 @@
 /// not stored, if this is the first of the gateways.
 void review_software_history(gateway_state& state);
 
+/// \brief Reads the history again; until then no version is inferred.
+void read_software_history_again(gateway_state& state);
+
 } // namespace jujubestand::gateway
 
 #endif
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -97,6 +97,9 @@
     /// IP addresses of the queried gateways that have not answered.
     std::set<std::string> open;
     bool is_sent = true;
+    /// Nobody knows the version; the stream waits for the records of all
+    /// upstreams that may have begun it.
+    bool awaits_upstreams = false;
 };
 
 /// \brief Evidence of this gateway on calls that crash upstreams, and what it
--- a/jujubestand/gateway/stream_origins.cpp
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -79,23 +79,37 @@
 }
 
 // A version that no gateway knows any more can still be inferred while the pool
-// has had only one that the stream can have begun at.
-resume_decision decide_resume(stream_origins& state, std::string const& pool,
-                              std::string const& request_id, bool was_queried,
+// has had only one that the stream can have begun at. A gateway that was cut
+// off or has stood still lacks the upstreams that joined meanwhile, and the
+// stream may have begun at one of these through another gateway.
+resume_decision decide_resume(stream_origins& state,
+                              resumed_stream const& stream,
+                              std::optional<mono_time> upstreams_as_of,
                               mono_time now)
 {
     resume_decision result;
-    if (!request_id.empty())
-        result.software_version = find_origin(state, origin_key_of(request_id));
-    if (!result.software_version && !request_id.empty() && !was_queried)
+    bool const is_named = !stream.request_id.empty();
+    if (is_named)
+        result.software_version =
+            find_origin(state, origin_key_of(stream.request_id));
+    if (result.software_version)
+    {
+        result.step = resume_step::proceed;
+        return result;
+    }
+    if (is_named && !stream.was_queried)
     {
         result.step = resume_step::query;
         return result;
     }
+    result.software_version = only_version(state, stream.pool, now);
     if (!result.software_version)
-        result.software_version = only_version(state, pool, now);
-    result.step =
-        result.software_version ? resume_step::proceed : resume_step::refuse;
+        return result;
+    bool const is_current =
+        upstreams_as_of && *upstreams_as_of >= stream.arrived_at;
+    result.step = is_current ? resume_step::proceed : resume_step::wait;
+    if (!is_current)
+        result.software_version.reset();
     return result;
 }
 
--- a/jujubestand/gateway/stream_origins.hpp
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -61,15 +61,29 @@
 {
     proceed, ///< send to an upstream of the software version
     query,   ///< query the gateways that may know the version
+    wait,    ///< wait until all upstreams that may have begun it are known
     refuse,  ///< the version can't be known
 };
 
-inline constexpr std::array<enum_name<resume_step>, 3> resume_step_names{{
+inline constexpr std::array<enum_name<resume_step>, 4> resume_step_names{{
     {resume_step::proceed, "proceed"},
     {resume_step::query, "query"},
+    {resume_step::wait, "wait"},
     {resume_step::refuse, "refuse"},
 }};
 
+/// \brief A stream that a caller resumes.
+struct resumed_stream
+{
+    std::string pool;
+    /// Request that began the stream; empty if the caller does not name it.
+    std::string request_id;
+    /// When the caller's request arrived: the stream began before.
+    mono_time arrived_at{};
+    /// Other gateways were queried and none knew the version.
+    bool was_queried = false;
+};
+
 /// \brief Decision for a stream that a caller resumes.
 struct resume_decision
 {
@@ -100,13 +114,10 @@
                                 std::string const& pool, mono_time now);
 
 /// \brief Decides on a stream that a caller resumes.
-/// \param request_id request that began the stream; empty if the caller does
-/// not name it
-/// \param was_queried other gateways were queried and none knew the version
-[[nodiscard]] resume_decision decide_resume(stream_origins& state,
-                                            std::string const& pool,
-                                            std::string const& request_id,
-                                            bool was_queried, mono_time now);
+/// \param upstreams_as_of all upstreams that had registered by then are known
+[[nodiscard]] resume_decision
+decide_resume(stream_origins& state, resumed_stream const& stream,
+              std::optional<mono_time> upstreams_as_of, mono_time now);
 
 /// \brief The gateways that keep or may know the version of a stream, the
 /// likeliest first.
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -37,10 +37,30 @@
         EXPECT_TRUE(this->state.datagrams->bind({"127.0.0.1", 0}, why));
         // Keeps reviews from being scheduled on a timer.
         this->state.is_review_scheduled = true;
+        this->know_upstreams();
+    }
+
+    // All upstreams are known, at any time.
+    void know_upstreams()
+    {
+        this->state.internal_client =
+            std::make_unique<http1::client>(this->base);
+        this->state.store = std::make_unique<platform::store>(
+            *this->state.internal_client, address{"127.0.0.1", 1});
+        this->state.upstream_topic = std::make_unique<follow::follower>(
+            this->base, *this->state.store, follow::read_options{},
+            follow::follower_events{});
+        follow::listing all;
+        all.is_complete = true;
+        this->state.upstream_topic->apply(all, 0,
+                                          mono_now() + std::chrono::hours{1});
     }
 
     ~origin_exchange() override
     {
+        this->state.upstream_topic.reset();
+        this->state.store.reset();
+        this->state.internal_client.reset();
         this->state.caller_server.reset();
         this->state.datagrams.reset();
         event_base_free(this->base);
@@ -99,8 +119,9 @@
     {
         record_registered_software(this->state.origins, this->state.dispatch,
                                    "engines", mono_now());
-        return decide_resume(this->state.origins, "engines", "first",
-                             was_queried, mono_now());
+        auto const now = mono_now();
+        return decide_resume(this->state.origins,
+                             {"engines", "first", now, was_queried}, now, now);
     }
 
     event_base* base = event_base_new();
--- a/jujubestand/gateway/test/software_history_test.cpp
+++ b/jujubestand/gateway/test/software_history_test.cpp
@@ -30,7 +30,9 @@
 
 resume_step step_of(stream_origins& origins)
 {
-    return decide_resume(origins, "engines", "first", true, now()).step;
+    return decide_resume(origins, {"engines", "first", now(), true}, now(),
+                         now())
+        .step;
 }
 
 } // namespace
--- a/jujubestand/gateway/test/stream_origins_test.cpp
+++ b/jujubestand/gateway/test/stream_origins_test.cpp
@@ -16,6 +16,14 @@
     return mono_time{std::chrono::milliseconds{100'000 + ms}};
 }
 
+// A stream that is resumed at a gateway that knows all upstreams of that time.
+resume_decision decide(stream_origins& state, std::string const& pool,
+                       std::string const& request_id, bool was_queried,
+                       mono_time now)
+{
+    return decide_resume(state, {pool, request_id, now, was_queried}, now, now);
+}
+
 stream_origins two_versions()
 {
     stream_origins state;
@@ -39,7 +47,7 @@
 {
     auto state = two_versions();
     record_origin(state, origin_key_of("first"), "old");
-    auto const result = decide_resume(state, "engines", "first", false, at(10));
+    auto const result = decide(state, "engines", "first", false, at(10));
     EXPECT_EQ(result.step, resume_step::proceed);
     EXPECT_EQ(result.software_version, "old");
 }
@@ -57,11 +65,11 @@
 TEST(stream_origins, an_unknown_version_is_queried_and_then_refused)
 {
     auto state = two_versions();
-    EXPECT_EQ(decide_resume(state, "engines", "first", false, at(10)).step,
+    EXPECT_EQ(decide(state, "engines", "first", false, at(10)).step,
               resume_step::query);
-    EXPECT_EQ(decide_resume(state, "engines", "first", true, at(10)).step,
+    EXPECT_EQ(decide(state, "engines", "first", true, at(10)).step,
               resume_step::refuse);
-    EXPECT_EQ(decide_resume(state, "engines", "", false, at(10)).step,
+    EXPECT_EQ(decide(state, "engines", "", false, at(10)).step,
               resume_step::refuse);
 }
 
@@ -72,11 +80,11 @@
     auto state = two_versions();
     for (int ms = 0; ms <= 50'000; ms += 1'000)
         record_software(state, "engines", "new", at(ms));
-    EXPECT_EQ(decide_resume(state, "engines", "", false, at(50'000)).step,
+    EXPECT_EQ(decide(state, "engines", "", false, at(50'000)).step,
               resume_step::refuse);
     for (int ms = 51'000; ms <= 70'000; ms += 1'000)
         record_software(state, "engines", "new", at(ms));
-    auto const later = decide_resume(state, "engines", "", false, at(70'000));
+    auto const later = decide(state, "engines", "", false, at(70'000));
     EXPECT_EQ(later.step, resume_step::proceed);
     EXPECT_EQ(later.software_version, "new");
 }
@@ -86,7 +94,7 @@
     stream_origins state;
     record_software(state, "engines", "old", at(0));
     record_software(state, "booking", "new", at(0));
-    auto const result = decide_resume(state, "engines", "", false, at(10));
+    auto const result = decide(state, "engines", "", false, at(10));
     EXPECT_EQ(result.step, resume_step::proceed);
     EXPECT_EQ(result.software_version, "old");
 }
@@ -101,14 +109,55 @@
     dispatcher.upstreams[1].record.software_version = "old";
     record_software(state, "engines", "old", at(0));
     record_registered_software(state, dispatcher, "engines", at(90'000));
-    EXPECT_EQ(decide_resume(state, "engines", "", false, at(90'000)).step,
+    EXPECT_EQ(decide(state, "engines", "", false, at(90'000)).step,
               resume_step::proceed);
 }
 
+// A gateway that had been cut off, or had stood still, took the only version
+// that it knew for that of a stream which had begun, through another gateway,
+// at an engine of another version that had joined meanwhile (ORDER).
+TEST(stream_origins, no_version_is_inferred_from_old_records)
+{
+    stream_origins state;
+    record_software(state, "engines", "old", at(0));
+    for (char const* request : {"", "first"})
+    {
+        resumed_stream const stream{"engines", request, at(5'000), true};
+        EXPECT_EQ(decide_resume(state, stream, std::nullopt, at(5'010)).step,
+                  resume_step::wait);
+        auto const behind = decide_resume(state, stream, at(4'999), at(5'010));
+        EXPECT_EQ(behind.step, resume_step::wait);
+        EXPECT_FALSE(behind.software_version);
+        EXPECT_EQ(decide_resume(state, stream, at(5'000), at(5'010)).step,
+                  resume_step::proceed);
+    }
+}
+
+// What another gateway knows of the stream needs no records.
+TEST(stream_origins, a_known_version_is_taken_with_old_records)
+{
+    stream_origins state;
+    record_software(state, "engines", "old", at(0));
+    record_origin(state, origin_key_of("first"), "new");
+    auto const result = decide_resume(
+        state, {"engines", "first", at(5'000), false}, at(10), at(5'010));
+    EXPECT_EQ(result.step, resume_step::proceed);
+    EXPECT_EQ(result.software_version, "new");
+}
+
+// New records can't tell one of two versions.
+TEST(stream_origins, a_stream_of_two_versions_does_not_wait_for_records)
+{
+    auto state = two_versions();
+    resumed_stream const stream{"engines", "", at(5'000), false};
+    EXPECT_EQ(decide_resume(state, stream, at(10), at(5'010)).step,
+              resume_step::refuse);
+}
+
 TEST(stream_origins, an_unknown_pool_is_refused)
 {
     stream_origins state;
-    EXPECT_EQ(decide_resume(state, "engines", "", true, at(10)).step,
+    EXPECT_EQ(decide(state, "engines", "", true, at(10)).step,
               resume_step::refuse);
 }
 
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_PROGRAMS_TEST_GATEWAYS_FIXTURE_HPP
 
 #include <jujubestand/http1/client.hpp>
+#include <map>
 #include <programs/test/engines_fixture.hpp>
 #include <programs/test/stream_caller.hpp>
 #include <string>
@@ -200,6 +201,8 @@
     unsigned retry_window_s = 0;
     /// Further bounds, as lines of settings.
     std::string more_bounds;
+    /// The store's address for a gateway by name, if it is not the store's own.
+    std::map<std::string, address> store_addresses;
     std::vector<running_gateway> gateways;
     http1::client caller;
     standins::delays later{this->base.get()};
@@ -211,8 +214,12 @@
     // The bounds are wide, so that a slow machine changes nothing.
     std::string settings_of(running_gateway const& gateway) const
     {
+        auto const other = this->store_addresses.find(gateway.name);
+        auto const where = other == this->store_addresses.end()
+                               ? this->store.bound()
+                               : other->second;
         return settings_text(gateway.name, gateway.callers, this->internal_port,
-                             this->store.bound()) +
+                             where) +
                "[bounds]\nrevoke-ms = 60000\nbudget-slack = " +
                std::to_string(this->retry_reserve) +
                "\nbudget-window-s = " + std::to_string(this->retry_window_s) +
