Query the agents of engines in use often, a fixed number of the others in turn

Cause: each gateway asked each agent every 100 ms, at any size: 165,000 queries a second with 103 gateways and 160 agents. For each one the agent walked and sorted all its gateways, and the gateway walked all upstreams for each answer. Change: agents of engines with calls of this gateway are queried each 100 ms, and 20 of the others, those of the longest ago; so a gateway's queries no longer grow with the fleet, and up to 20 engines nothing changes. Reports on engines that are not in use come late by as much (0.7 s at 160): the silence of an engine counts from when its report was due, and from the first call on as before. Agents keep a gateway for 4 of its intervals. The list of gateways is made when it changes; upstreams are found by address in a table.

--- a/jujubestand/agent/answers.cpp
+++ b/jujubestand/agent/answers.cpp
@@ -33,7 +33,7 @@
     response.agent = state.settings.name;
     response.is_engine_reachable = state.is_reachable;
     response.limit = report_limit(state);
-    remove_stale(state.gateways, now);
+    review_gateways(state.gateways, state.weights.pool_size, now);
     response.gateways = hosts_if_changed(state.gateways, request.gateways_hash);
     auto const& known = state.operator_topic->known();
     response.operator_end = known.next;
@@ -109,7 +109,7 @@
     empty_request.cache = {state.cache.generation, state.cache.generation};
     auto const bytes =
         status::to_datagram(make_response(state, empty_request, now));
-    for (auto const& [name, gateway] : state.gateways)
+    for (auto const& [name, gateway] : state.gateways.gateways)
         state.status_socket->send(gateway.endpoint, bytes);
 }
 
@@ -127,8 +127,8 @@
     if (!state.first_request_at)
         state.first_request_at = now;
     apply_request(state, *request, now);
-    state.gateways[request->gateway] =
-        gateway_entry{sender, request->link_mbps, now};
+    record_gateway(state.gateways, request->gateway,
+                   {sender, request->link_mbps, now});
     state.status_socket->send(
         sender, status::to_datagram(make_response(state, *request, now)));
     refresh_if_stale(state, *request, now);
--- a/jujubestand/agent/call_limit.cpp
+++ b/jujubestand/agent/call_limit.cpp
@@ -78,7 +78,7 @@
     if (!limits::applies(state.limit, now) ||
         limits::has_permit(state.order_permits, now))
         return true;
-    bool const is_alone = state.gateways.empty() ||
+    bool const is_alone = state.gateways.gateways.empty() ||
                           limits::is_issuer_unreachable(state.order_permits);
     std::chrono::duration<double> const interval{
         1 / limits::rate_of(*state.limit, now)};
@@ -98,8 +98,8 @@
         return;
     state.order_permits.needed_at = now;
     limits::expire_request(state.order_permits, now);
-    auto const issuer = limits::issuer_of(hosts_by_bandwidth(state.gateways),
-                                          upstream_id{state.upstream});
+    auto const issuer =
+        limits::issuer_of(state.gateways.hosts, upstream_id{state.upstream});
     if (!issuer || !limits::is_request_due(state.order_permits, now))
         return;
     status::permit_query query;
--- a/jujubestand/agent/gateway_table.cpp
+++ b/jujubestand/agent/gateway_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/status/messages.hpp>
+#include <jujubestand/status/pacing.hpp>
 
 namespace jujubestand::agent
 {
@@ -9,7 +10,10 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds retention_period{3'000};
+constexpr std::chrono::milliseconds retention_min{3'000};
+/// Queries of a gateway that may be lost or late before it counts as ended.
+constexpr int missed_queries = 4;
+constexpr std::chrono::milliseconds review_interval{100};
 
 bool has_priority(gateway_entry const& one, gateway_entry const& other)
 {
@@ -18,16 +22,24 @@
     return one.endpoint.host < other.endpoint.host;
 }
 
+void make_list(gateway_list& list)
+{
+    list.hosts = hosts_by_bandwidth(list.gateways);
+    list.hash = status::hash_of(list.hosts);
+}
+
 } // namespace
 
-void remove_stale(gateway_table& gateways, mono_time now)
+bool remove_stale(gateway_table& gateways, std::size_t engines, mono_time now)
 {
-    std::erase_if(gateways,
-                  [now](auto const& entry)
-                  {
-                      return now - entry.second.last_request_at >
-                             retention_period;
-                  });
+    std::chrono::milliseconds const retention = std::max(
+        retention_min, missed_queries * status::idle_query_interval(engines));
+    return std::erase_if(gateways,
+                         [&](auto const& entry)
+                         {
+                             return now - entry.second.last_request_at >
+                                    retention;
+                         }) > 0;
 }
 
 std::vector<std::string> hosts_by_bandwidth(gateway_table const& gateways)
@@ -44,13 +56,30 @@
     return hosts;
 }
 
-std::vector<std::string> hosts_if_changed(gateway_table const& gateways,
+void record_gateway(gateway_list& list, std::string const& name,
+                    gateway_entry const& gateway)
+{
+    auto& known = list.gateways[name];
+    bool const is_same = known.endpoint == gateway.endpoint &&
+                         known.link_mbps == gateway.link_mbps;
+    known = gateway;
+    if (!is_same)
+        make_list(list);
+}
+
+void review_gateways(gateway_list& list, std::size_t engines, mono_time now)
+{
+    if (now - list.reviewed_at < review_interval)
+        return;
+    list.reviewed_at = now;
+    if (remove_stale(list.gateways, engines, now))
+        make_list(list);
+}
+
+std::vector<std::string> hosts_if_changed(gateway_list const& list,
                                           std::uint64_t known_hash)
 {
-    auto hosts = hosts_by_bandwidth(gateways);
-    if (status::hash_of(hosts) == known_hash)
-        hosts.clear();
-    return hosts;
+    return list.hash == known_hash ? std::vector<std::string>{} : list.hosts;
 }
 
 } // namespace jujubestand::agent
--- a/jujubestand/agent/state.hpp
+++ b/jujubestand/agent/state.hpp
@@ -66,7 +66,7 @@
     /// Software version by the request that began a stream; the least recently
     /// used are dropped.
     recent_map<std::uint64_t, std::string> origins{16'384};
-    gateway_table gateways;
+    gateway_list gateways;
     std::optional<mono_time> first_request_at;
     /// Whether the engine was usable when gateways were last notified.
     bool was_usable = false;
--- a/jujubestand/dispatch/test/silence_test.cpp
+++ b/jujubestand/dispatch/test/silence_test.cpp
@@ -162,6 +162,33 @@
     EXPECT_TRUE(is_available(dispatcher, engine(dispatcher, 1), at(9'000)));
 }
 
+// In a large fleet, engines that this gateway does not use are reported on less
+// often; they must not count as quiet in between.
+TEST(silence, an_engine_that_is_not_in_use_may_be_reported_on_late)
+{
+    auto dispatcher = fleet(3);
+    dispatcher.idle_report_delay = std::chrono::milliseconds{700};
+    report_others(dispatcher, engine(dispatcher, 1).key, 950);
+    EXPECT_TRUE(is_available(dispatcher, engine(dispatcher, 1), at(990)));
+    EXPECT_FALSE(is_available(dispatcher, engine(dispatcher, 1), at(1'000)));
+}
+
+// Once it is sent a call it is reported on as often as others are.
+TEST(silence, an_engine_in_use_is_soon_known_to_stand_still)
+{
+    auto dispatcher = fleet(3);
+    dispatcher.idle_report_delay = std::chrono::milliseconds{700};
+    auto const silent = engine(dispatcher, 1).key;
+    hold_parts(engine(dispatcher, 1), shared_part);
+    EXPECT_EQ(target_of_next(dispatcher, 1, 500), silent);
+    report_others(dispatcher, silent, 780);
+    EXPECT_EQ(target_of_next(dispatcher, 2, 790), silent);
+    EXPECT_NE(target_of_next(dispatcher, 3, 800), silent);
+    report_others(dispatcher, silent, 1'090);
+    EXPECT_TRUE(stranded_calls(dispatcher, at(1'090)).empty());
+    EXPECT_EQ(stranded_calls(dispatcher, at(1'100)).size(), 2U);
+}
+
 // A gateway that is cut off hears of no engine.
 TEST(silence, silence_of_most_engines_shows_nothing)
 {
--- a/jujubestand/dispatch/test/upstreams_test.cpp
+++ b/jujubestand/dispatch/test/upstreams_test.cpp
@@ -46,6 +46,19 @@
     EXPECT_EQ(find_by_host(dispatcher, "10.0.0.1")->record.id, "a-later-one");
 }
 
+TEST(upstreams, an_upstream_is_found_by_the_address_of_its_newest_record)
+{
+    auto dispatcher = fleet(2);
+    auto moved = engine_record(1);
+    moved.where.host = "10.0.0.9";
+    on_upstream_record(dispatcher, moved);
+    EXPECT_EQ(find_by_host(dispatcher, "10.0.0.1"), nullptr);
+    EXPECT_EQ(find_by_host(dispatcher, "10.0.0.9")->record.id, "e1");
+    on_upstream_removed(dispatcher, "e1");
+    EXPECT_EQ(find_by_host(dispatcher, "10.0.0.9"), nullptr);
+    EXPECT_EQ(find_by_host(dispatcher, "10.0.0.2")->record.id, "e2");
+}
+
 TEST(upstreams, a_misdirected_call_excludes_the_upstream)
 {
     auto dispatcher = fleet(1);
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -293,6 +293,8 @@
     options limits;
     std::map<upstream_key, upstream> upstreams;
     std::map<std::string, upstream_key, std::less<>> keys_by_id;
+    /// Upstreams by IP address, in order of their keys.
+    std::unordered_map<std::string, std::vector<upstream_key>> keys_by_host;
     std::unordered_map<call_key, open_send> sends;
     words_table words;
     std::map<call_key, call> waiting;
@@ -305,6 +307,9 @@
     mono_time running_since{};
     /// No call is sent before: limits may apply that are not known yet.
     mono_time held_until{};
+    /// Time by which reports on engines that this gateway does not use come
+    /// less often than those on the others.
+    std::chrono::milliseconds idle_report_delay{0};
     /// Number of gateways that share the upstreams, including this one.
     std::uint32_t gateways = 1;
     /// Mean prompt size, used to estimate the work of other gateways.
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -95,6 +95,22 @@
     return id_of(dispatcher, *target) == process ? target : nullptr;
 }
 
+void remove_host(state& dispatcher, std::string const& host, upstream_key key)
+{
+    auto const found = dispatcher.keys_by_host.find(host);
+    if (found == dispatcher.keys_by_host.end())
+        return;
+    std::erase(found->second, key);
+    if (found->second.empty())
+        dispatcher.keys_by_host.erase(found);
+}
+
+void add_host(state& dispatcher, std::string const& host, upstream_key key)
+{
+    auto& keys = dispatcher.keys_by_host[host];
+    keys.insert(std::lower_bound(keys.begin(), keys.end(), key), key);
+}
+
 // Two upstreams can't share an address: the one that started later owns it.
 void mark_replaced(state& dispatcher, upstream& added,
                    traffic::upstream_record const& record)
@@ -141,6 +157,12 @@
     }
     if (is_new)
         mark_replaced(dispatcher, target, record);
+    bool const has_moved =
+        is_new || target.record.where.host != record.where.host;
+    if (has_moved && !is_new)
+        remove_host(dispatcher, target.record.where.host, key);
+    if (has_moved)
+        add_host(dispatcher, record.where.host, key);
     target.record = record;
     apply_words(dispatcher, target);
     for (auto const& [model, version] : record.versions)
@@ -153,6 +175,9 @@
     auto const known = dispatcher.keys_by_id.find(id);
     if (known == dispatcher.keys_by_id.end())
         return;
+    remove_host(dispatcher,
+                dispatcher.upstreams.at(known->second).record.where.host,
+                known->second);
     dispatcher.upstreams.erase(known->second);
     dispatcher.keys_by_id.erase(known);
 }
@@ -334,13 +359,17 @@
 
 upstream const* find_by_host(state const& dispatcher, std::string const& host)
 {
+    auto const found = dispatcher.keys_by_host.find(host);
+    if (found == dispatcher.keys_by_host.end())
+        return nullptr;
     upstream const* result = nullptr;
-    for (auto const& [key, target] : dispatcher.upstreams)
+    for (auto const key : found->second)
     {
+        upstream const& target = dispatcher.upstreams.at(key);
         // Prefers the newest one if an older one is still registered.
         bool const is_newer =
             result == nullptr || result->is_replaced || !target.is_replaced;
-        if (target.record.where.host == host && is_newer)
+        if (is_newer)
             result = &target;
     }
     return result;
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -7,6 +7,7 @@
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/status/messages.hpp>
+#include <jujubestand/status/pacing.hpp>
 #include <map>
 
 namespace jujubestand::gateway
@@ -15,6 +16,9 @@
 namespace
 {
 
+/// An engine counts as in use for so long after its last answer.
+constexpr std::chrono::milliseconds use_period{1'000};
+
 /// Time for which a gateway counts as running after the last report of it.
 constexpr std::chrono::milliseconds gateway_memory{3'000};
 
@@ -66,11 +70,18 @@
     status::cache_position cache;
     std::uint32_t index = 0;
     std::uint32_t engine_count = 1;
+    /// This gateway has sent calls to the engine recently.
+    bool is_in_use = false;
 };
 
+bool is_in_use(dispatch::upstream const& target, mono_time now)
+{
+    return target.open_calls > 0 || now - target.answered_at < use_period;
+}
+
 // Engines are numbered in order of their ids, which all gateways share.
 std::map<std::string, engine_query_data>
-engines_by_host(gateway_state const& state)
+engines_by_host(gateway_state const& state, mono_time now)
 {
     std::map<std::string, std::uint32_t> pools;
     std::map<std::string, engine_query_data> hosts;
@@ -82,8 +93,12 @@
             dispatch::find_by_host(state.dispatch, host) != &known_upstream)
             continue;
         auto& count = pools[known_upstream.record.pool];
-        hosts[host] = {id, known_upstream.record.born_ms,
-                       known_upstream.cache.position, count, 1};
+        hosts[host] = {id,
+                       known_upstream.record.born_ms,
+                       known_upstream.cache.position,
+                       count,
+                       1,
+                       is_in_use(known_upstream, now)};
         if (!known_upstream.record.is_leaving)
             ++count;
     }
@@ -96,6 +111,18 @@
     return hosts;
 }
 
+std::vector<query_target>
+to_targets(std::map<std::string, engine_query_data> const& engines)
+{
+    std::vector<query_target> targets;
+    targets.reserve(engines.size());
+    for (auto const& [host, engine] : engines)
+        targets.push_back({host, engine.is_in_use});
+    return targets;
+}
+
+} // namespace
+
 // The gateways of the list so far were known until now: agents report a list
 // only when it has changed.
 void set_gateways(gateway_state& state, std::vector<std::string> const& hosts,
@@ -114,8 +141,6 @@
     state.dispatch.gateways = static_cast<std::uint32_t>(hosts.size());
 }
 
-} // namespace
-
 // The lists of agents differ while an agent starts or is cut off from a part of
 // the gateways.
 std::vector<std::string> known_gateways(gateway_state const& state,
@@ -165,10 +190,15 @@
     query.gateway = state.settings.name;
     query.link_mbps = state.settings.link_mbps;
     query.gateways_hash = status::hash_of(state.gateway_hosts);
-    for (auto const& [host, engine] : engines_by_host(state))
+    auto const engines = engines_by_host(state, now);
+    state.dispatch.idle_report_delay =
+        status::idle_query_interval(engines.size()) - status::query_interval;
+    for (auto const& host : select_targets(
+             state.status_queries, to_targets(engines), status::idle_queries))
     {
         if (!begin_query(state.status_queries, host, now))
             continue;
+        auto const& engine = engines.at(host);
         query.cache = engine.cache;
         query.upstream = engine.id;
         query.upstream_incarnation = engine.incarnation;
@@ -188,7 +218,7 @@
     auto const now = mono_now();
     state.limits.heard_at = now;
     if (answer->request_sent_at_us != 0)
-        on_query_answered(state.status_queries, sender.host);
+        on_query_answered(state.status_queries, sender.host, now);
     auto const* const known_upstream =
         dispatch::find_by_host(state.dispatch, sender.host);
     if (known_upstream != nullptr)
--- a/jujubestand/gateway/agents.hpp
+++ b/jujubestand/gateway/agents.hpp
@@ -10,9 +10,15 @@
 namespace jujubestand::gateway
 {
 
-/// \brief Sends a status query to every agent that has none outstanding.
+/// \brief Sends status queries to the agents of engines that this gateway uses,
+/// and to some of the others, unless one is outstanding.
 void query_agents(gateway_state& state);
 
+/// \brief Replaces the list of gateways; those of the list before stay known
+/// for a while. \param hosts IP addresses, those with the most bandwidth first
+void set_gateways(gateway_state& state, std::vector<std::string> const& hosts,
+                  mono_time now);
+
 /// \brief IP addresses of the gateways that an agent has reported recently.
 [[nodiscard]] std::vector<std::string>
 known_gateways(gateway_state const& state, mono_time now);
--- a/jujubestand/gateway/peers.cpp
+++ b/jujubestand/gateway/peers.cpp
@@ -227,7 +227,7 @@
     auto const answer = status::from_datagram<status::peer_response>(bytes);
     if (!answer)
         return;
-    on_query_answered(state.status_queries, sender.host);
+    on_query_answered(state.status_queries, sender.host, mono_now());
     apply_topic_status(state, sender.host, *state.operator_topic,
                        operator_records_path, answer->operators,
                        answer->request_sent_at_us);
--- a/jujubestand/gateway/query_pacing.cpp
+++ b/jujubestand/gateway/query_pacing.cpp
@@ -24,15 +24,54 @@
                          now - last->second.sent_at < answer_wait;
     if (is_open)
         return false;
-    queries[host] = {now, false};
+    auto& query = queries[host];
+    if (last == queries.end())
+        query.first_sent_at = now;
+    query.sent_at = now;
+    query.is_answered = false;
     return true;
 }
 
-void on_query_answered(query_map& queries, std::string const& host)
+void on_query_answered(query_map& queries, std::string const& host,
+                       mono_time now)
 {
     auto const found = queries.find(host);
-    if (found != queries.end())
-        found->second.is_answered = true;
+    if (found == queries.end())
+        return;
+    found->second.is_answered = true;
+    found->second.answered_at = now;
+}
+
+std::vector<std::string> select_targets(query_map const& queries,
+                                        std::vector<query_target> targets,
+                                        std::size_t idle_limit)
+{
+    auto const idle = std::partition(targets.begin(), targets.end(),
+                                     [](query_target const& target)
+                                     {
+                                         return target.is_in_use;
+                                     });
+    auto const last_sent_at = [&](query_target const& target)
+    {
+        auto const last = queries.find(target.host);
+        return last == queries.end() ? mono_time{} : last->second.sent_at;
+    };
+    std::sort(idle, targets.end(),
+              [&](query_target const& left, query_target const& right)
+              {
+                  auto const left_at = last_sent_at(left);
+                  auto const right_at = last_sent_at(right);
+                  return left_at != right_at ? left_at < right_at
+                                             : left.host < right.host;
+              });
+    auto const idle_count = static_cast<std::size_t>(targets.end() - idle);
+    if (idle_count > idle_limit)
+        targets.resize(targets.size() - (idle_count - idle_limit));
+    std::vector<std::string> hosts;
+    hosts.reserve(targets.size());
+    for (auto& target : targets)
+        hosts.push_back(std::move(target.host));
+    return hosts;
 }
 
 void update_followed_reader(followed_reader& followed,
--- a/jujubestand/gateway/query_pacing.hpp
+++ b/jujubestand/gateway/query_pacing.hpp
@@ -16,6 +16,9 @@
 {
     mono_time sent_at{};
     bool is_answered = false;
+    mono_time first_sent_at{};
+    /// Time of the last answer.
+    mono_time answered_at{};
 };
 
 /// \brief Last query by host.
@@ -26,7 +29,22 @@
 bool begin_query(query_map& queries, std::string const& host, mono_time now);
 
 /// \brief Marks the query to a host as answered.
-void on_query_answered(query_map& queries, std::string const& host);
+void on_query_answered(query_map& queries, std::string const& host,
+                       mono_time now);
+
+/// \brief An agent that may be queried.
+struct query_target
+{
+    std::string host;
+    /// This gateway uses the agent's engine.
+    bool is_in_use = false;
+};
+
+/// \brief The agents to query now: those of engines in use, and of the others
+/// those whose last query is the longest ago, up to a limit.
+[[nodiscard]] std::vector<std::string>
+select_targets(query_map const& queries, std::vector<query_target> targets,
+               std::size_t idle_limit);
 
 /// \brief The reading gateway from which the contents of the part stores are
 /// taken. Only one at a time, since the readers order changes differently.
