Order the weights of engines without agents from one gateway at a time

Cause: an engine's weights are ordered, and the gateways found, through agents alone. A deployment without them, or one that is cut off from them, refused nearly all streams as soon as requested weights were due, beside free engines; each gateway took itself for the only one, read the store, and had the whole reserve of retries. Change: engines whose agents have not answered for 3 s are ordered by the gateway that holds a lease: appends to a topic of the store that state its end, so that one of several wins. Its fencing token comes from the agents' topic, so it is higher than theirs; an agent that finds another holder's token waits for lease-ms. Other gateways are told of engines that are about to load. While no agent is heard, gateways find each other by records in the store (12 s to live on, 30 s to lapse), and leave out readers that don't answer. Tests: order_lease (with two holders at once excluded over 400 s of faults), directory, unattended_engines (processes: no agents, orderer killed, agents back, agents ended, streams in flight). With the change reverted 3 of 3 that were played fail.

--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -116,6 +116,7 @@
     state.weights.limits.long_call_wait_limit =
         std::max(long_call_wait_limit_min,
                  state.settings.limits.weights_lag - load_reserve);
+    state.weights.limits.other_holder_wait = state.settings.limits.order_lease;
     create_components(state);
     reason why;
     address const own{state.settings.ip, state.settings.internal_port};
--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -156,7 +156,8 @@
 next_order(rollout& state, status::engine_report const& report, mono_time now)
 {
     state.is_permit_awaited = false;
-    if (!state.fence || report.is_busy || now < state.paused_until)
+    if (!state.fence || report.is_busy || now < state.paused_until ||
+        now < state.other_holder_until)
         return std::nullopt;
     for (auto& [model, requested] : state.requested_versions)
     {
@@ -198,10 +199,28 @@
     return std::nullopt;
 }
 
+order_response order_response_of(int status) noexcept
+{
+    constexpr int ok = 200;
+    constexpr int accepted = 202;
+    constexpr int conflict = 409;
+    constexpr int precondition_failed = 412;
+    if (status == ok || status == accepted)
+        return order_response::accepted;
+    if (status == conflict)
+        return order_response::conflict;
+    if (status == precondition_failed)
+        return order_response::stale_fence;
+    return status == 0 ? order_response::no_response : order_response::refused;
+}
+
 void on_order_response(rollout& state, order_response answer, mono_time now)
 {
     if (answer == order_response::stale_fence)
+    {
         state.fence.reset();
+        state.other_holder_until = now + state.limits.other_holder_wait;
+    }
     bool const is_void = answer == order_response::conflict ||
                          answer == order_response::refused ||
                          answer == order_response::stale_fence;
--- a/jujubestand/agent/rollout.hpp
+++ b/jujubestand/agent/rollout.hpp
@@ -37,6 +37,9 @@
     std::chrono::milliseconds queue_wait_limit{450};
     /// An order without a visible effect is sent again after this time.
     std::chrono::milliseconds order_retry_interval{700};
+    /// No order is sent for this long after another holder's fencing token was
+    /// found at the engine: that holder may still send orders.
+    std::chrono::milliseconds other_holder_wait{3'000};
 };
 
 /// \brief Version of one model's weights that the operator requests.
@@ -77,6 +80,8 @@
     mono_time paused_until{};
     /// An order is due but for its permit.
     bool is_permit_awaited = false;
+    /// Another holder sends orders to the engine until about this time.
+    mono_time other_holder_until{};
 };
 
 /// \brief Order to the engine to load a version.
@@ -138,6 +143,9 @@
 [[nodiscard]] std::optional<order>
 next_order(rollout& state, status::engine_report const& report, mono_time now);
 
+/// \brief The response that an HTTP status stands for; 0: none arrived.
+[[nodiscard]] order_response order_response_of(int status) noexcept;
+
 /// \brief Handles the engine's response to the last order.
 void on_order_response(rollout& state, order_response answer, mono_time now);
 
--- a/jujubestand/agent/weights.cpp
+++ b/jujubestand/agent/weights.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/agent/weights.hpp>
 
 #include <jujubestand/agent/call_limit.hpp>
+#include <jujubestand/agent/fence.hpp>
 #include <jujubestand/agent/pauses.hpp>
 #include <platform/calls.hpp>
 #include <platform/documents.hpp>
@@ -18,27 +19,9 @@
 constexpr std::chrono::milliseconds startup_period{3'000};
 constexpr std::chrono::milliseconds fence_retry_delay{400};
 
-constexpr char const* fence_topic = "jujubestand.fences";
-
-constexpr int ok = 200;
-
-order_response to_order_response(int status)
-{
-    constexpr int accepted = 202;
-    constexpr int conflict = 409;
-    constexpr int precondition_failed = 412;
-    if (status == ok || status == accepted)
-        return order_response::accepted;
-    if (status == conflict)
-        return order_response::conflict;
-    if (status == precondition_failed)
-        return order_response::stale_fence;
-    return status == 0 ? order_response::no_response : order_response::refused;
-}
-
 void on_order_end(agent_state& state, order const& load_order, int status)
 {
-    auto const answer = to_order_response(status);
+    auto const answer = order_response_of(status);
     on_order_response(state.weights, answer, mono_now());
     state.log->write(
         answer == order_response::accepted ? event_number::order_given
@@ -54,33 +37,23 @@
         acquire_fence(state);
 }
 
-// The fencing token is derived from the offset of a record that this run of
-// the agent appends, so every later run gets a higher one. Offsets go back when
-// the store returns from an older copy, but its era then rises.
-std::uint64_t fence_of(platform::append_end const& appended)
-{
-    constexpr unsigned offset_bits = 32;
-    return (appended.era << offset_bits) + *appended.offset + 1;
-}
-
 } // namespace
 
 void acquire_fence(agent_state& state)
 {
-    state.store->append(
-        fence_topic, state.settings.name,
-        [&state](platform::append_end const& end)
-        {
-            if (!end.offset)
-            {
-                state.fence_timer->start(fence_retry_delay);
-                return;
-            }
-            state.weights.fence = fence_of(end);
-            state.log->write(
-                event_number::fence_taken, {},
-                {{"fence", static_cast<std::int64_t>(*state.weights.fence)}});
-        });
+    request_fence(*state.store, state.settings.name,
+                  [&state](std::optional<std::uint64_t> fence)
+                  {
+                      if (!fence)
+                      {
+                          state.fence_timer->start(fence_retry_delay);
+                          return;
+                      }
+                      state.weights.fence = fence;
+                      state.log->write(
+                          event_number::fence_taken, {},
+                          {{"fence", static_cast<std::int64_t>(*fence)}});
+                  });
 }
 
 void on_requested_version(agent_state& state, std::string const& model,
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -217,6 +217,7 @@
         return;
     auto const now = mono_now();
     state.limits.heard_at = now;
+    state.agent_heard_at = now;
     if (answer->request_sent_at_us != 0)
         on_query_answered(state.status_queries, sender.host, now);
     auto const* const known_upstream =
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -7,6 +7,8 @@
 #include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/crashes.hpp>
+#include <jujubestand/gateway/directory.hpp>
+#include <jujubestand/gateway/engine_orders.hpp>
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/gateway/quarantine_records.hpp>
@@ -135,6 +137,7 @@
         [&state](address const& sender, std::string_view bytes)
         {
             on_agent_datagram(state, sender, bytes);
+            on_engine_notice(state, sender, bytes);
             on_peer_datagram(state, sender, bytes);
             on_origin_datagram(state, sender, bytes);
             on_crash_datagram(state, bytes);
@@ -219,6 +222,8 @@
     review_software_history(state);
     query_agents(state);
     query_peers(state);
+    review_engine_orders(state);
+    review_directory(state);
 }
 
 void start_timers(gateway_state& state)
@@ -263,6 +268,7 @@
         state.settings.limits.weights_lag - weights_margin;
     state.dispatch.limits.weights_begin_limit =
         state.settings.limits.weights_lag - begin_margin;
+    state.orders.lease.duration = state.settings.limits.order_lease;
     state.random_engine.seed(std::random_device{}());
     make_clients(state);
     make_servers(state);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -6,6 +6,8 @@
 #include <jujubestand/dispatch/dispatch.hpp>
 #include <jujubestand/follow/follower.hpp>
 #include <jujubestand/follow/lapses.hpp>
+#include <jujubestand/gateway/directory.hpp>
+#include <jujubestand/gateway/engine_orders.hpp>
 #include <jujubestand/gateway/event_stream.hpp>
 #include <jujubestand/gateway/query_pacing.hpp>
 #include <jujubestand/gateway/software_history.hpp>
@@ -192,6 +194,10 @@
     std::set<std::string> fetches_in_flight;
     gateway::query_map status_queries;
     followed_reader part_store_reader;
+    engine_orders orders;
+    gateway_directory directory;
+    /// When an agent was heard last; empty if none was.
+    std::optional<mono_time> agent_heard_at;
     /// IP addresses of all gateways, highest link bandwidth first; empty until
     /// an agent has reported them.
     std::vector<std::string> gateway_hosts;
--- a/jujubestand/http1/test/sockets.hpp
+++ b/jujubestand/http1/test/sockets.hpp
@@ -99,6 +99,46 @@
     std::thread thread;
 };
 
+/// \brief A peer that answers the first bytes it reads with fixed ones.
+class fixed_peer
+{
+public:
+    fixed_peer(std::string answer, bool is_reset, bool stays = false)
+    {
+        this->socket = listen_anywhere(this->where);
+        listen(this->socket, 4);
+        this->thread = std::thread(
+            [this, answer = std::move(answer), is_reset, stays]
+            {
+                int const taken = accept(this->socket, nullptr, nullptr);
+                char bytes[4096];
+                if (recv(taken, bytes, sizeof bytes, 0) > 0)
+                    send(taken, answer.data(), answer.size(), MSG_NOSIGNAL);
+                // Until the client closes or resets the connection.
+                if (stays)
+                    (void)recv(taken, bytes, sizeof bytes, 0);
+                linger const at_once{1, 0};
+                if (is_reset)
+                    setsockopt(taken, SOL_SOCKET, SO_LINGER, &at_once,
+                               sizeof at_once);
+                close(taken);
+            });
+    }
+    ~fixed_peer()
+    {
+        this->thread.join();
+        close(this->socket);
+    }
+    fixed_peer(fixed_peer const&) = delete;
+    fixed_peer& operator=(fixed_peer const&) = delete;
+
+    address where;
+
+private:
+    int socket = -1;
+    std::thread thread;
+};
+
 /// \brief A caller on a plain socket.
 class raw_caller
 {
--- a/jujubestand/node/settings.hpp
+++ b/jujubestand/node/settings.hpp
@@ -24,6 +24,8 @@
     std::chrono::milliseconds stop_grace{8'000};
     /// No call may begin on older weights after this.
     std::chrono::milliseconds weights_lag{6'000};
+    /// Two holders must not send orders to one engine within this time.
+    std::chrono::milliseconds order_lease{3'000};
     /// Repeated sends per call of a pool, over `retry_window`.
     double retry_ratio = 0.2;
     std::chrono::milliseconds retry_window{10'000};
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -46,5 +46,6 @@
 template std::optional<limit_response> from_datagram(std::string_view);
 template std::optional<permit_query> from_datagram(std::string_view);
 template std::optional<permit_response> from_datagram(std::string_view);
+template std::optional<engine_notice> from_datagram(std::string_view);
 
 } // namespace jujubestand::status
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -115,6 +115,23 @@
                          cache, limit, engine_started_at_ms, operator_era)
 };
 
+/// \brief State of an engine that has no agent, from the gateway that orders
+/// its loads.
+struct engine_notice
+{
+    std::uint32_t format = format_version;
+    std::string upstream;
+    /// Start of the engine's process, as it is registered.
+    std::uint64_t upstream_incarnation = 0;
+    /// The engine is about to load weights, or is loading them.
+    bool is_preparing = false;
+    /// Version of the weights of each model.
+    std::map<std::string, std::uint64_t> versions;
+
+    MSGPACK_DEFINE_ARRAY(format, upstream, upstream_incarnation, is_preparing,
+                         versions)
+};
+
 /// \brief Request of a gateway to another one for the state of its copies.
 struct peer_request
 {
@@ -277,6 +294,7 @@
     limit_response = 'e',
     permit_query = 'w',
     permit_response = 'g',
+    engine_notice = 'h',
 };
 
 /// \brief Kind of a message type.
@@ -321,6 +339,10 @@
 inline constexpr message_kind kind_of<permit_response> =
     message_kind::permit_response;
 
+template <>
+inline constexpr message_kind kind_of<engine_notice> =
+    message_kind::engine_notice;
+
 /// \brief Serializes a message as one datagram, with its kind.
 template <class Message>
 [[nodiscard]] std::string to_datagram(Message const& message);
--- a/programs/test/engines_fixture.hpp
+++ b/programs/test/engines_fixture.hpp
@@ -141,7 +141,8 @@
     void write_engine(std::size_t number, std::string const& state)
     {
         auto const& written = this->engines[number];
-        nlohmann::json const model{{"name", "m1"}, {"version", 1}};
+        nlohmann::json const model{
+            {"name", "m1"}, {"version", written.engine->loaded_weights()}};
         nlohmann::json const record{
             {"service", "engines"},
             {"address", to_text(written.engine->bound())},
--- a/standins/keyed/keyed_store.cpp
+++ b/standins/keyed/keyed_store.cpp
@@ -159,6 +159,14 @@
 {
     auto const record = call.body().substr(length_bytes);
     auto const topic = call.text("topic");
+    auto const end_before = this->topics[topic].records.size();
+    if (!call.text("at").empty() && call.number("at", 0) != end_before)
+    {
+        constexpr int precondition_failed = 412;
+        nlohmann::json const body{{"end", end_before}};
+        this->answer(call.request, precondition_failed, body.dump());
+        return;
+    }
     if (topic.starts_with("keyed."))
     {
         auto const key_bytes = static_cast<unsigned char>(record.at(0));
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -209,6 +209,7 @@
     auto const order = nlohmann::json::parse(call.body());
     this->order_times.push_back(mono_now());
     this->order_fences.push_back(order.at("fencing-token"));
+    this->order_holders.push_back(order.at("holder"));
     if (!this->words.pause.empty())
     {
         add_words(call.request, this->words);
@@ -230,6 +231,16 @@
     return this->order_times;
 }
 
+std::vector<std::string> const& stream_engine::holders() const noexcept
+{
+    return this->order_holders;
+}
+
+std::uint64_t stream_engine::loaded_weights() const noexcept
+{
+    return this->weights;
+}
+
 std::vector<std::uint64_t> const& stream_engine::fences() const noexcept
 {
     return this->order_fences;
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -113,6 +113,12 @@
     /// \brief Times at which it was sent orders.
     [[nodiscard]] std::vector<mono_time> const& orders() const noexcept;
 
+    /// \brief Senders of these orders.
+    [[nodiscard]] std::vector<std::string> const& holders() const noexcept;
+
+    /// \brief Version of the weights that it has loaded.
+    [[nodiscard]] std::uint64_t loaded_weights() const noexcept;
+
     /// \brief Fencing tokens of these orders.
     [[nodiscard]] std::vector<std::uint64_t> const& fences() const noexcept;
 
@@ -167,6 +173,7 @@
     std::vector<mono_time> question_times;
     std::vector<mono_time> order_times;
     std::vector<std::uint64_t> order_fences;
+    std::vector<std::string> order_holders;
 };
 
 } // namespace jujubestand::standins
