--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -122,8 +122,7 @@
     state.quarantine_topic = std::make_unique<follow::follower>(
         state.base, *state.store,
         follow::read_options{std::string(platform::names::quarantine_topic),
-                             quarantine_poll_timeout,
-                             std::chrono::milliseconds{0}},
+                             quarantine_poll_timeout, quarantine_read_pause},
         follower_events_of(state, quarantine_name,
                            [](gateway_state& shared,
                               std::vector<follow::record> const& changes,
--- a/jujubestand/gateway/quarantine_records.cpp
+++ b/jujubestand/gateway/quarantine_records.cpp
@@ -1,7 +1,9 @@
 #include <jujubestand/gateway/quarantine_records.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <jujubestand/gateway/crashes.hpp>
+#include <jujubestand/placement/rendezvous.hpp>
 #include <jujubestand/quarantine/crash_records.hpp>
 #include <platform/names.hpp>
 
@@ -11,8 +13,6 @@
 namespace
 {
 
-/// Gateways learn of a culprit or a crash at the same time; one of them writes
-/// it first.
 constexpr std::chrono::milliseconds culprit_delay_limit{500};
 constexpr std::chrono::milliseconds crash_delay_limit{150};
 constexpr std::chrono::milliseconds write_retry_delay{1'000};
@@ -27,6 +27,24 @@
     return from + std::chrono::milliseconds{delay_ms(state.random_engine)};
 }
 
+mono_time write_time(gateway_state& state, std::string const& key,
+                     mono_time from, std::chrono::milliseconds limit)
+{
+    return random_time(state, from, limit) +
+           turn_delay(state.gateway_hosts, state.settings.ip, key);
+}
+
+// Notices of the same crash come from all gateways.
+void plan_crash_write(gateway_state& state, quarantine::crash_key const& crash,
+                      mono_time from, std::chrono::milliseconds limit)
+{
+    auto& unwritten = state.crashes.unwritten_crashes;
+    if (unwritten.contains(crash))
+        return;
+    unwritten[crash] =
+        write_time(state, quarantine::record_key_of(crash), from, limit);
+}
+
 // A write that fails is repeated until the topic shows the culprit.
 void write_culprits(gateway_state& state, mono_time now)
 {
@@ -160,11 +178,35 @@
 
 } // namespace
 
+// All gateways learn of a culprit or a crash at the same time. Each one's turn
+// to write it comes after that of the gateways before it, in an order that
+// depends on the key, so that the later ones find it written.
+std::chrono::milliseconds turn_delay(std::vector<std::string> const& gateways,
+                                     std::string const& own,
+                                     std::string const& key)
+{
+    constexpr std::chrono::milliseconds turn{250};
+    constexpr std::chrono::milliseconds limit{4'000};
+    auto const record = placement::name_hash_of(key);
+    auto const score_of = [record](std::string const& host)
+    {
+        return placement::rendezvous_score(record,
+                                           placement::name_hash_of(host), 1.0);
+    };
+    double const own_score = score_of(own);
+    auto const before = std::count_if(gateways.begin(), gateways.end(),
+                                      [&](std::string const& host)
+                                      {
+                                          return score_of(host) > own_score;
+                                      });
+    return std::min<std::chrono::milliseconds>(before * turn, limit);
+}
+
 void schedule_culprit_write(gateway_state& state, digest const& fingerprint,
                             mono_time now)
 {
     state.crashes.unwritten_culprits[fingerprint] =
-        random_time(state, now, culprit_delay_limit);
+        write_time(state, to_text(fingerprint), now, culprit_delay_limit);
 }
 
 void schedule_crash_writes(gateway_state& state, quarantine::notice const& news,
@@ -172,8 +214,7 @@
 {
     for (auto const& crash :
          quarantine::crashes_of(state.crashes.evidence, news))
-        state.crashes.unwritten_crashes.try_emplace(
-            crash, random_time(state, now + delay, crash_delay_limit));
+        plan_crash_write(state, crash, now + delay, crash_delay_limit);
 }
 
 void write_quarantine_records(gateway_state& state, mono_time now)
@@ -193,8 +234,7 @@
             schedule_culprit_write(state, fingerprint, now);
     }
     for (auto const& [crash, recorded] : state.crashes.evidence.crashes)
-        state.crashes.unwritten_crashes.try_emplace(
-            crash, random_time(state, now, culprit_delay_limit));
+        plan_crash_write(state, crash, now, culprit_delay_limit);
 }
 
 void apply_quarantine_records(gateway_state& state,
--- a/jujubestand/gateway/quarantine_records.hpp
+++ b/jujubestand/gateway/quarantine_records.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <jujubestand/gateway/state.hpp>
+#include <string>
 #include <vector>
 
 /// \brief Culprits and crashes in the store, so that gateways which start later
@@ -13,6 +14,16 @@
 /// Long-poll time of the topic; each gateway reads it by itself.
 inline constexpr std::chrono::milliseconds quarantine_poll_timeout{15'000};
 
+/// Pause between two reads of the topic: gateways tell each other what they
+/// find, so the topic matters to those that start later.
+inline constexpr std::chrono::milliseconds quarantine_read_pause{1'000};
+
+/// \brief How long a gateway leaves the write of a record to others.
+/// \param gateways IP addresses of all gateways, in any order
+[[nodiscard]] std::chrono::milliseconds
+turn_delay(std::vector<std::string> const& gateways, std::string const& own,
+           std::string const& key);
+
 /// \brief Plans the write of a culprit that this gateway found.
 void schedule_culprit_write(gateway_state& state, digest const& fingerprint,
                             mono_time now);
