--- a/jujubestand/gateway/test/quarantine_records_test.cpp
+++ b/jujubestand/gateway/test/quarantine_records_test.cpp
@@ -23,6 +23,7 @@
 delays(std::vector<std::string> const& gateways, std::string const& key)
 {
     std::vector<std::chrono::milliseconds> result;
+    result.reserve(gateways.size());
     for (auto const& own : gateways)
         result.push_back(turn_delay(gateways, own, key));
     std::sort(result.begin(), result.end());
--- a/jujubestand/gateway/test/query_pacing_test.cpp
+++ b/jujubestand/gateway/test/query_pacing_test.cpp
@@ -56,6 +56,7 @@
     query_map queries;
     std::map<std::string, int> counts;
     std::vector<query_target> targets;
+    targets.reserve(agents);
     for (int number = 0; number < agents; ++number)
         targets.push_back({"10.0.0." + std::to_string(number), number == 7});
     for (int ms = 0; ms < 1'600; ms += 100)
