--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -35,7 +35,7 @@
     # Tests of whole programs take minutes: parts of them run side by side.
     set(shards 1)
     if(slice STREQUAL "programs")
-        set(shards 3)
+        set(shards 4)
     endif()
     math(EXPR last_shard "${shards} - 1")
     foreach(shard RANGE ${last_shard})
