--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -75,9 +75,11 @@
 }
 
 bool has_memory(state const& dispatcher, upstream const& target,
-                send_tally const& in_flight, double tokens)
+                send_tally const& in_flight, double tokens, mono_time now)
 {
-    if (!target.load || target.load->report.memory_total == 0)
+    // What an old report counted has ended since, or may have.
+    if (!has_fresh_report(dispatcher, target, now) ||
+        target.load->report.memory_total == 0)
         return true;
     auto const& report = target.load->report;
     double const taken =
@@ -150,12 +152,13 @@
 // own. It assumes that the sends of the others correlate with these, fully so
 // while calls wait.
 double prefill_backlog(state const& dispatcher, upstream const& target,
-                       send_tally const& in_flight)
+                       send_tally const& in_flight, mono_time now)
 {
     constexpr double usual_correlation = 0.25;
-    double const reported = target.load ? target.load->report.prefilling +
-                                              target.load->report.queued
-                                        : 0.0;
+    double const reported =
+        has_fresh_report(dispatcher, target, now)
+            ? target.load->report.prefilling + target.load->report.queued
+            : 0.0;
     double const correlation =
         dispatcher.waiting.empty() ? usual_correlation : 1.0;
     double const other_gateways = dispatcher.gateways - 1;
@@ -196,12 +199,13 @@
     result.memory_tokens = split.own_tokens +
                            request.model_prompt->output_tokens_limit +
                            split.shared_tokens - cached;
-    if (!has_memory(dispatcher, target, in_flight, result.memory_tokens))
+    if (!has_memory(dispatcher, target, in_flight, result.memory_tokens, now))
         return std::nullopt;
     if (is_full_of_prefilling(dispatcher, in_flight))
         return std::nullopt;
-    double const backlog_ms = prefill_backlog(dispatcher, target, in_flight) /
-                              dispatcher.limits.prefill_tokens_per_ms;
+    double const backlog_ms =
+        prefill_backlog(dispatcher, target, in_flight, now) /
+        dispatcher.limits.prefill_tokens_per_ms;
     if (backlog_ms > dispatcher.limits.prefill_backlog_limit_ms)
         return std::nullopt;
     result.expected_ms =
--- a/jujubestand/dispatch/test/silence_test.cpp
+++ b/jujubestand/dispatch/test/silence_test.cpp
@@ -189,6 +189,23 @@
     EXPECT_EQ(stranded_calls(dispatcher, at(1'100)).size(), 2U);
 }
 
+// All agents were cut off while their engines were busy: the last reports
+// filled the engines for as long as the cut lasted, and nearly all calls were
+// refused.
+TEST(silence, an_old_report_of_a_full_engine_does_not_keep_calls_away)
+{
+    auto dispatcher = fleet(2);
+    for (auto const& [key, target] : dispatcher.upstreams)
+    {
+        auto full = idle_load(0);
+        full.report.memory_used = engine_memory;
+        full.report.prefilling = 20;
+        on_load_report(dispatcher, key, full);
+    }
+    EXPECT_FALSE(choose(dispatcher, prompt_call(1, shared_part), at(1'400)));
+    EXPECT_TRUE(choose(dispatcher, prompt_call(1, shared_part), at(1'600)));
+}
+
 // A gateway that is cut off hears of no engine.
 TEST(silence, silence_of_most_engines_shows_nothing)
 {
