--- a/review/standins/process.hpp
+++ b/review/standins/process.hpp
@@ -112,6 +112,44 @@
            std::to_string(id % 256) + '.' + std::to_string(number);
 }
 
+/// \brief A stand-in that this program runs as a process of its own, so that it
+/// can be killed.
+class child
+{
+public:
+    explicit child(std::vector<std::string> arguments)
+    {
+        this->id = fork();
+        if (this->id != 0)
+            return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        std::vector<char*> given;
+        for (auto& argument : arguments)
+            given.push_back(argument.data());
+        given.push_back(nullptr);
+        execv("/proc/self/exe", given.data());
+        _exit(127);
+    }
+    ~child()
+    {
+        this->kill();
+    }
+    child(child const&) = delete;
+    child& operator=(child const&) = delete;
+
+    void kill()
+    {
+        if (this->id <= 0)
+            return;
+        ::kill(this->id, SIGKILL);
+        waitpid(this->id, nullptr, 0);
+        this->id = -1;
+    }
+
+private:
+    pid_t id = -1;
+};
+
 inline std::string make_folder()
 {
     char name[] = "/tmp/jujubestand-review-XXXXXX";
--- a/review/standins/worker.hpp
+++ b/review/standins/worker.hpp
@@ -30,6 +30,8 @@
         std::string model;
         /// Version of the worker's software.
         std::string software = "v1";
+        /// 0: any that is free.
+        std::uint16_t port = 0;
     };
 
     /// A part of a prompt that was stored.
@@ -45,7 +47,7 @@
         , given(std::move(given))
         , run(std::move(run))
         , born(wall_ms())
-        , served({this->given.host, 0},
+        , served({this->given.host, this->given.port},
                  [this](connection& open, message const& request)
                  {
                      return this->answer(open, request);
@@ -59,8 +61,7 @@
                 for (;;)
                 {
                     std::this_thread::sleep_for(interval);
-                    if (!this->is_down)
-                        this->beat();
+                    this->beat();
                 }
             })
             .detach();
@@ -84,36 +85,6 @@
         this->changed.notify_all();
     }
 
-    /// \brief Ends as a process that crashes; its entry stays for a while.
-    void crash()
-    {
-        this->is_down = true;
-        this->served.crash();
-    }
-
-    /// \brief Starts again under the same id and at the same address, knows
-    /// nothing of before, and registers after some time.
-    void restart(std::string const& software, milliseconds registers_after)
-    {
-        {
-            std::lock_guard const lock(this->mutex);
-            this->events.clear();
-            this->born = wall_ms();
-            this->sequence = 0;
-            this->given.software = software;
-        }
-        this->served.start();
-        std::thread(
-            [this, registers_after]
-            {
-                std::this_thread::sleep_for(registers_after);
-                this->is_down = false;
-                this->beat();
-            })
-            .detach();
-    }
-
-    std::atomic<bool> is_down{false};
     std::atomic<unsigned> active{0};
 
     /// \brief A stamp, as workers put on what they have answered.
