--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -303,6 +303,13 @@
     return choose(dispatcher, elsewhere, now).has_value();
 }
 
+void set_cache_owner(state& dispatcher, call_key call, std::string const& owner)
+{
+    auto const waiting = dispatcher.waiting.find(call);
+    if (waiting != dispatcher.waiting.end())
+        waiting->second.cache_owner = owner;
+}
+
 void remove_waiting(state& dispatcher, call_key call)
 {
     dispatcher.waiting.erase(call);
--- a/jujubestand/dispatch/dispatch.hpp
+++ b/jujubestand/dispatch/dispatch.hpp
@@ -24,6 +24,10 @@
 [[nodiscard]] bool has_alternative(state const& dispatcher, call const& request,
                                    upstream_key excluded, mono_time now);
 
+/// \brief Sets the owner of the cached parts of a call, if it waits.
+void set_cache_owner(state& dispatcher, call_key call,
+                     std::string const& owner);
+
 /// \brief Removes a waiting call whose caller has disconnected.
 void remove_waiting(state& dispatcher, call_key call);
 
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -134,7 +134,7 @@
     std::string pool;
     /// Empty if the pool's upstreams are not model engines.
     std::optional<traffic::prompt> model_prompt;
-    /// Owner of the cached parts: an isolated team, or all other teams.
+    /// Owner of the cached parts: an isolated team, or the teams that share.
     std::string cache_owner;
     /// 0 is the most urgent.
     std::uint8_t priority = 5;
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -1,11 +1,13 @@
 #include <jujubestand/gateway/apply_records.hpp>
 
+#include <jujubestand/dispatch/dispatch.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/record_age.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <string_view>
+#include <unordered_map>
 
 namespace jujubestand::gateway
 {
@@ -57,6 +59,26 @@
     state.dispatch.stores = std::move(next);
 }
 
+// What is sent from now on goes by the new tables, calls that wait or are sent
+// again among it. A team that is gone stays as it was.
+void apply_cache_owners(gateway_state& state)
+{
+    state.shared_cache_owner = traffic::shared_cache_owner(*state.tables);
+    std::unordered_map<std::string_view, bool> is_isolated;
+    for (auto const& team : state.tables->teams)
+        is_isolated[team.name] = team.is_isolated;
+    for (auto& [key, call] : state.active_calls)
+    {
+        auto const known = is_isolated.find(call.team.name);
+        if (known != is_isolated.end())
+            call.team.is_isolated = known->second;
+        call.dispatch_call.cache_owner =
+            traffic::cache_owner_of(call.team, state.shared_cache_owner);
+        dispatch::set_cache_owner(state.dispatch, key,
+                                  call.dispatch_call.cache_owner);
+    }
+}
+
 void apply_tables(gateway_state& state, follow::record const& row)
 {
     reason why;
@@ -71,12 +93,14 @@
     state.tables = std::move(*tables);
     apply_limits(state);
     apply_stores(state);
+    apply_cache_owners(state);
     state.log->write(
         event_number::tables_applied, {},
         {{"version", static_cast<std::int64_t>(state.tables->version)},
          {"offset", static_cast<std::int64_t>(row.offset)},
          {"routes", static_cast<std::int64_t>(state.tables->routes.size())},
-         {"teams", static_cast<std::int64_t>(state.tables->teams.size())}});
+         {"teams", static_cast<std::int64_t>(state.tables->teams.size())},
+         {"shared_cache", state.shared_cache_owner}});
 }
 
 // Weights may have been requested long before they are read. Older weights are
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -56,7 +56,8 @@
     return age && *age <= unknown_age_limit ? error : stale_tables_problem();
 }
 
-dispatch::call to_dispatch_call(active_call const& call, dispatch::call_key key,
+dispatch::call to_dispatch_call(gateway_state const& state,
+                                active_call const& call, dispatch::call_key key,
                                 std::string_view pool)
 {
     dispatch::call result;
@@ -65,7 +66,7 @@
     if (call.route.has_prompts)
         result.model_prompt = call.caller_request.asked;
     result.cache_owner =
-        call.team.is_isolated ? "team " + call.team.name : "all";
+        traffic::cache_owner_of(call.team, state.shared_cache_owner);
     result.priority = call.team.priority.value_or(call.route.priority);
     result.arrived_at = call.arrived_at;
     result.deadline = output_deadline(call);
@@ -97,7 +98,7 @@
 {
     auto const key = ++state.last_call_key;
     auto const pool = traffic::choose_pool(call.route, state.random_engine());
-    call.dispatch_call = to_dispatch_call(call, key, pool);
+    call.dispatch_call = to_dispatch_call(state, call, key, pool);
     call.suspect_keys = suspect_keys_of(call);
     retries::record_request(state.retry_budgets[call.dispatch_call.pool],
                             retry_options_of(state), call.arrived_at);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -43,7 +43,8 @@
 {
     http1::exchange_id exchange;
     traffic::caller_call caller_request;
-    /// Copy taken on arrival; later configuration changes do not affect it.
+    /// Copies taken on arrival; later configuration changes do not affect
+    /// them, but for whether the team is isolated.
     traffic::route route;
     traffic::team team;
     mono_time arrived_at{};
@@ -167,6 +168,8 @@
     bool is_review_scheduled = false;
     follow::lapses lapses;
     std::optional<traffic::tables> tables;
+    /// Owner of the cached parts of teams that are not isolated, by `tables`.
+    std::string shared_cache_owner;
     dispatch::state dispatch;
     /// Retry budget per pool.
     std::map<std::string, retries::retry_budget> retry_budgets;
--- a/jujubestand/traffic/tables.cpp
+++ b/jujubestand/traffic/tables.cpp
@@ -1,5 +1,8 @@
 #include <jujubestand/traffic/tables.hpp>
 
+#include <algorithm>
+#include <jujubestand/core/digest.hpp>
+
 namespace jujubestand::traffic
 {
 
@@ -25,6 +28,31 @@
                                        : &content.teams[found->second];
 }
 
+// A function of the configuration in force alone, so that instances agree which
+// know no earlier one. Parts of an owner were cached by teams outside its list
+// of isolated teams, and only such teams use them.
+std::string shared_cache_owner(tables const& content)
+{
+    std::vector<std::string_view> isolated;
+    for (auto const& row : content.teams)
+    {
+        if (row.is_isolated)
+            isolated.push_back(row.name);
+    }
+    if (isolated.empty())
+        return "all";
+    std::sort(isolated.begin(), isolated.end());
+    std::string names;
+    for (auto const name : isolated)
+        append_part(names, name);
+    return "all-but-" + to_text(digest_of(names));
+}
+
+std::string cache_owner_of(team const& caller, std::string const& shared)
+{
+    return caller.is_isolated ? "team " + caller.name : shared;
+}
+
 std::string_view choose_pool(route const& from, std::uint64_t draw)
 {
     constexpr double draw_range = 18446744073709551616.0;
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -134,6 +134,18 @@
 [[nodiscard]] team const* find_team(tables const& content,
                                     std::string_view key);
 
+/// \brief Owner of the cached parts of prompts that all teams share which are
+/// not isolated.
+///
+/// It names the isolated teams: what a team's calls cached while it was not
+/// isolated has another owner.
+[[nodiscard]] std::string shared_cache_owner(tables const& content);
+
+/// \brief Owner of the cached parts that a team's calls make and use.
+/// \param shared owner of the parts of teams that are not isolated
+[[nodiscard]] std::string cache_owner_of(team const& caller,
+                                         std::string const& shared);
+
 /// \brief One pool of a route, drawn by weight.
 /// \param draw random bits of the caller's
 /// \returns the pool's name; empty if the route has none
--- a/programs/test/stream_caller.hpp
+++ b/programs/test/stream_caller.hpp
@@ -64,6 +64,7 @@
     /// Parts of the prompt as `ID:TOKENS,...`; empty: no prompt.
     std::string parts{};
     unsigned deadline_ms = 60'000;
+    std::string key{};
 };
 
 /// \brief Fields of a call for a stream.
@@ -77,6 +78,8 @@
         fields.push_back({"Last-Event-Id", asked.last_event});
     if (!asked.resumes.empty())
         fields.push_back({"Resumes", asked.resumes});
+    if (!asked.key.empty())
+        fields.push_back({"X-Api-Key", asked.key});
     if (!asked.parts.empty())
     {
         fields.push_back({"X-Model", "m1"});
--- a/standins/stream/stream_engine.cpp
+++ b/standins/stream/stream_engine.cpp
@@ -271,8 +271,9 @@
 void stream_engine::answer(http_call const& call)
 {
     auto const from = call.header("Last-Event-Id");
-    this->requests.push_back(
-        {call.header("X-Request-Id"), from, call.header("X-Prompt-Prefix")});
+    this->requests.push_back({call.header("X-Request-Id"), from,
+                              call.header("X-Prompt-Prefix"),
+                              call.header("X-Cache-Salt")});
     if (this->sent)
         this->sent(this->requests.back());
     if (!this->words.pause.empty())
--- a/standins/stream/stream_engine.hpp
+++ b/standins/stream/stream_engine.hpp
@@ -22,6 +22,8 @@
     std::string last_event;
     /// Parts of its prompt, as they were sent.
     std::string parts{};
+    /// Cached parts are found only under the same text.
+    std::string cache_salt{};
 };
 
 /// \brief How far an engine comes with an answer before it crashes.
