--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -90,6 +90,11 @@
     }
     if (state.tables && tables->version <= state.tables->version)
         return;
+    auto const now = mono_now();
+    if (state.tables)
+        record_former_pools(state.former_pools, *state.tables, now);
+    else
+        state.former_pools.known_since = now;
     state.tables = std::move(*tables);
     apply_limits(state);
     apply_stores(state);
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -1,5 +1,7 @@
 #include <jujubestand/gateway/resumed_streams.hpp>
 
+#include <algorithm>
+#include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/sends.hpp>
@@ -18,8 +20,9 @@
 /// Longest wait of a resumed stream for the first list of gateways.
 constexpr std::chrono::milliseconds first_list_timeout{500};
 
-/// Longest wait of a resumed stream for current records of the upstreams.
-constexpr std::chrono::milliseconds upstreams_timeout{1'000};
+/// Longest wait of a resumed stream for current records of the upstreams and
+/// of the configuration.
+constexpr std::chrono::milliseconds records_timeout{1'000};
 
 /// Retry-After of a stream whose version is not known here.
 constexpr std::chrono::milliseconds unknown_origin_retry_after{200};
@@ -31,11 +34,13 @@
                           datagram);
 }
 
+using hosts_by_software = std::map<std::string, std::vector<std::string>>;
+
 // IP addresses of the agents beside the engines of a pool, by software version.
-std::map<std::string, std::vector<std::string>>
-agents_by_software(gateway_state const& state, std::string const& pool)
+hosts_by_software agents_by_software(gateway_state const& state,
+                                     std::string const& pool)
 {
-    std::map<std::string, std::vector<std::string>> result;
+    hosts_by_software result;
     for (auto const& [key, target] : state.dispatch.upstreams)
     {
         if (target.record.pool == pool && !target.versions.empty() &&
@@ -48,18 +53,21 @@
 
 // Returns the IP addresses of the queried gateways and agents.
 std::set<std::string> query_origin(gateway_state& state, origin_key stream,
-                                   std::string const& pool)
+                                   std::vector<std::string> const& pools)
 {
     status::origin_query query;
     query.stream = stream;
     auto targets =
         origin_holders(known_gateways(state, mono_now()), state.settings.ip,
                        stream, origin_query_targets);
-    for (auto const& [version, agents] : agents_by_software(state, pool))
+    for (auto const& pool : pools)
     {
-        for (auto& host :
-             origin_holders(agents, {}, stream, origin_query_agents))
-            targets.push_back(std::move(host));
+        for (auto const& [version, agents] : agents_by_software(state, pool))
+        {
+            for (auto& host :
+                 origin_holders(agents, {}, stream, origin_query_agents))
+                targets.push_back(std::move(host));
+        }
     }
     for (auto const& host : targets)
         send_to(state, host, status::to_datagram(query));
@@ -79,14 +87,15 @@
 // Queries other gateways and agents, if there are any gateways. A gateway that
 // has just started knows none yet: the query then waits for the first list.
 bool start_query(gateway_state& state, dispatch::call_key key,
-                 active_call const& call, mono_time now)
+                 active_call const& call, resumed_stream const& stream,
+                 mono_time now)
 {
     open_origin_query query;
-    query.stream = origin_key_of(call.caller_request.resumed_request);
+    query.stream = origin_key_of(stream.request_id);
     query.sent_at = now;
     query.is_sent = !known_gateways(state, now).empty();
     if (query.is_sent)
-        query.open = query_origin(state, query.stream, call.dispatch_call.pool);
+        query.open = query_origin(state, query.stream, stream.pools);
     bool const has_waited = now - call.arrived_at >= first_list_timeout;
     if (query.open.empty() && (query.is_sent || has_waited))
         return false;
@@ -94,25 +103,45 @@
     return true;
 }
 
-// Holds the stream until the upstreams are known as of its arrival. They are
-// read at once: other gateways' confirmations are up to a second old.
+// Holds the stream until the upstreams and the configuration are known as of
+// its arrival. They are read at once: other gateways' confirmations are up to a
+// second old.
 bool start_wait(gateway_state& state, dispatch::call_key key,
                 active_call const& call, mono_time now)
 {
-    if (now - call.arrived_at >= upstreams_timeout)
+    if (now - call.arrived_at >= records_timeout)
         return false;
     state.upstream_topic->refresh();
+    state.operator_topic->refresh();
     open_origin_query waiting;
     waiting.stream = origin_key_of(call.caller_request.resumed_request);
     waiting.sent_at = now;
-    waiting.awaits_upstreams = true;
+    waiting.awaits_records = true;
     state.origin_queries[key] = std::move(waiting);
     return true;
 }
 
-std::optional<mono_time> upstreams_as_of(gateway_state const& state)
+// A configuration that is not known yet may have moved the route to another
+// pool, and the stream may have begun there through another gateway.
+std::optional<mono_time> records_as_of(gateway_state const& state)
 {
-    return state.upstream_topic->known().current_as_of;
+    auto const upstreams = state.upstream_topic->known().current_as_of;
+    auto const tables = state.operator_topic->known().current_as_of;
+    if (!upstreams || !tables)
+        return std::nullopt;
+    return std::min(*upstreams, *tables);
+}
+
+resumed_stream resumed_by(gateway_state const& state, active_call const& call,
+                          bool was_queried, mono_time now)
+{
+    resumed_stream result;
+    result.pools =
+        possible_pools(state.former_pools, *state.tables, call.route, now);
+    result.request_id = call.caller_request.resumed_request;
+    result.arrived_at = call.arrived_at;
+    result.was_queried = was_queried;
+    return result;
 }
 
 void apply_resume(gateway_state& state, dispatch::call_key key,
@@ -121,20 +150,19 @@
     active_call* const call = find_call(state, key);
     if (call == nullptr)
         return;
-    resumed_stream stream{call->dispatch_call.pool,
-                          call->caller_request.resumed_request,
-                          call->arrived_at, was_queried};
     auto const now = mono_now();
-    record_registered_software(state.origins, state.dispatch, stream.pool, now);
+    auto stream = resumed_by(state, *call, was_queried, now);
+    for (auto const& pool : stream.pools)
+        record_registered_software(state.origins, state.dispatch, pool, now);
     auto decided =
-        decide_resume(state.origins, stream, upstreams_as_of(state), now);
+        decide_resume(state.origins, stream, records_as_of(state), now);
     if (decided.step == resume_step::query)
     {
-        if (start_query(state, key, *call, now))
+        if (start_query(state, key, *call, stream, now))
             return;
         stream.was_queried = true;
         decided =
-            decide_resume(state.origins, stream, upstreams_as_of(state), now);
+            decide_resume(state.origins, stream, records_as_of(state), now);
         if (known_gateways(state, now).empty())
             decided.step = resume_step::refuse;
     }
@@ -148,13 +176,15 @@
         event_number::resume_decided, call->caller_request.request_id,
         {{"resumes", stream.request_id},
          {"software", decided.software_version.value_or("unknown")},
-         {"step", to_name(resume_step_names, decided.step)}});
+         {"step", to_name(resume_step_names, decided.step)},
+         {"pools", static_cast<std::int64_t>(stream.pools.size())}});
     if (decided.step == resume_step::refuse)
     {
         refuse_unknown_origin(state, key);
         return;
     }
     call->dispatch_call.software_version = decided.software_version;
+    select_resume_pool(state, *call);
     if (!stream.request_id.empty())
         record_origin(state.origins, origin_key_of(stream.request_id),
                       *decided.software_version);
@@ -210,7 +240,7 @@
                 {
                     return query.stream == response.stream &&
                            (response.is_known ||
-                            (query.open.empty() && !query.awaits_upstreams));
+                            (query.open.empty() && !query.awaits_records));
                 });
 }
 
@@ -227,6 +257,17 @@
     apply_resume(state, key, false);
 }
 
+void select_resume_pool(gateway_state& state, active_call& call)
+{
+    if (!call.dispatch_call.software_version ||
+        dispatch::has_candidate(state.dispatch, call.dispatch_call))
+        return;
+    auto pool = choose_resume_pool(state.dispatch, call.dispatch_call,
+                                   call.route, state.random_engine());
+    if (!pool.empty())
+        call.dispatch_call.pool = std::move(pool);
+}
+
 void announce_origin(gateway_state& state, active_call const& call)
 {
     auto const stream = origin_key_of(call.caller_request.request_id);
@@ -261,12 +302,12 @@
 void expire_origin_queries(gateway_state& state)
 {
     auto const now = mono_now();
-    auto const as_of = upstreams_as_of(state);
+    auto const as_of = records_as_of(state);
     end_queries(state,
                 [now, as_of](open_origin_query const& query)
                 {
                     return now - query.sent_at >= origin_query_timeout ||
-                           (query.awaits_upstreams && as_of &&
+                           (query.awaits_records && as_of &&
                             *as_of >= query.sent_at);
                 });
 }
--- a/jujubestand/gateway/resumed_streams.hpp
+++ b/jujubestand/gateway/resumed_streams.hpp
@@ -16,6 +16,10 @@
 /// queries other gateways for this version, or refuses the call.
 void begin_resumed(gateway_state& state, dispatch::call_key key);
 
+/// \brief Moves a call that needs a software version to another pool of its
+/// route if its own has no upstream of that version that can take it.
+void select_resume_pool(gateway_state& state, active_call& call);
+
 /// \brief Records and announces the version of a stream whose first event is
 /// about to be forwarded.
 void announce_origin(gateway_state& state, active_call const& call);
--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/dispatch/standing.hpp>
+#include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <utility>
 
@@ -128,10 +129,11 @@
     auto const held = std::exchange(state.suspended_calls, {});
     for (auto const& [key, outcome] : held)
     {
-        active_call const* const call = find_call(state, key);
+        active_call* const call = find_call(state, key);
         // The caller has disconnected.
         if (call == nullptr)
             continue;
+        select_resume_pool(state, *call);
         auto const why_not = acquire_retry(state, *call, outcome, now);
         if (why_not == reason_code::none)
             retry_call(state, key);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -10,6 +10,7 @@
 #include <jujubestand/gateway/engine_orders.hpp>
 #include <jujubestand/gateway/event_stream.hpp>
 #include <jujubestand/gateway/query_pacing.hpp>
+#include <jujubestand/gateway/route_pools.hpp>
 #include <jujubestand/gateway/software_history.hpp>
 #include <jujubestand/gateway/stream_origins.hpp>
 #include <jujubestand/http1/client.hpp>
@@ -101,8 +102,8 @@
     std::set<std::string> open;
     bool is_sent = true;
     /// Nobody knows the version; the stream waits for the records of all
-    /// upstreams that may have begun it.
-    bool awaits_upstreams = false;
+    /// upstreams that may have begun it, and of its route.
+    bool awaits_records = false;
 };
 
 /// \brief Evidence of this gateway on calls that crash upstreams, and what it
@@ -190,6 +191,7 @@
     /// the outcome of the last attempt.
     std::map<dispatch::call_key, dispatch::send_outcome> suspended_calls;
     stream_origins origins;
+    route_pools former_pools;
     software_history software;
     /// Resumed streams that wait for their software version.
     std::map<dispatch::call_key, open_origin_query> origin_queries;
--- a/jujubestand/gateway/stream_origins.cpp
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/placement/rendezvous.hpp>
+#include <set>
 #include <utility>
 
 namespace jujubestand::gateway
@@ -10,28 +11,41 @@
 namespace
 {
 
-// The software version that all upstreams of a pool have and had of late.
-std::optional<std::string> only_version(stream_origins const& state,
-                                        std::string const& pool, mono_time now)
+// Software versions that upstreams of the pools have or had of late.
+std::set<std::string> recent_versions(stream_origins const& state,
+                                      std::vector<std::string> const& pools,
+                                      mono_time now)
 {
-    auto const found = state.software_in_use.find(pool);
-    if (state.lacks_history || found == state.software_in_use.end())
-        return std::nullopt;
-    std::optional<std::string> result;
-    for (auto const& [version, seen_at] : found->second)
+    std::set<std::string> result;
+    for (auto const& pool : pools)
     {
-        bool const is_recent = now - seen_at <= software_memory;
-        // Entries without a version name no other one.
-        bool const is_unknown = version.empty() && found->second.size() > 1;
-        if (!is_recent || is_unknown)
+        auto const found = state.software_in_use.find(pool);
+        if (found == state.software_in_use.end())
             continue;
-        if (result)
-            return std::nullopt;
-        result = version;
+        for (auto const& [version, seen_at] : found->second)
+        {
+            if (now - seen_at <= software_memory)
+                result.insert(version);
+        }
     }
     return result;
 }
 
+// The software version that all upstreams of the pools have and had of late.
+std::optional<std::string> only_version(stream_origins const& state,
+                                        std::vector<std::string> const& pools,
+                                        mono_time now)
+{
+    if (state.lacks_history)
+        return std::nullopt;
+    auto versions = recent_versions(state, pools, now);
+    // Entries without a version name no other one.
+    if (versions.size() > 1)
+        versions.erase("");
+    return versions.size() == 1 ? std::optional(*versions.begin())
+                                : std::nullopt;
+}
+
 } // namespace
 
 origin_key origin_key_of(std::string_view request_id) noexcept
@@ -78,13 +92,13 @@
     }
 }
 
-// A version that no gateway knows any more can still be inferred while the pool
-// has had only one that the stream can have begun at. A gateway that was cut
-// off or has stood still lacks the upstreams that joined meanwhile, and the
+// A version that no gateway knows any more can still be inferred while the
+// pools have had only one that the stream can have begun at. A gateway that was
+// cut off or has stood still lacks the upstreams that joined meanwhile, and the
 // stream may have begun at one of these through another gateway.
 resume_decision decide_resume(stream_origins& state,
                               resumed_stream const& stream,
-                              std::optional<mono_time> upstreams_as_of,
+                              std::optional<mono_time> known_as_of,
                               mono_time now)
 {
     resume_decision result;
@@ -102,11 +116,10 @@
         result.step = resume_step::query;
         return result;
     }
-    result.software_version = only_version(state, stream.pool, now);
+    result.software_version = only_version(state, stream.pools, now);
     if (!result.software_version)
         return result;
-    bool const is_current =
-        upstreams_as_of && *upstreams_as_of >= stream.arrived_at;
+    bool const is_current = known_as_of && *known_as_of >= stream.arrived_at;
     result.step = is_current ? resume_step::proceed : resume_step::wait;
     if (!is_current)
         result.software_version.reset();
--- a/jujubestand/gateway/stream_origins.hpp
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -75,7 +75,8 @@
 /// \brief A stream that a caller resumes.
 struct resumed_stream
 {
-    std::string pool;
+    /// Pools at which it may have begun.
+    std::vector<std::string> pools;
     /// Request that began the stream; empty if the caller does not name it.
     std::string request_id;
     /// When the caller's request arrived: the stream began before.
@@ -114,10 +115,11 @@
                                 std::string const& pool, mono_time now);
 
 /// \brief Decides on a stream that a caller resumes.
-/// \param upstreams_as_of all upstreams that had registered by then are known
+/// \param known_as_of all upstreams that had registered by then are known, and
+/// all pools of the stream's route
 [[nodiscard]] resume_decision
 decide_resume(stream_origins& state, resumed_stream const& stream,
-              std::optional<mono_time> upstreams_as_of, mono_time now);
+              std::optional<mono_time> known_as_of, mono_time now);
 
 /// \brief The gateways that keep or may know the version of a stream, the
 /// likeliest first.
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -30,6 +30,8 @@
         this->state.base = this->base;
         this->state.caller_server =
             std::make_unique<http1::server>(this->base, http1::server_events{});
+        this->state.upstream_client =
+            std::make_unique<http1::client>(this->base);
         this->state.datagrams = std::make_unique<loop::datagrams>(
             this->base, [](address const&, std::string_view) {});
         reason why;
@@ -37,11 +39,11 @@
         EXPECT_TRUE(this->state.datagrams->bind({"127.0.0.1", 0}, why));
         // Keeps reviews from being scheduled on a timer.
         this->state.is_review_scheduled = true;
-        this->know_upstreams();
+        this->know_records();
     }
 
-    // All upstreams are known, at any time.
-    void know_upstreams()
+    // All upstreams and the configuration are known, at any time.
+    void know_records()
     {
         this->state.internal_client =
             std::make_unique<http1::client>(this->base);
@@ -52,15 +54,22 @@
             follow::follower_events{});
         follow::listing all;
         all.is_complete = true;
-        this->state.upstream_topic->apply(all, 0,
-                                          mono_now() + std::chrono::hours{1});
+        auto const later = mono_now() + std::chrono::hours{1};
+        this->state.upstream_topic->apply(all, 0, later);
+        this->state.operator_topic = std::make_unique<follow::follower>(
+            this->base, *this->state.store, follow::read_options{},
+            follow::follower_events{});
+        this->state.operator_topic->apply(all, 0, later);
+        this->state.tables.emplace();
     }
 
     ~origin_exchange() override
     {
         this->state.upstream_topic.reset();
+        this->state.operator_topic.reset();
         this->state.store.reset();
         this->state.internal_client.reset();
+        this->state.upstream_client.reset();
         this->state.caller_server.reset();
         this->state.datagrams.reset();
         event_base_free(this->base);
@@ -89,6 +98,7 @@
         call.route.attempts_limit = 3;
         call.deadline = mono_now() + std::chrono::milliseconds{5'000};
         call.dispatch_call.key = key;
+        call.route.shares = {{"engines"}};
         call.dispatch_call.pool = "engines";
         call.dispatch_call.deadline = call.deadline;
         return this->state.active_calls.emplace(key, std::move(call))
@@ -121,7 +131,8 @@
                                    "engines", mono_now());
         auto const now = mono_now();
         return decide_resume(this->state.origins,
-                             {"engines", "first", now, was_queried}, now, now);
+                             {{"engines"}, "first", now, was_queried}, now,
+                             now);
     }
 
     event_base* base = event_base_new();
--- a/jujubestand/gateway/test/software_history_test.cpp
+++ b/jujubestand/gateway/test/software_history_test.cpp
@@ -30,7 +30,7 @@
 
 resume_step step_of(stream_origins& origins)
 {
-    return decide_resume(origins, {"engines", "first", now(), true}, now(),
+    return decide_resume(origins, {{"engines"}, "first", now(), true}, now(),
                          now())
         .step;
 }
--- a/jujubestand/gateway/test/stream_origins_test.cpp
+++ b/jujubestand/gateway/test/stream_origins_test.cpp
@@ -21,7 +21,8 @@
                        std::string const& request_id, bool was_queried,
                        mono_time now)
 {
-    return decide_resume(state, {pool, request_id, now, was_queried}, now, now);
+    return decide_resume(state, {{pool}, request_id, now, was_queried}, now,
+                         now);
 }
 
 stream_origins two_versions()
@@ -122,7 +123,7 @@
     record_software(state, "engines", "old", at(0));
     for (char const* request : {"", "first"})
     {
-        resumed_stream const stream{"engines", request, at(5'000), true};
+        resumed_stream const stream{{"engines"}, request, at(5'000), true};
         EXPECT_EQ(decide_resume(state, stream, std::nullopt, at(5'010)).step,
                   resume_step::wait);
         auto const behind = decide_resume(state, stream, at(4'999), at(5'010));
@@ -140,7 +141,7 @@
     record_software(state, "engines", "old", at(0));
     record_origin(state, origin_key_of("first"), "new");
     auto const result = decide_resume(
-        state, {"engines", "first", at(5'000), false}, at(10), at(5'010));
+        state, {{"engines"}, "first", at(5'000), false}, at(10), at(5'010));
     EXPECT_EQ(result.step, resume_step::proceed);
     EXPECT_EQ(result.software_version, "new");
 }
@@ -149,11 +150,28 @@
 TEST(stream_origins, a_stream_of_two_versions_does_not_wait_for_records)
 {
     auto state = two_versions();
-    resumed_stream const stream{"engines", "", at(5'000), false};
+    resumed_stream const stream{{"engines"}, "", at(5'000), false};
     EXPECT_EQ(decide_resume(state, stream, at(10), at(5'010)).step,
               resume_step::refuse);
 }
 
+// The only version of the pool that the draw by weights had given counted as
+// that of a stream that had begun in another pool of its route.
+TEST(stream_origins, the_versions_of_all_pools_of_a_split_route_count)
+{
+    stream_origins state;
+    record_software(state, "engines", "old", at(0));
+    record_software(state, "next", "new", at(0));
+    resumed_stream stream{{"engines", "next"}, "", at(10), false};
+    EXPECT_EQ(decide_resume(state, stream, at(10), at(10)).step,
+              resume_step::refuse);
+    record_software(state, "again", "old", at(0));
+    stream.pools = {"again", "engines", "unknown"};
+    auto const result = decide_resume(state, stream, at(10), at(10));
+    EXPECT_EQ(result.step, resume_step::proceed);
+    EXPECT_EQ(result.software_version, "old");
+}
+
 TEST(stream_origins, an_unknown_pool_is_refused)
 {
     stream_origins state;
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -302,6 +302,7 @@
 {
     active_call* const call = find_call(state, key);
     auto const now = mono_now();
+    select_resume_pool(state, *call);
     auto const why_not = acquire_retry(state, *call, outcome, now);
     state.log->write(
         event_number::attempt_failed, call->caller_request.request_id,
--- a/programs/test/engines_fixture.hpp
+++ b/programs/test/engines_fixture.hpp
@@ -29,6 +29,7 @@
     std::string version;
     std::string data_centre;
     std::uint64_t born_ms = 0;
+    std::string pool;
     std::unique_ptr<standins::stream_engine> engine;
     std::unique_ptr<standins::status_agent> agent;
     std::unique_ptr<bench::child_process> agent_process;
@@ -89,7 +90,8 @@
 
     /// \brief Registers an engine that answers.
     std::size_t add_engine(std::string const& version,
-                           std::string const& data_centre)
+                           std::string const& data_centre,
+                           std::string const& pool = "engines")
     {
         auto const number = this->engines.size();
         auto const where = host(first_engine_number + number);
@@ -98,6 +100,7 @@
         added.version = version;
         added.data_centre = data_centre;
         added.born_ms = 1'000 + number;
+        added.pool = pool;
         added.engine = std::make_unique<standins::stream_engine>(
             this->base.get(), address{where, 0}, version);
         added.agent = std::make_unique<standins::status_agent>(
@@ -144,7 +147,7 @@
         nlohmann::json const model{
             {"name", "m1"}, {"version", written.engine->loaded_weights()}};
         nlohmann::json const record{
-            {"service", "engines"},
+            {"service", written.pool},
             {"address", to_text(written.engine->bound())},
             {"zone", written.data_centre},
             {"version", written.version},
