--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -7,6 +7,7 @@
 #include <jujubestand/agent/engine.hpp>
 #include <jujubestand/agent/weights.hpp>
 #include <jujubestand/loop/signals.hpp>
+#include <jujubestand/node/memory_limits.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <unistd.h>
@@ -26,7 +27,9 @@
 
 void create_components(agent_state& state)
 {
+    auto const kept = node::memory_limits_of(state.settings.memory_bytes);
     state.http_client = std::make_unique<http1::client>(state.base);
+    state.http_client->set_kept_limit(kept.upstream_answers);
     state.store = std::make_unique<platform::store>(*state.http_client,
                                                     state.settings.store);
     follow::follower_events events;
@@ -80,6 +83,8 @@
     };
     served.on_gone = [](http1::exchange_id) {};
     state.records_server = std::make_unique<http1::server>(state.base, served);
+    state.records_server->set_unread_limit(kept.unread_records);
+    state.records_server->set_limits(node::internal_request_limits());
     state.report_timer.emplace(state.base,
                                [&state]
                                {
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -16,6 +16,7 @@
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/stop.hpp>
 #include <jujubestand/loop/signals.hpp>
+#include <jujubestand/node/memory_limits.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <unistd.h>
@@ -95,6 +96,9 @@
 {
     state.internal_client = std::make_unique<http1::client>(state.base);
     state.upstream_client = std::make_unique<http1::client>(state.base);
+    auto const kept = node::memory_limits_of(state.settings.memory_bytes);
+    state.internal_client->set_kept_limit(kept.internal_answers);
+    state.upstream_client->set_kept_limit(kept.upstream_answers);
     state.store = std::make_unique<platform::store>(*state.internal_client,
                                                     state.settings.store);
     state.operator_topic = std::make_unique<follow::follower>(
@@ -176,6 +180,11 @@
     };
     records.on_gone = [](http1::exchange_id) {};
     state.records_server = std::make_unique<http1::server>(state.base, records);
+    auto const kept = node::memory_limits_of(state.settings.memory_bytes);
+    state.caller_server->set_unread_limit(kept.unread_by_callers);
+    state.records_server->set_unread_limit(kept.unread_records);
+    state.records_server->set_limits(node::internal_request_limits());
+    state.readiness_server->set_limits(node::internal_request_limits());
 }
 
 bool listen(gateway_state& state, reason& why)
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -134,8 +134,8 @@
 void on_send_end(gateway_state& state, dispatch::call_key key,
                  http1::call_end const& end);
 
-// Ends an attempt whose response is no use or too large; its connection is
-// closed, since nothing else ends bytes without end.
+// Ends an attempt whose response is of no use; its connection is closed, since
+// nothing else ends bytes without end.
 void give_up_response(gateway_state& state, dispatch::call_key key,
                       char const* why)
 {
@@ -152,46 +152,12 @@
 {
     constexpr std::size_t limit_bytes = 64U << 10U;
     call.discarded_bytes += bytes;
+    state.upstream_client->set_kept(call.upstream_call, 0);
     if (call.discarded_bytes > limit_bytes)
         give_up_response(state, call.dispatch_call.key,
                          "response that is discarded is too large");
 }
 
-std::size_t buffered_bytes(gateway_state const& state)
-{
-    std::size_t total = 0;
-    for (auto const& [key, call] : state.active_calls)
-        total += call.response_body.size();
-    return total;
-}
-
-dispatch::call_key largest_response(gateway_state const& state)
-{
-    return std::max_element(state.active_calls.begin(),
-                            state.active_calls.end(),
-                            [](auto const& left, auto const& right)
-                            {
-                                return left.second.response_body.size() <
-                                       right.second.response_body.size();
-                            })
-        ->first;
-}
-
-// Responses are buffered up to a limit for all together; past it the largest
-// ones are given up, so that a few without end don't take the others' room.
-void buffer(gateway_state& state, active_call& call, std::string_view bytes)
-{
-    constexpr std::size_t small_bytes = 64U << 10U;
-    constexpr std::size_t limit_bytes = 8U << 20U;
-    call.response_body += bytes;
-    if (call.response_body.size() <= small_bytes ||
-        buffered_bytes(state) <= limit_bytes)
-        return;
-    while (buffered_bytes(state) > limit_bytes / 2)
-        give_up_response(state, largest_response(state),
-                         "buffered responses are too large");
-}
-
 void on_body(gateway_state& state, dispatch::call_key key,
              std::string_view bytes)
 {
@@ -207,10 +173,12 @@
     record_output(state, *call);
     if (!is_stream_answer(*call))
     {
-        buffer(state, *call, bytes);
+        call->response_body += bytes;
         return;
     }
     std::string const events = on_bytes(call->events, bytes);
+    state.upstream_client->set_kept(call->upstream_call,
+                                    call->events.partial.size());
     if (call->events.is_broken)
     {
         give_up_response(state, key, "server-sent event too large");
--- a/jujubestand/http1/client.cpp
+++ b/jujubestand/http1/client.cpp
@@ -37,11 +37,27 @@
     return id;
 }
 
+void client::set_kept_limit(std::size_t bytes)
+{
+    this->self->kept.set_limit(bytes);
+}
+
+void client::set_kept(call_id call, std::size_t bytes)
+{
+    state::call const* const found = this->self->calls.find(call);
+    if (found == nullptr)
+        return;
+    auto kept = found->kept;
+    kept.body = bytes;
+    this->self->set_kept(call, kept);
+}
+
 void client::cancel(call_id call)
 {
     state::call const* found = this->self->calls.find(call);
     if (found == nullptr)
         return;
+    this->self->kept.erase(call);
     auto const connection = found->connection;
     this->self->calls.erase(call);
     this->self->reset(connection);
--- a/jujubestand/http1/client.hpp
+++ b/jujubestand/http1/client.hpp
@@ -84,6 +84,16 @@
     /// \brief Drops a call and resets its connection; no event follows.
     void cancel(call_id call);
 
+    /// \brief Limits the bytes of all answers under way together, as far as
+    /// their owners or the client keep them. Past it the largest answers are
+    /// ended, so that bytes without end take no memory of other calls.
+    /// \param bytes 0: no limit
+    void set_kept_limit(std::size_t bytes);
+
+    /// \brief States how many bytes of its answer's body the owner of a call
+    /// keeps; all that it was given if it states nothing.
+    void set_kept(call_id call, std::size_t bytes);
+
     /// \brief Closes the kept connections to a server.
     void forget(address const& server);
 
--- a/jujubestand/http1/client_state.cpp
+++ b/jujubestand/http1/client_state.cpp
@@ -45,6 +45,14 @@
     return std::chrono::seconds{seconds};
 }
 
+std::size_t size_of(message_head const& head)
+{
+    std::size_t result = 0;
+    for (auto const& field : head.fields)
+        result += field.name.size() + field.value.size();
+    return result;
+}
+
 } // namespace
 
 void client::state::on_read(bufferevent* /*stream*/, void* argument)
@@ -191,6 +199,30 @@
     while (this->take_answer(id))
     {
     }
+    this->end_excess();
+}
+
+void client::state::set_kept(call_id id, kept_bytes const& next)
+{
+    this->calls.find(id)->kept = next;
+    this->kept.set(id, next.total());
+}
+
+void client::state::end_excess()
+{
+    for (auto const id : this->kept.excess())
+    {
+        call const* const found = this->calls.find(id);
+        if (found == nullptr)
+            continue;
+        call_end end;
+        end.may_have_sent = true;
+        end.why = reason{reason_code::answer_too_large,
+                         "answers are too large together",
+                         {}};
+        this->reset(found->connection);
+        this->end_call(id, end);
+    }
 }
 
 // \returns whether more of the input belongs to the call under way
@@ -215,12 +247,21 @@
         found->is_skipping =
             events->is_foreign && events->is_foreign(*result.head);
         open->keep_alive = keep_alive_of(result.head->fields);
+        auto next = found->kept;
+        next.head = size_of(*result.head);
+        this->set_kept(of, next);
         if (!found->is_skipping)
             events->on_head(*result.head);
     }
     found = this->calls.find(of);
-    if (found == nullptr)
+    open = this->connections.find(id);
+    if (found == nullptr || open == nullptr)
         return false;
+    auto next = found->kept;
+    next.body += found->is_skipping ? 0 : result.body.size();
+    next.unparsed =
+        evbuffer_get_length(bufferevent_get_input(open->stream.get()));
+    this->set_kept(of, next);
     if (!result.body.empty() && !found->is_skipping)
     {
         if (!std::exchange(found->has_output, true) &&
@@ -320,6 +361,7 @@
     call* found = this->calls.find(id);
     if (found == nullptr)
         return;
+    this->kept.erase(id);
     auto const events = std::move(found->events);
     this->calls.erase(id);
     events->on_end(end);
--- a/jujubestand/http1/client_state.hpp
+++ b/jujubestand/http1/client_state.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBESTAND_HTTP1_CLIENT_STATE_HPP
 #define JUJUBESTAND_HTTP1_CLIENT_STATE_HPP
 
+#include <jujubestand/core/byte_ledger.hpp>
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/handles.hpp>
 #include <map>
@@ -39,6 +40,20 @@
         std::optional<std::chrono::milliseconds> keep_alive;
     };
 
+    /// What is kept of an answer.
+    struct kept_bytes
+    {
+        std::size_t head = 0;
+        std::size_t body = 0;
+        /// Read from the socket and no complete part of the answer yet.
+        std::size_t unparsed = 0;
+
+        [[nodiscard]] std::size_t total() const noexcept
+        {
+            return this->head + this->body + this->unparsed;
+        }
+    };
+
     struct call
     {
         std::unique_ptr<std::pair<state*, call_id>> held;
@@ -56,6 +71,7 @@
         unsigned foreign = 0;
         std::size_t foreign_bytes = 0;
         bool is_skipping = false;
+        kept_bytes kept{};
     };
 
     event_base* base = nullptr;
@@ -63,6 +79,7 @@
     slot_map<call, client_call_tag> calls;
     std::map<address, std::vector<connection_id>> idle;
     std::uint64_t opened = 0;
+    byte_ledger<call_id> kept;
 
     std::optional<connection_id> take_idle(client_request const& request);
     connection_id connect(client_request const& request);
@@ -71,6 +88,8 @@
     void on_input(connection_id id);
     bool take_answer(connection_id id);
     void on_close(connection_id id, short what);
+    void set_kept(call_id id, kept_bytes const& kept);
+    void end_excess();
     void end_call(call_id id, call_end const& end);
     void keep(connection_id id);
     void drop(connection_id id);
--- a/jujubestand/http1/server.cpp
+++ b/jujubestand/http1/server.cpp
@@ -52,6 +52,16 @@
     this->self->limits = limits;
 }
 
+void server::set_request_limit(std::size_t bytes)
+{
+    this->self->bodies.set_limit(bytes);
+}
+
+void server::set_unread_limit(std::size_t bytes)
+{
+    this->self->unread.set_limit(bytes);
+}
+
 void server::respond(exchange_id exchange, int status,
                      std::vector<http::field> const& fields,
                      std::string_view body)
@@ -59,12 +69,11 @@
     auto* const open = this->self->find(exchange);
     if (open == nullptr)
         return;
-    auto* const stream = open->stream.get();
-    std::string head =
+    std::string const head =
         response_head(status, this->self->with_connection(fields, *open),
                       body_framing::length, body.size());
-    head += body;
-    bufferevent_write(stream, head.data(), head.size());
+    this->self->write(*open, head);
+    this->self->write(*open, body);
     this->self->complete(*open);
 }
 
@@ -78,7 +87,7 @@
     std::string const head =
         response_head(status, this->self->with_connection(fields, *open),
                       body_framing::chunked, 0);
-    bufferevent_write(open->stream.get(), head.data(), head.size());
+    this->self->write(*open, head);
     timeval const unread = to_timeval(write_timeout);
     bufferevent_set_timeouts(open->stream.get(), nullptr, &unread);
 }
@@ -88,8 +97,7 @@
     auto* const open = this->self->find(exchange);
     if (open == nullptr || bytes.empty())
         return;
-    std::string const framed = chunk(bytes);
-    bufferevent_write(open->stream.get(), framed.data(), framed.size());
+    this->self->write(*open, chunk(bytes));
 }
 
 void server::finish(exchange_id exchange)
@@ -97,7 +105,7 @@
     auto* const open = this->self->find(exchange);
     if (open == nullptr)
         return;
-    bufferevent_write(open->stream.get(), last_chunk.data(), last_chunk.size());
+    this->self->write(*open, last_chunk);
     this->self->complete(*open);
 }
 
--- a/jujubestand/http1/server.hpp
+++ b/jujubestand/http1/server.hpp
@@ -45,6 +45,9 @@
     /// The caller closed before its answer was complete; no answer can be
     /// sent any more.
     std::function<void(exchange_id)> on_gone;
+    /// There is no room for the request's body. The owner refuses the request,
+    /// whose body it is not given; the connection closes after the answer.
+    std::function<void(exchange_id, message_head const&)> on_no_room;
 };
 
 /// \brief What callers may send, and how slowly.
@@ -75,6 +78,18 @@
     /// \brief Limits of requests that begin from now on.
     void set_limits(server_limits limits);
 
+    /// \brief Limits the bytes of the bodies of all requests together that are
+    /// being read or wait for the end of their answer. Past it the largest of
+    /// those that are being read are refused, but no small one.
+    /// \param bytes 0: no limit
+    void set_request_limit(std::size_t bytes);
+
+    /// \brief Limits the bytes of all answers together that callers have not
+    /// taken. Past it the connections with most of them are closed, so that a
+    /// few callers that do not read take no memory of the others.
+    /// \param bytes 0: no limit
+    void set_unread_limit(std::size_t bytes);
+
     /// \brief Answers a request whole.
     void respond(exchange_id exchange, int status,
                  std::vector<http::field> const& fields, std::string_view body);
--- a/jujubestand/http1/server_state.cpp
+++ b/jujubestand/http1/server_state.cpp
@@ -17,6 +17,9 @@
 /// receives the answer instead of a reset.
 constexpr std::chrono::milliseconds linger_timeout{1'000};
 
+/// Requests with less of a body are not refused for want of room.
+constexpr std::size_t small_body_bytes = 16'384;
+
 /// Bytes of later requests that wait while one is answered.
 constexpr std::size_t read_ahead_bytes = 65'536;
 
@@ -70,10 +73,39 @@
                    false});
     bufferevent_setwatermark(stream, EV_READ, 0, read_ahead_bytes);
     bufferevent_setcb(stream, on_read, on_write, on_event, argument);
+    evbuffer_add_cb(bufferevent_get_output(stream), on_output, argument);
     this->watch_reading(*this->connections.find(argument->id));
     bufferevent_enable(stream, EV_READ | EV_WRITE);
 }
 
+void server::state::on_output(evbuffer* output,
+                              evbuffer_cb_info const* /*info*/, void* argument)
+{
+    auto const* held = static_cast<context*>(argument);
+    held->owner->unread.set(held->id, evbuffer_get_length(output));
+}
+
+void server::state::write(connection& open, std::string_view bytes)
+{
+    bufferevent_write(open.stream.get(), bytes.data(), bytes.size());
+    this->drop_excess();
+}
+
+// The connections are closed from the loop, since the owner may be in the
+// middle of an answer.
+void server::state::drop_excess()
+{
+    for (auto const id : this->unread.excess())
+    {
+        auto* const stream = this->connections.find(id)->stream.get();
+        this->unread.erase(id);
+        evbuffer_remove_cb(bufferevent_get_output(stream), on_output,
+                           this->connections.find(id)->held.get());
+        bufferevent_trigger_event(stream, BEV_EVENT_ERROR,
+                                  BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
 // Bytes of a request that were read, or that the kernel still holds: a process
 // that runs late has not seen those.
 bool server::state::has_input(connection const& open)
@@ -94,8 +126,8 @@
         !open.input.is_within_message();
     timeval const limit = to_timeval(is_idle ? this->limits.idle_timeout
                                              : this->limits.head_timeout);
-    timeval const unread = to_timeval(write_timeout);
-    bufferevent_set_timeouts(open.stream.get(), &limit, &unread);
+    timeval const unread_limit = to_timeval(write_timeout);
+    bufferevent_set_timeouts(open.stream.get(), &limit, &unread_limit);
 }
 
 // `is_processing` keeps an answer that is given from within the callback
@@ -139,23 +171,52 @@
                               "HTTP/1.1 100 Continue\r\n\r\n", 25);
     }
     open->request.body += found.body;
+    this->bodies.set(id, open->request.body.size());
     if (found.failure)
     {
         this->refuse(id, *found.failure);
         return false;
     }
     if (!found.is_complete)
+    {
+        this->refuse_excess();
         return false;
-    open->now = phase::answering;
-    open->is_started = false;
-    bufferevent_set_timeouts(open->stream.get(), nullptr, nullptr);
-    exchange_id const exchange{id, ++open->exchanges};
+    }
+    this->begin_answer(*open);
+    exchange_id const exchange{id, open->exchanges};
     this->events.on_request(exchange, std::exchange(open->request, {}));
     open = this->connections.find(id);
     return open != nullptr && open->now == phase::reading &&
            evbuffer_get_length(bufferevent_get_input(open->stream.get())) > 0;
 }
 
+void server::state::begin_answer(connection& open) const
+{
+    open.now = phase::answering;
+    open.is_started = false;
+    ++open.exchanges;
+    bufferevent_set_timeouts(open.stream.get(), nullptr, nullptr);
+}
+
+// Requests that are read whole are the owner's; they end in time and make room.
+void server::state::refuse_excess()
+{
+    auto const may_go = [this](peer_id id, std::size_t bytes)
+    {
+        return this->connections.find(id)->now == phase::reading &&
+               bytes >= small_body_bytes;
+    };
+    for (auto const id : this->bodies.excess_of(may_go))
+    {
+        auto* const open = this->connections.find(id);
+        open->is_keep_alive = false;
+        this->begin_answer(*open);
+        this->bodies.erase(id);
+        auto const request = std::exchange(open->request, {});
+        this->events.on_no_room({id, open->exchanges}, request.head);
+    }
+}
+
 void server::state::refuse(peer_id id, reason const& why)
 {
     connection* open = this->connections.find(id);
@@ -164,13 +225,14 @@
     std::string const head =
         response_head(status, this->with_connection({}, *open),
                       body_framing::length, why.text.size());
-    bufferevent_write(open->stream.get(), head.data(), head.size());
-    bufferevent_write(open->stream.get(), why.text.data(), why.text.size());
+    this->write(*open, head);
+    this->write(*open, why.text);
     this->close_after_write(*open);
 }
 
 void server::state::close_after_write(connection& open)
 {
+    this->bodies.erase(open.held->id);
     open.now = phase::closing;
     timeval const limit = to_timeval(linger_timeout);
     bufferevent_set_timeouts(open.stream.get(), &limit, &limit);
@@ -199,6 +261,8 @@
 
 void server::state::drop(peer_id id)
 {
+    this->bodies.erase(id);
+    this->unread.erase(id);
     this->connections.erase(id);
 }
 
@@ -222,6 +286,7 @@
 
 void server::state::complete(connection& open)
 {
+    this->bodies.erase(open.held->id);
     if (!open.is_keep_alive || this->is_draining)
     {
         this->close_after_write(open);
--- a/jujubestand/http1/server_state.hpp
+++ b/jujubestand/http1/server_state.hpp
@@ -2,6 +2,8 @@
 #define JUJUBESTAND_HTTP1_SERVER_STATE_HPP
 
 #include <chrono>
+#include <event2/buffer.h>
+#include <jujubestand/core/byte_ledger.hpp>
 #include <jujubestand/http1/handles.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <memory>
@@ -51,16 +53,24 @@
     bool is_draining = false;
     std::vector<listener_ptr> listeners;
     slot_map<connection, peer_tag> connections;
+    /// Bytes of requests' bodies.
+    byte_ledger<peer_id> bodies;
+    /// Bytes of answers that callers have not taken.
+    byte_ledger<peer_id> unread;
 
     void accept(evutil_socket_t socket);
     void process(peer_id id);
     bool read_some(peer_id id);
+    void refuse_excess();
+    void begin_answer(connection& open) const;
     void refuse(peer_id id, reason const& why);
     void complete(connection& open);
     void close_after_write(connection& open);
     void on_written(peer_id id);
     void on_closed(peer_id id);
     void drop(peer_id id);
+    void write(connection& open, std::string_view bytes);
+    void drop_excess();
     void watch_reading(connection& open) const;
     [[nodiscard]] static bool has_input(connection const& open);
     connection* find(exchange_id exchange);
@@ -71,6 +81,8 @@
     static void on_read(bufferevent* stream, void* argument);
     static void on_write(bufferevent* stream, void* argument);
     static void on_event(bufferevent* stream, short what, void* argument);
+    static void on_output(evbuffer* output, evbuffer_cb_info const* info,
+                          void* argument);
     static void on_accept(evconnlistener* listener, evutil_socket_t socket,
                           sockaddr* from, int size, void* argument);
 };
--- a/jujubestand/node/settings.hpp
+++ b/jujubestand/node/settings.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_NODE_SETTINGS_HPP
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <jujubestand/core/address.hpp>
 #include <optional>
@@ -51,6 +52,8 @@
     std::string upstream_pool;
     /// The platform's store.
     address store;
+    /// The process is ended if it takes more.
+    std::size_t memory_bytes = 128U << 20U;
     /// Width of the instance's link, in Mbit/s; 0: not told.
     double link_mbps = 0;
     /// Interval at which upstreams renew their records.
--- a/standins/service/endless_peer.cpp
+++ b/standins/service/endless_peer.cpp
@@ -34,7 +34,7 @@
     : base(loop)
     , beginning(std::move(first))
 {
-    while (this->filler.size() < fill_bytes)
+    while (!repeated.empty() && this->filler.size() < fill_bytes)
         this->filler += repeated;
     auto const local = http1::to_sockaddr(where);
     constexpr int backlog = 128;
--- a/standins/service/endless_peer.hpp
+++ b/standins/service/endless_peer.hpp
@@ -15,7 +15,7 @@
 
 /// \brief A server that answers the first bytes of each connection with a
 /// beginning and then with the same bytes again and again, until its caller
-/// closes.
+/// closes; with none to repeat it stops after the beginning.
 class endless_peer
 {
 public:
