--- a/jujubestand/http/client.cpp
+++ b/jujubestand/http/client.cpp
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <jujubestand/core/byte_ledger.hpp>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
@@ -62,6 +63,8 @@
         evhttp_connection* connection = nullptr;
         /// All that came, with framing.
         std::size_t received_bytes = 0;
+        /// What the owner keeps of it.
+        std::size_t kept_bytes = 0;
         bool has_head = false;
         bool has_sent = false;
         bool is_over = false;
@@ -73,6 +76,7 @@
     event_base* base = nullptr;
     client_options options;
     event* reap_event = nullptr;
+    byte_ledger<exchange_id> kept;
     std::vector<exchange_id> over;
     // evhttp keeps the pointer that it is given; it points to the heap so
     // that growth of the map does not move it.
@@ -88,23 +92,46 @@
         evhttp_connection_set_timeout_tv(row.connection, &limit);
     }
 
+    bool is_within_limits(exchange const& row, std::size_t unparsed) const
+    {
+        auto const& limits = this->options;
+        if (unparsed > limits.header_limit_bytes + limits.part_limit_bytes)
+            return false;
+        return limits.is_endless ||
+               row.received_bytes / framing_factor <=
+                   limits.header_limit_bytes + limits.body_limit_bytes;
+    }
+
     // evhttp reads the line of a chunk's size, and heads before the last one,
     // without a limit.
     static void on_received(evbuffer* input, evbuffer_cb_info const* info,
                             void* argument)
     {
         auto& row = *static_cast<exchange*>(argument);
-        auto const& options = row.owner->options;
-        std::size_t const limit =
-            options.header_limit_bytes + options.body_limit_bytes;
+        auto const unparsed = evbuffer_get_length(input);
         row.received_bytes += info->n_added;
-        bool const is_bounded = evbuffer_get_length(input) <= limit &&
-                                row.received_bytes <= framing_factor * limit;
-        if (is_bounded || row.is_over)
+        if (row.is_over)
             return;
-        row.end.why =
-            reason{reason_code::answer_too_large, "answer without end", {}};
-        row.owner->finish(row, false);
+        if (!row.owner->is_within_limits(row, unparsed))
+            row.owner->end_too_large(row, "answer without end");
+        else
+        {
+            row.owner->kept.set(row.id, row.kept_bytes + unparsed);
+            row.owner->end_excess();
+        }
+    }
+
+    void end_too_large(exchange& row, char const* why)
+    {
+        row.end.why = reason{reason_code::answer_too_large, why, {}};
+        this->finish(row, false);
+    }
+
+    void end_excess()
+    {
+        for (auto const id : this->kept.excess())
+            this->end_too_large(**this->exchanges.find(id),
+                                "answers are too large together");
     }
 
     static int on_head(evhttp_request* handle, void* argument)
@@ -131,17 +158,23 @@
         evbuffer* input = evhttp_request_get_input_buffer(handle);
         std::string bytes(evbuffer_get_length(input), '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
-        if (!bytes.empty())
-            row.owner->owner->data.emit(row.id, bytes);
+        if (bytes.empty())
+            return;
+        row.kept_bytes += bytes.size();
+        row.owner->owner->data.emit(row.id, bytes);
     }
 
     static void on_error(evhttp_request_error error, void* argument)
     {
         auto& row = *static_cast<exchange*>(argument);
-        bool const is_timeout = error == EVREQ_HTTP_TIMEOUT;
-        row.end.why.code = is_timeout ? reason_code::upstream_timeout
-                                      : reason_code::upstream_read_cut;
-        row.end.why.text = is_timeout ? "timeout" : "connection cut";
+        if (error == EVREQ_HTTP_TIMEOUT)
+            row.end.why = reason{reason_code::upstream_timeout, "timeout", {}};
+        else if (error == EVREQ_HTTP_DATA_TOO_LONG)
+            row.end.why =
+                reason{reason_code::answer_too_large, "answer too large", {}};
+        else
+            row.end.why =
+                reason{reason_code::upstream_read_cut, "connection cut", {}};
     }
 
     static void on_done(evhttp_request* handle, void* argument)
@@ -158,6 +191,7 @@
         if (row.is_over)
             return;
         row.is_over = true;
+        this->kept.erase(row.id);
         row.end.is_complete = is_whole;
         row.end.may_have_sent = row.has_sent;
         if (!is_whole && row.end.why.code == reason_code::none)
@@ -198,6 +232,7 @@
         if (found == nullptr)
             return;
         (*found)->is_over = true;
+        this->kept.erase(id);
         evhttp_connection* connection = (*found)->connection;
         if (connection != nullptr)
             evhttp_connection_free(connection);
@@ -216,9 +251,10 @@
         evhttp_connection_set_max_headers_size(
             connection,
             static_cast<ev_ssize_t>(this->options.header_limit_bytes));
-        evhttp_connection_set_max_body_size(
-            connection,
-            static_cast<ev_ssize_t>(this->options.body_limit_bytes));
+        if (!this->options.is_endless)
+            evhttp_connection_set_max_body_size(
+                connection,
+                static_cast<ev_ssize_t>(this->options.body_limit_bytes));
         timeval const limit = to_timeval(this->options.connect_timeout);
         evhttp_connection_set_timeout_tv(connection, &limit);
         return connection;
@@ -255,6 +291,7 @@
     this->self->owner = this;
     this->self->base = base;
     this->self->options = options;
+    this->self->kept.set_limit(options.kept_limit_bytes);
     this->self->reap_event =
         event_new(base, -1, 0, state::on_reap, this->self.get());
 }
@@ -286,9 +323,17 @@
     if ((*found)->is_over)
         return;
     (*found)->is_over = true;
+    this->self->kept.erase(exchange);
     this->self->reap_later(exchange);
 }
 
+void client::set_kept(exchange_id exchange, std::size_t bytes)
+{
+    auto* found = this->self->exchanges.find(exchange);
+    if (found != nullptr)
+        (*found)->kept_bytes = bytes;
+}
+
 void client::pause(exchange_id exchange)
 {
     auto* found = this->self->exchanges.find(exchange);
--- a/jujubestand/http/client.hpp
+++ b/jujubestand/http/client.hpp
@@ -24,6 +24,14 @@
 {
     std::size_t header_limit_bytes = 64U << 10U;
     std::size_t body_limit_bytes = 64U << 20U;
+    /// An answer's body may have any length.
+    bool is_endless = false;
+    /// Largest part of an answer that can be passed on only as a whole, as a
+    /// chunk or the line with its size can.
+    std::size_t part_limit_bytes = 4U << 20U;
+    /// Bytes of all answers under way together, as far as their owners or the
+    /// client keep them; past it the largest answers are ended. 0: no limit.
+    std::size_t kept_limit_bytes = 0;
     std::chrono::milliseconds connect_timeout{1'000};
     /// Longest silence of the server.
     std::chrono::milliseconds read_timeout{120'000};
@@ -52,6 +60,10 @@
     void pause(exchange_id exchange);
     void unpause(exchange_id exchange);
 
+    /// \brief States how many bytes of its answer's body the owner of an
+    /// exchange keeps; all that it was given if it states nothing.
+    void set_kept(exchange_id exchange, std::size_t bytes);
+
     /// \brief Whether some of the request's bytes went to the socket.
     [[nodiscard]] bool may_have_sent(exchange_id exchange);
 
--- a/jujubestand/settings/settings.cpp
+++ b/jujubestand/settings/settings.cpp
@@ -163,6 +163,8 @@
          "how long an answer without a link is kept"},
         {"answers", "answer_limit_bytes", &s::answer_limit_bytes, 1'024,
          1'024 * mebibyte, "largest answer of an upstream"},
+        {"answers", "held_limit_bytes", &s::held_limit_bytes, 1'024,
+         1'024 * mebibyte, "answer bytes held at once, of all requests"},
         {"claims", "key_age_limit_ms", &s::key_age_limit_ms, 1'000, day_ms,
          "oldest idempotency key that is decided"},
         {"claims", "log_retention_ms", &s::log_retention_ms, 2'000, 30 * day_ms,
--- a/jujubestand/settings/settings.hpp
+++ b/jujubestand/settings/settings.hpp
@@ -114,6 +114,7 @@
     std::int64_t replay_window_bytes = 1 << 20;
     std::int64_t replay_keep_ms = 15'000;
     std::int64_t answer_limit_bytes = 64 << 20;
+    std::int64_t held_limit_bytes = 32 << 20;
 
     // [claims], sidecars only
     std::int64_t key_age_limit_ms = 3'600'000;
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -73,6 +73,8 @@
     this->take_step(id,
                     streams::take_bytes(this->calls.find(id)->answer, bytes));
     call* const of = this->calls.find(id);
+    if (of != nullptr)
+        this->upstream.set_kept(exchange, streams::held_bytes(of->answer));
     if (of == nullptr || of->is_paused || of->is_detached ||
         !this->answers.must_hold_back(of->message.request))
         return;
--- a/jujubestand/sidecar/engine_watch.cpp
+++ b/jujubestand/sidecar/engine_watch.cpp
@@ -14,11 +14,22 @@
 constexpr int load_polls_before_loss = 20;
 constexpr std::size_t line_limit_bytes = 4U << 20U;
 
-http::client_options client_options()
+constexpr std::size_t report_limit_bytes = 1U << 20U;
+
+http::client_options report_options()
+{
+    http::client_options options;
+    options.body_limit_bytes = report_limit_bytes;
+    options.part_limit_bytes = report_limit_bytes;
+    options.read_timeout = silence_limit;
+    return options;
+}
+
+http::client_options feed_options()
 {
     http::client_options options;
-    // The feed never ends, so no limit on its length can hold.
-    options.body_limit_bytes = SIZE_MAX / 4;
+    options.is_endless = true;
+    options.part_limit_bytes = line_limit_bytes;
     options.read_timeout = silence_limit;
     return options;
 }
@@ -58,7 +69,8 @@
                            std::chrono::milliseconds period)
     : where(std::move(engine))
     , poll(period)
-    , client(base, client_options())
+    , load_client(base, report_options())
+    , feed_client(base, feed_options())
     , load_timer(base,
                  [this]
                  {
@@ -70,14 +82,20 @@
                      this->follow_events();
                  })
 {
-    this->client.head.connect(
+    this->load_client.head.connect(
         [this](http::exchange_id exchange, http::response_head const& head)
         {
             if (this->load == exchange)
                 this->headed.emit(head);
         });
-    this->client.data.connect(sigc::mem_fun(*this, &engine_watch::on_data));
-    this->client.ended.connect(sigc::mem_fun(*this, &engine_watch::on_ended));
+    this->load_client.data.connect(
+        sigc::mem_fun(*this, &engine_watch::on_load_data));
+    this->load_client.ended.connect(
+        sigc::mem_fun(*this, &engine_watch::on_load_ended));
+    this->feed_client.data.connect(
+        sigc::mem_fun(*this, &engine_watch::on_feed_data));
+    this->feed_client.ended.connect(
+        sigc::mem_fun(*this, &engine_watch::on_feed_ended));
 }
 
 void engine_watch::start()
@@ -90,28 +108,34 @@
 {
     if (this->load)
     {
-        this->client.cancel(*this->load);
+        this->load_client.cancel(*this->load);
         this->load.reset();
         this->lost.emit(
             reason{reason_code::upstream_timeout, "no load report", {}});
     }
     this->load_text.clear();
-    this->load = this->client.start(this->where, get("/load", {}));
+    this->load = this->load_client.start(this->where, get("/load", {}));
     this->load_timer.start(this->poll * load_polls_before_loss);
 }
 
 void engine_watch::follow_events()
 {
     this->feed_text.clear();
-    this->feed = this->client.start(
+    this->feed = this->feed_client.start(
         this->where,
         get("/kv_events", "from=" + std::to_string(this->next_seq)));
 }
 
-void engine_watch::on_data(http::exchange_id exchange, std::string const& bytes)
+void engine_watch::on_load_data(http::exchange_id exchange,
+                                std::string const& bytes)
 {
     if (this->load == exchange)
         this->load_text += bytes;
+}
+
+void engine_watch::on_feed_data(http::exchange_id exchange,
+                                std::string const& bytes)
+{
     if (this->feed != exchange)
         return;
     this->feed_text += bytes;
@@ -147,11 +171,16 @@
     this->changed.emit(*event);
 }
 
-void engine_watch::on_ended(http::exchange_id exchange,
-                            http::exchange_end const& end)
+void engine_watch::on_load_ended(http::exchange_id exchange,
+                                 http::exchange_end const& end)
 {
     if (this->load == exchange)
         this->end_load(end);
+}
+
+void engine_watch::on_feed_ended(http::exchange_id exchange,
+                                 http::exchange_end const& /*end*/)
+{
     if (this->feed != exchange)
         return;
     this->feed.reset();
--- a/jujubestand/sidecar/engine_watch.hpp
+++ b/jujubestand/sidecar/engine_watch.hpp
@@ -46,15 +46,20 @@
 private:
     void ask_load();
     void follow_events();
-    void on_data(http::exchange_id exchange, std::string const& bytes);
-    void on_ended(http::exchange_id exchange, http::exchange_end const& end);
+    void on_load_data(http::exchange_id exchange, std::string const& bytes);
+    void on_feed_data(http::exchange_id exchange, std::string const& bytes);
+    void on_load_ended(http::exchange_id exchange,
+                       http::exchange_end const& end);
+    void on_feed_ended(http::exchange_id exchange,
+                       http::exchange_end const& end);
     void end_load(http::exchange_end const& end);
     void take_lines();
     void take_line(std::string_view line);
 
     address where;
     std::chrono::milliseconds poll;
-    http::client client;
+    http::client load_client;
+    http::client feed_client;
     loop::timer load_timer;
     loop::timer feed_timer;
     std::optional<http::exchange_id> load;
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -15,6 +15,7 @@
     http::client_options options;
     options.body_limit_bytes =
         static_cast<std::size_t>(read.answer_limit_bytes);
+    options.kept_limit_bytes = static_cast<std::size_t>(read.held_limit_bytes);
     options.connect_timeout =
         std::chrono::milliseconds(read.connect_timeout_ms);
     options.read_timeout = std::chrono::milliseconds(read.upstream_timeout_ms);
--- a/jujubestand/streams/upstream_answer.cpp
+++ b/jujubestand/streams/upstream_answer.cpp
@@ -99,6 +99,13 @@
     return step;
 }
 
+std::size_t held_bytes(upstream_answer const& answer) noexcept
+{
+    auto const& splitter = answer.splitter;
+    return answer.held.size() + splitter.line.size() +
+           splitter.next.data.size();
+}
+
 answer_step take_end(upstream_answer& answer)
 {
     answer_step step;
--- a/jujubestand/streams/upstream_answer.hpp
+++ b/jujubestand/streams/upstream_answer.hpp
@@ -68,6 +68,9 @@
 [[nodiscard]] answer_step take_bytes(upstream_answer& answer,
                                      std::string_view bytes);
 
+/// \brief Bytes that are kept until more of the answer has come.
+[[nodiscard]] std::size_t held_bytes(upstream_answer const& answer) noexcept;
+
 /// \brief The upstream's body came to its regular end.
 [[nodiscard]] answer_step take_end(upstream_answer& answer);
 
