--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -21,6 +21,9 @@
 
 constexpr std::chrono::milliseconds stale_tables_retry_after{500};
 
+/// Bodies that are kept make room as their calls end.
+constexpr std::chrono::milliseconds no_room_retry_after{500};
+
 /// Interval at which waiting calls are re-evaluated.
 constexpr std::chrono::milliseconds review_interval{15};
 
@@ -187,6 +190,16 @@
     accept_call(state, std::move(call));
 }
 
+void on_no_room(gateway_state& state, http1::exchange_id exchange,
+                http1::message_head const& head)
+{
+    problem error;
+    error.why = reason{
+        reason_code::queue_full, "no memory for the body of the call", {}};
+    error.retry_after = no_room_retry_after;
+    refuse_request(state, exchange, platform::request_id_of(head), error);
+}
+
 void on_caller_disconnected(gateway_state& state, http1::exchange_id exchange)
 {
     auto const found = state.call_by_exchange.find(exchange);
--- a/jujubestand/gateway/calls.hpp
+++ b/jujubestand/gateway/calls.hpp
@@ -11,6 +11,10 @@
 void on_request(gateway_state& state, http1::exchange_id exchange,
                 http1::server_request request);
 
+/// \brief Refuses a request whose body there is no memory for.
+void on_no_room(gateway_state& state, http1::exchange_id exchange,
+                http1::message_head const& head);
+
 /// \brief Handles a caller that disconnected before its response was
 /// complete.
 void on_caller_disconnected(gateway_state& state, http1::exchange_id exchange);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -160,6 +160,11 @@
     {
         on_caller_disconnected(state, exchange);
     };
+    events.on_no_room =
+        [&state](http1::exchange_id exchange, http1::message_head const& head)
+    {
+        on_no_room(state, exchange, head);
+    };
     state.caller_server = std::make_unique<http1::server>(state.base, events);
     http1::server_events ready;
     ready.on_request =
@@ -181,6 +186,7 @@
     records.on_gone = [](http1::exchange_id) {};
     state.records_server = std::make_unique<http1::server>(state.base, records);
     auto const kept = node::memory_limits_of(state.settings.memory_bytes);
+    state.caller_server->set_request_limit(kept.caller_requests);
     state.caller_server->set_unread_limit(kept.unread_by_callers);
     state.records_server->set_unread_limit(kept.unread_records);
     state.records_server->set_limits(node::internal_request_limits());
