--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -169,7 +169,7 @@
     }
     auto const* const team =
         traffic::find_team(*state.tables, call.caller_request.key);
-    bool const needs_key = !route->is_public && !state.tables->teams.empty();
+    bool const needs_key = !route->is_public && state.tables->needs_keys;
     if (needs_key && team == nullptr)
     {
         refuse_request(state, exchange, id,
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -1,6 +1,5 @@
 #include <jujubestand/gateway/upstream_responses.hpp>
 
-#include <algorithm>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/answers.hpp>
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -120,6 +120,9 @@
     std::map<std::string, pool, std::less<>> pools;
     std::vector<part_store> part_stores;
     std::vector<team> teams;
+    /// Calls of routes that are not public need a key, also while no team has
+    /// one.
+    bool needs_keys = false;
     /// Index into `teams` by key.
     std::unordered_map<std::string, std::size_t> keys;
     caller_limits limits;
--- a/programs/test/changed_teams_test.cpp
+++ b/programs/test/changed_teams_test.cpp
@@ -179,4 +179,26 @@
     EXPECT_FALSE(salts.contains(before));
 }
 
+// With the last team its key went, and then any key was accepted (ROUTE,
+// CONFIG).
+TEST_F(changed_teams, no_call_runs_once_the_last_team_is_gone)
+{
+    this->start();
+    this->common_salt("a");
+    auto without_teams = nlohmann::json::parse(configuration_of(2, {}));
+    without_teams["tenants"] = nlohmann::json::array();
+    this->store.put("keyed.op", "config", without_teams.dump());
+    for (std::size_t number = 0; number < gateway_count; ++number)
+        this->wait_applied(number, 2);
+    auto const sent = this->engines[0].engine->seen().size();
+    constexpr int unauthorized = 401;
+    for (std::string const key : {"a", "none", ""})
+    {
+        auto const answer = this->ask_of(0, key);
+        EXPECT_TRUE(this->run_to_end(answer));
+        EXPECT_EQ(answer->status, unauthorized) << key;
+    }
+    EXPECT_EQ(this->engines[0].engine->seen().size(), sent);
+}
+
 } // namespace jujubestand::programs::test
