--- a/jujubestand/http/test/exchange_test.cpp
+++ b/jujubestand/http/test/exchange_test.cpp
@@ -326,4 +326,60 @@
     EXPECT_EQ(this->end->why.code, reason_code::answer_too_large);
 }
 
+// An owner holds what it is given of an answer, and the limit of one answer is
+// far above what there is for all.
+TEST_F(exchange_test, answers_that_their_owner_keeps_end_at_the_limit_of_all)
+{
+    http1::flooding_peer const peer("HTTP/1.1 200 OK\r\n\r\n");
+    client_options limits;
+    limits.kept_limit_bytes = 1U << 20U;
+    this->back = std::make_unique<client>(this->base, limits);
+    this->back->data.connect(
+        [this](exchange_id, std::string const& bytes)
+        {
+            this->received += bytes;
+        });
+    this->back->ended.connect(
+        [this](exchange_id, exchange_end const& how)
+        {
+            this->end = how;
+        });
+    std::ignore = this->back->start(peer.where, request{});
+    ASSERT_TRUE(this->run_until_ended());
+    EXPECT_FALSE(this->end->is_complete);
+    EXPECT_EQ(this->end->why.code, reason_code::answer_too_large);
+    EXPECT_LE(this->received.size(), limits.kept_limit_bytes);
+}
+
+// The same answer goes on while its owner passes it on.
+TEST_F(exchange_test, answers_that_are_passed_on_do_not_count)
+{
+    http1::flooding_peer const peer("HTTP/1.1 200 OK\r\n\r\n");
+    client_options limits;
+    limits.kept_limit_bytes = 1U << 20U;
+    this->back = std::make_unique<client>(this->base, limits);
+    std::size_t passed_on = 0;
+    this->back->data.connect(
+        [&](exchange_id exchange, std::string const& bytes)
+        {
+            passed_on += bytes.size();
+            this->back->set_kept(exchange, 0);
+        });
+    this->back->ended.connect(
+        [this](exchange_id, exchange_end const& how)
+        {
+            this->end = how;
+        });
+    auto const open = this->back->start(peer.where, request{});
+    EXPECT_TRUE(this->run_until(
+        [&]
+        {
+            return passed_on > 8 * limits.kept_limit_bytes;
+        }));
+    EXPECT_FALSE(this->end);
+    this->back->cancel(open);
+    this->back.reset();
+    event_base_loop(this->base, EVLOOP_NONBLOCK);
+}
+
 } // namespace jujubestand::http
