--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -148,6 +148,7 @@
     active_call call;
     call.exchange = exchange;
     call.arrived_at = mono_now();
+    call.granted_at = call.arrived_at;
     call.caller_request = platform::read_call(std::move(request));
     auto const& id = call.caller_request.request_id;
     if (!check_freshness(state, call.arrived_at))
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -102,6 +102,10 @@
         event_number::upstream_chosen, call->caller_request.request_id,
         {{"upstream", call->upstream},
          {"software", call->software_version},
+         {"attempt", static_cast<std::int64_t>(call->upstream_attempts - 1)},
+         {"waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                           now - call->granted_at)
+                           .count()},
          {"expected_ms",
           static_cast<std::int64_t>(dispatch_decision.expected_ms)},
          {"weights",
@@ -181,11 +185,15 @@
     call->discarded_bytes = 0;
     call->output_since.reset();
     call->has_survived = false;
+    call->granted_at = mono_now();
     auto const dispatch_decision =
-        dispatch::submit(state.dispatch, call->dispatch_call, mono_now());
+        dispatch::submit(state.dispatch, call->dispatch_call, call->granted_at);
     state.log->write(
         event_number::retry_scheduled, call->caller_request.request_id,
-        {{"sends", static_cast<std::int64_t>(call->upstream_attempts)}});
+        {{"sends", static_cast<std::int64_t>(call->upstream_attempts)},
+         {"budget", static_cast<std::int64_t>(
+                        state.retry_budgets[call->dispatch_call.pool].tokens)},
+         {"gateways", static_cast<std::int64_t>(state.dispatch.gateways)}});
     apply_decision(state, dispatch_decision);
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -58,6 +58,10 @@
     /// Software version of that upstream.
     std::string software_version;
     std::uint32_t upstream_attempts = 0;
+    /// When the call arrived, or its latest retry was granted.
+    mono_time granted_at{};
+    /// Answers of other calls that its attempts have dropped, for the log.
+    unsigned foreign_answers = 0;
     /// Number of attempts that may have executed the call.
     std::uint32_t possible_runs = 0;
     /// Worst verdict over the attempts that ended.
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -45,6 +45,7 @@
          {"partial_bytes",
           static_cast<std::int64_t>(call->events.partial.size())},
          {"limit", to_text(call->response_head.limit)},
+         {"foreign", static_cast<std::int64_t>(call->foreign_answers)},
          {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                          mono_now() - call->arrived_at)
                          .count()}});
@@ -243,6 +244,7 @@
     auto const now = mono_now();
     auto const outcome = outcome_of(*call, end);
     call->upstream_call = http1::call_id{};
+    call->foreign_answers += end.foreign_answers;
     call->outcome = worst(call->outcome, verdict_of(outcome));
     record_attempt(state, *call, outcome, end);
     dispatch::on_send_end(state.dispatch, key, outcome, now);
@@ -282,6 +284,7 @@
           static_cast<std::int64_t>(call->events.partial.size())},
          {"events", static_cast<std::int64_t>(call->events.response_events)},
          {"limit", to_text(call->response_head.limit)},
+         {"foreign", static_cast<std::int64_t>(call->foreign_answers)},
          {"why", why.text},
          {"again", why_not == reason_code::none ? "yes" : to_name(why_not)},
          {"key", outcome == dispatch::send_outcome::cut
--- a/jujubestand/http1/client.hpp
+++ b/jujubestand/http1/client.hpp
@@ -50,6 +50,8 @@
     bool may_have_sent = false;
     /// The connection was closed or reset by the server.
     bool is_cut = false;
+    /// Answers of other calls that were dropped before.
+    unsigned foreign_answers = 0;
     reason why;
 };
 
--- a/jujubestand/http1/client_state.cpp
+++ b/jujubestand/http1/client_state.cpp
@@ -246,6 +246,7 @@
         found->is_keep_alive = result.head->is_keep_alive;
         found->is_skipping =
             events->is_foreign && events->is_foreign(*result.head);
+        found->foreign += found->is_skipping ? 1 : 0;
         open->keep_alive = keep_alive_of(result.head->fields);
         auto next = found->kept;
         next.head = size_of(*result.head);
@@ -289,7 +290,7 @@
     }
     if (!result.is_complete)
         return false;
-    if (found->is_skipping && ++found->foreign < foreign_limit)
+    if (found->is_skipping && found->foreign < foreign_limit)
     {
         open->input.reset();
         return evbuffer_get_length(bufferevent_get_input(open->stream.get())) >
@@ -363,8 +364,10 @@
         return;
     this->kept.erase(id);
     auto const events = std::move(found->events);
+    auto told = end;
+    told.foreign_answers = found->foreign;
     this->calls.erase(id);
-    events->on_end(end);
+    events->on_end(told);
 }
 
 void client::state::drop(connection_id id)
--- a/jujubestand/http1/test/exchange_test.cpp
+++ b/jujubestand/http1/test/exchange_test.cpp
@@ -129,6 +129,7 @@
     auto const seen = this->call(from, to(peer.where), "ours");
     EXPECT_TRUE(seen.end.is_complete);
     EXPECT_EQ(seen.body, "ok");
+    EXPECT_EQ(seen.end.foreign_answers, 1U);
 }
 
 TEST_F(exchange, a_foreign_answer_alone_is_no_answer)
@@ -138,6 +139,7 @@
     auto const seen = this->call(from, to(peer.where), "ours");
     EXPECT_FALSE(seen.end.is_complete);
     EXPECT_TRUE(seen.body.empty());
+    EXPECT_EQ(seen.end.foreign_answers, 1U);
 }
 
 // A body without end that belongs to no call was read on and on.
