--- a/programs/test/faults_test.cpp
+++ b/programs/test/faults_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <map>
 #include <programs/test/faulty_gateways.hpp>
+#include <programs/test/repeat_counts.hpp>
 #include <standins/service/recording_service.hpp>
 
 // Gateway processes that are killed, stopped, paused and started again in
@@ -89,16 +90,7 @@
                 repeats.insert(repeats.end(), call.arrivals.begin() + 1,
                                call.arrivals.end());
         }
-        std::sort(repeats.begin(), repeats.end());
-        std::size_t most = 0;
-        for (std::size_t first = 0; first < repeats.size(); ++first)
-        {
-            auto const last = std::upper_bound(repeats.begin(), repeats.end(),
-                                               repeats[first] + window);
-            most = std::max(
-                most, static_cast<std::size_t>(last - repeats.begin()) - first);
-        }
-        return most;
+        return most_within(std::move(repeats), window);
     }
 
     static constexpr std::size_t gateway_count = 3;
--- /dev/null
+++ b/programs/test/repeat_counts.hpp
@@ -0,0 +1,29 @@
+#ifndef JUJUBESTAND_PROGRAMS_TEST_REPEAT_COUNTS_HPP
+#define JUJUBESTAND_PROGRAMS_TEST_REPEAT_COUNTS_HPP
+
+#include <algorithm>
+#include <jujubestand/core/time.hpp>
+#include <vector>
+
+namespace jujubestand::programs::test
+{
+
+/// \brief Most of the times that lie within one window, wherever it begins.
+inline std::size_t most_within(std::vector<mono_time> times,
+                               microseconds window)
+{
+    std::sort(times.begin(), times.end());
+    std::size_t most = 0;
+    for (std::size_t first = 0; first < times.size(); ++first)
+    {
+        auto const last =
+            std::upper_bound(times.begin(), times.end(), times[first] + window);
+        most = std::max(most,
+                        static_cast<std::size_t>(last - times.begin()) - first);
+    }
+    return most;
+}
+
+} // namespace jujubestand::programs::test
+
+#endif
