--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -103,11 +103,7 @@
     auto const pool = traffic::choose_pool(call.route, state.random_engine());
     call.dispatch_call = to_dispatch_call(state, call, key, pool);
     call.suspect_keys = suspect_keys_of(call);
-    retries::record_request(state.retry_budgets[call.dispatch_call.pool],
-                            retry_options_of(state), call.arrived_at);
-    retries::record_request(
-        state.started_retry_budgets[call.dispatch_call.pool],
-        started_retry_options_of(state), call.arrived_at);
+    record_call(state, call.dispatch_call.pool, call.arrived_at);
     state.log->write(
         event_number::request_accepted, call.caller_request.request_id,
         {{"route", call.route.name},
--- a/jujubestand/gateway/migration.cpp
+++ b/jujubestand/gateway/migration.cpp
@@ -15,10 +15,12 @@
 {
 
 // Migrations leave half of the retry budget to failed attempts.
-bool can_afford_migration(gateway_state& state, active_call const& call)
+bool can_afford_migration(gateway_state& state, active_call const& call,
+                          mono_time now)
 {
-    return state.retry_budgets[call.dispatch_call.pool].tokens >=
-           retry_options_of(state).budget_limit / 2;
+    auto const& pool = call.dispatch_call.pool;
+    return state.retry_budgets[pool].tokens >=
+           retry_options_of(state, pool, now).budget_limit / 2;
 }
 
 void cancel_attempt(gateway_state& state, active_call& call,
@@ -43,7 +45,7 @@
         !dispatch::has_alternative(state.dispatch, call->dispatch_call,
                                    call->upstream_key, now) ||
         call->possible_runs + 1 >= call->route.attempts_limit ||
-        !can_afford_migration(state, *call) ||
+        !can_afford_migration(state, *call, now) ||
         acquire_retry(state, *call, dispatch::send_outcome::cancelled, now) !=
             reason_code::none)
         return;
--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -4,6 +4,7 @@
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/sends.hpp>
+#include <jujubestand/retries/reserve_share.hpp>
 #include <utility>
 
 namespace jujubestand::gateway
@@ -15,21 +16,57 @@
 /// Limit on the attempts of a call, including those that did not run.
 constexpr std::uint32_t sends_limit = 6;
 
+// A part of the reserve is left for gateways that are not known yet.
+retries::shared_reserve reserve_of(gateway_state const& state)
+{
+    constexpr double reserve_share = 0.85;
+    retries::shared_reserve reserve;
+    reserve.retries = state.settings.limits.retry_reserve * reserve_share;
+    reserve.window = state.settings.limits.retry_window;
+    reserve.processes = state.dispatch.gateways;
+    reserve.position = static_cast<std::uint32_t>(
+        std::count_if(state.gateway_hosts.begin(), state.gateway_hosts.end(),
+                      [&](std::string const& host)
+                      {
+                          return host < state.settings.ip;
+                      }));
+    return reserve;
+}
+
+// Retries that recent calls of the pool have earned and that may be saved up
+// beside the share of the reserve: as part of the ratio they need none of it.
+double saved_retries(gateway_state const& state, std::string const& pool,
+                     mono_time now)
+{
+    constexpr double saved_share = 0.1;
+    auto const calls = state.recent_calls.find(pool);
+    if (calls == state.recent_calls.end())
+        return 0;
+    return state.settings.limits.retry_ratio * saved_share *
+           limits::value_of(calls->second, now);
+}
+
+// A response that has started would be lost without a retry, others would not.
+double kept_back_of(retries::reserve_share const& share)
+{
+    constexpr double kept_back_share = 0.25;
+    return std::clamp(share.retries - 1, 0.0, share.retries * kept_back_share);
+}
+
 } // namespace
 
-retries::retry_options retry_options_of(gateway_state const& state)
+retries::retry_options retry_options_of(gateway_state const& state,
+                                        std::string const& pool, mono_time now)
 {
     auto const& limits = state.settings.limits;
-    // All gateways share the reserve; a part of it is left for gateways that
-    // are not known yet.
     constexpr double ratio_share = 0.85;
-    constexpr double reserve_share = 0.65;
+    auto const share = retries::share_of(reserve_of(state), wall_now());
     retries::retry_options options;
     options.attempts_limit = sends_limit;
     options.budget_ratio = limits.retry_ratio * ratio_share;
-    options.budget_limit =
-        std::max(2.0, limits.retry_reserve * reserve_share /
-                          static_cast<double>(state.dispatch.gateways));
+    options.budget_limit = share.retries + saved_retries(state, pool, now);
+    options.budget_kept_back = kept_back_of(share);
+    options.budget_turn = share.turn;
     options.budget_per_second = 0;
     options.filled_from = state.started_at + limits.retry_window;
     options.backoff_base = std::chrono::milliseconds{0};
@@ -37,17 +74,11 @@
     return options;
 }
 
-retries::retry_options started_retry_options_of(gateway_state const& state)
+void record_call(gateway_state& state, std::string const& pool, mono_time now)
 {
-    auto const& limits = state.settings.limits;
-    constexpr double ratio_share = 0.05;
-    constexpr double reserve_share = 0.2;
-    auto options = retry_options_of(state);
-    options.budget_ratio = limits.retry_ratio * ratio_share;
-    options.budget_limit =
-        std::max(1.0, limits.retry_reserve * reserve_share /
-                          static_cast<double>(state.dispatch.gateways));
-    return options;
+    limits::add_call(state.recent_calls[pool], now);
+    retries::record_request(state.retry_budgets[pool],
+                            retry_options_of(state, pool, now), now);
 }
 
 bool is_retryable(active_call const& call)
@@ -104,16 +135,12 @@
     failure.outcome = verdict_of(outcome);
     failure.has_alternative = true;
     failure.has_arrived = outcome != dispatch::send_outcome::unreachable;
-    auto retry_decision = retries::decide(
-        state.retry_budgets[call.dispatch_call.pool], retry_options_of(state),
-        progress, failure, now, state.random_engine());
-    // A response that has started would be lost without a retry.
-    if (retry_decision.why == reason_code::retry_budget_spent &&
-        call.is_response_started)
-        retry_decision = retries::decide(
-            state.started_retry_budgets[call.dispatch_call.pool],
-            started_retry_options_of(state), progress, failure, now,
-            state.random_engine());
+    auto options = retry_options_of(state, call.dispatch_call.pool, now);
+    if (call.is_response_started)
+        options.budget_kept_back = 0;
+    auto const retry_decision =
+        retries::decide(state.retry_budgets[call.dispatch_call.pool], options,
+                        progress, failure, now, state.random_engine());
     return retry_decision.is_retry ? reason_code::none : retry_decision.why;
 }
 
--- a/jujubestand/gateway/retries.hpp
+++ b/jujubestand/gateway/retries.hpp
@@ -7,13 +7,14 @@
 namespace jujubestand::gateway
 {
 
-/// \brief This gateway's share of the retry budget of all gateways.
+/// \brief This gateway's share of the retry budget of all gateways for a pool.
+/// A part of it is kept back for responses that have started.
 [[nodiscard]] retries::retry_options
-retry_options_of(gateway_state const& state);
+retry_options_of(gateway_state const& state, std::string const& pool,
+                 mono_time now);
 
-/// \brief Separate share of that budget for responses that have started.
-[[nodiscard]] retries::retry_options
-started_retry_options_of(gateway_state const& state);
+/// \brief Counts a new call, which adds to the retry budget of its pool.
+void record_call(gateway_state& state, std::string const& pool, mono_time now);
 
 /// \brief Whether a call may be executed more than once.
 [[nodiscard]] bool is_retryable(active_call const& call);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -16,6 +16,7 @@
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <jujubestand/limits/permit_issuer.hpp>
+#include <jujubestand/limits/recent_count.hpp>
 #include <jujubestand/logs/log.hpp>
 #include <jujubestand/loop/datagrams.hpp>
 #include <jujubestand/loop/timer.hpp>
@@ -178,9 +179,8 @@
     dispatch::state dispatch;
     /// Retry budget per pool.
     std::map<std::string, retries::retry_budget> retry_budgets;
-    /// Second retry budget per pool, for responses that have started; used
-    /// once the first is exhausted.
-    std::map<std::string, retries::retry_budget> started_retry_budgets;
+    /// New calls per pool.
+    std::map<std::string, limits::recent_count> recent_calls;
     std::unordered_map<dispatch::call_key, active_call> active_calls;
     std::map<http1::exchange_id, dispatch::call_key> call_by_exchange;
     dispatch::call_key last_call_key = 0;
--- a/jujubestand/retries/retry.cpp
+++ b/jujubestand/retries/retry.cpp
@@ -25,9 +25,20 @@
     budget.awaits_filling = false;
 }
 
+void begin_turn(retry_budget& budget, retry_options const& options,
+                mono_time now)
+{
+    if (options.budget_turn == 0 || options.budget_turn == budget.turn ||
+        now < options.filled_from)
+        return;
+    budget.turn = options.budget_turn;
+    budget.tokens += 1.0;
+}
+
 void refill(retry_budget& budget, retry_options const& options, mono_time now)
 {
     fill_late(budget, options, now);
+    begin_turn(budget, options, now);
     if (budget.refilled_at != mono_time{} && now > budget.refilled_at)
     {
         std::chrono::duration<double> const since = now - budget.refilled_at;
@@ -40,7 +51,7 @@
 bool spend(retry_budget& budget, retry_options const& options, mono_time now)
 {
     refill(budget, options, now);
-    if (budget.tokens < 1.0)
+    if (budget.tokens < 1.0 + options.budget_kept_back)
         return false;
     budget.tokens -= 1.0;
     return true;
--- a/jujubestand/retries/retry.hpp
+++ b/jujubestand/retries/retry.hpp
@@ -18,6 +18,11 @@
     double budget_ratio = 0.1;
     /// Maximum balance of the retry budget.
     double budget_limit = 20.0;
+    /// Part of the balance that is left for requests with output.
+    double budget_kept_back = 0;
+    /// Turn of this process with a retry of a reserve that it shares; it adds
+    /// one to the budget as each turn begins. 0: none.
+    std::uint64_t budget_turn = 0;
     /// Retries allowed per second, however little traffic there is.
     double budget_per_second = 0.5;
     /// Before this time a new budget holds no more than its share of the
@@ -43,6 +48,8 @@
     mono_time refilled_at;
     /// It is yet to be filled.
     bool awaits_filling = false;
+    /// Last turn that added a retry.
+    std::uint64_t turn = 0;
 };
 
 /// \brief State of a request after a failed attempt.
