--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -52,7 +52,6 @@
     {event_number::engine_restarted, "engine_restarted"},
     {event_number::engine_unreachable, "engine_unreachable"},
     {event_number::engine_reachable, "engine_reachable"},
-    {event_number::gateways_changed, "gateways_changed"},
     {event_number::claim_appended, "claim_appended"},
     {event_number::claim_won, "claim_won"},
     {event_number::claim_refused, "claim_refused"},
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -71,7 +71,6 @@
     engine_restarted = 1504,
     engine_unreachable = 1505,
     engine_reachable = 1506,
-    gateways_changed = 1507,
 
     // Claims.
     claim_appended = 1600,
--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -9,7 +9,6 @@
 #include <jujubestand/status/messages.hpp>
 #include <jujubestand/status/pacing.hpp>
 #include <map>
-#include <utility>
 
 namespace jujubestand::gateway
 {
@@ -139,13 +138,7 @@
                       return now - row.second > gateway_memory;
                   });
     state.gateway_hosts = hosts;
-    auto const before = std::exchange(state.dispatch.gateways,
-                                      static_cast<std::uint32_t>(hosts.size()));
-    if (before != state.dispatch.gateways)
-        state.log->write(
-            event_number::gateways_changed, {},
-            {{"before", static_cast<std::int64_t>(before)},
-             {"count", static_cast<std::int64_t>(state.dispatch.gateways)}});
+    state.dispatch.gateways = static_cast<std::uint32_t>(hosts.size());
 }
 
 // The lists of agents differ while an agent starts or is cut off from a part of
