--- a/jujubestand/gateway/agents.cpp
+++ b/jujubestand/gateway/agents.cpp
@@ -6,6 +6,7 @@
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
+#include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <jujubestand/status/pacing.hpp>
 #include <map>
@@ -132,13 +133,16 @@
         state.gateway_seen_at[host] = now;
     for (auto const& host : hosts)
         state.gateway_seen_at[host] = now;
+    auto const memory = std::max<std::chrono::milliseconds>(
+        gateway_memory, state.settings.limits.retry_window);
     std::erase_if(state.gateway_seen_at,
-                  [now](auto const& row)
+                  [now, memory](auto const& row)
                   {
-                      return now - row.second > gateway_memory;
+                      return now - row.second > memory;
                   });
     state.gateway_hosts = hosts;
     state.dispatch.gateways = static_cast<std::uint32_t>(hosts.size());
+    update_retry_sharers(state, now);
 }
 
 // The lists of agents differ while an agent starts or is cut off from a part of
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -229,6 +229,7 @@
     remove_lapsed_upstreams(state);
     withdraw_overdue_calls(state);
     move_stranded_calls(state);
+    review_retry_sharers(state, mono_now());
     review_suspended_calls(state);
     expire_origin_queries(state);
     review_crashes(state);
--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -1,10 +1,13 @@
 #include <jujubestand/gateway/retries.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/retries/reserve_share.hpp>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace jujubestand::gateway
@@ -23,16 +26,19 @@
     retries::shared_reserve reserve;
     reserve.retries = state.settings.limits.retry_reserve * reserve_share;
     reserve.window = state.settings.limits.retry_window;
-    reserve.processes = state.dispatch.gateways;
-    reserve.position = static_cast<std::uint32_t>(
-        std::count_if(state.gateway_hosts.begin(), state.gateway_hosts.end(),
-                      [&](std::string const& host)
-                      {
-                          return host < state.settings.ip;
-                      }));
+    reserve.processes = state.retry_sharers.gateways;
+    reserve.position = state.retry_sharers.position;
     return reserve;
 }
 
+// Without a list of gateways each would take the whole reserve for its own.
+mono_time reserve_due_at(gateway_state const& state)
+{
+    return state.retry_sharers.gateways == 0
+               ? mono_time::max()
+               : state.started_at + state.settings.limits.retry_window;
+}
+
 // Retries that recent calls of the pool have earned and that may be saved up
 // beside the share of the reserve: as part of the ratio they need none of it.
 double saved_retries(gateway_state const& state, std::string const& pool,
@@ -68,12 +74,40 @@
     options.budget_kept_back = kept_back_of(share);
     options.budget_turn = share.turn;
     options.budget_per_second = 0;
-    options.filled_from = state.started_at + limits.retry_window;
+    options.filled_from = reserve_due_at(state);
     options.backoff_base = std::chrono::milliseconds{0};
     options.time_left_min = state.dispatch.limits.service_time_min;
     return options;
 }
 
+// A list may lack gateways for a while: that of an agent which has just started
+// or hears only some of them. And what a gateway that has left spent counts
+// for one more window.
+void update_retry_sharers(gateway_state& state, mono_time now)
+{
+    if (state.gateway_hosts.empty())
+        return;
+    constexpr std::chrono::milliseconds review_interval{1'000};
+    state.retry_sharers.review_due_at = now + review_interval;
+    std::set<std::string_view> hosts(state.gateway_hosts.begin(),
+                                     state.gateway_hosts.end());
+    hosts.insert(state.settings.ip);
+    for (auto const& [host, seen_at] : state.gateway_seen_at)
+    {
+        if (now - seen_at <= state.settings.limits.retry_window)
+            hosts.insert(host);
+    }
+    state.retry_sharers.gateways = static_cast<std::uint32_t>(hosts.size());
+    state.retry_sharers.position = static_cast<std::uint32_t>(
+        std::distance(hosts.begin(), hosts.find(state.settings.ip)));
+}
+
+void review_retry_sharers(gateway_state& state, mono_time now)
+{
+    if (now >= state.retry_sharers.review_due_at)
+        update_retry_sharers(state, now);
+}
+
 void record_call(gateway_state& state, std::string const& pool, mono_time now)
 {
     limits::add_call(state.recent_calls[pool], now);
--- a/jujubestand/gateway/retries.hpp
+++ b/jujubestand/gateway/retries.hpp
@@ -13,6 +13,14 @@
 retry_options_of(gateway_state const& state, std::string const& pool,
                  mono_time now);
 
+/// \brief Counts the gateways that share the reserve: all that were listed
+/// within the last window.
+void update_retry_sharers(gateway_state& state, mono_time now);
+
+/// \brief The same where it is due, so that gateways that have left count no
+/// longer; runs at each tick.
+void review_retry_sharers(gateway_state& state, mono_time now);
+
 /// \brief Counts a new call, which adds to the retry budget of its pool.
 void record_call(gateway_state& state, std::string const& pool, mono_time now);
 
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -193,7 +193,8 @@
         {{"sends", static_cast<std::int64_t>(call->upstream_attempts)},
          {"budget", static_cast<std::int64_t>(
                         state.retry_budgets[call->dispatch_call.pool].tokens)},
-         {"gateways", static_cast<std::int64_t>(state.dispatch.gateways)}});
+         {"gateways",
+          static_cast<std::int64_t>(state.retry_sharers.gateways)}});
     apply_decision(state, dispatch_decision);
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -146,6 +146,17 @@
     mono_time reviewed_at{};
 };
 
+/// \brief The gateways that share the reserve of retries.
+struct retry_group
+{
+    /// 0 until a list of them is known.
+    std::uint32_t gateways = 0;
+    /// Of this gateway in the order of their IP addresses, from 0.
+    std::uint32_t position = 0;
+    /// When to look for gateways that have been gone for long enough.
+    mono_time review_due_at{};
+};
+
 /// \brief State of a gateway process.
 struct gateway_state
 {
@@ -179,6 +190,7 @@
     dispatch::state dispatch;
     /// Retry budget per pool.
     std::map<std::string, retries::retry_budget> retry_budgets;
+    retry_group retry_sharers;
     /// New calls per pool.
     std::map<std::string, limits::recent_count> recent_calls;
     std::unordered_map<dispatch::call_key, active_call> active_calls;
--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/http1/test/sockets.hpp>
@@ -25,7 +26,7 @@
 {
     state.settings.limits.retry_ratio = 0;
     state.settings.limits.retry_reserve = 4;
-    state.dispatch.gateways = 1;
+    state.retry_sharers.gateways = 1;
 }
 
 active_call stream_call()
@@ -167,6 +168,7 @@
 TEST(repeats, a_call_that_may_have_run_is_not_retried)
 {
     gateway_state state;
+    state.retry_sharers.gateways = 1;
     auto call = stream_call();
     call.route.kind = traffic::call_kind::non_idempotent;
     EXPECT_EQ(try_acquire_retry(state, call, dispatch::send_outcome::cut),
@@ -178,6 +180,7 @@
 TEST(repeats, the_attempt_limit_counts_upstreams_that_may_have_run)
 {
     gateway_state state;
+    state.retry_sharers.gateways = 1;
     auto call = stream_call();
     count_possible_run(call);
     EXPECT_EQ(try_acquire_retry(state, call, dispatch::send_outcome::cut),
@@ -211,7 +214,7 @@
                     state.emplace();
                     state->settings.limits.retry_ratio = 0;
                     state->settings.limits.retry_reserve = reserve;
-                    state->dispatch.gateways = gateways;
+                    state->retry_sharers.gateways = gateways;
                     state->started_at = at(is_first ? -window_ms : now_ms);
                     started_ms = now_ms;
                 }
@@ -235,15 +238,11 @@
     {
         gateway_state state;
         state.settings.limits.retry_reserve = reserve;
-        state.dispatch.gateways = gateways;
-        constexpr unsigned first_host = 100;
-        for (std::uint32_t number = 0; number < gateways; ++number)
-            state.gateway_hosts.push_back("host-" +
-                                          std::to_string(first_host + number));
+        state.retry_sharers.gateways = gateways;
         double sum = 0;
-        for (auto const& host : state.gateway_hosts)
+        for (std::uint32_t number = 0; number < gateways; ++number)
         {
-            state.settings.ip = host;
+            state.retry_sharers.position = number;
             sum += retry_options_of(state, "engines", at(0)).budget_limit;
         }
         EXPECT_LE(sum, reserve) << gateways;
@@ -251,6 +250,40 @@
     }
 }
 
+// A gateway that knew no list of gateways, or the short one of an agent that
+// has just started, took the whole reserve for its own (BUDGET).
+TEST(retry_budget, a_list_that_lacks_gateways_makes_no_share_larger)
+{
+    gateway_state state;
+    constexpr double reserve = 54;
+    state.settings.ip = "10.0.0.1";
+    state.settings.limits.retry_ratio = 0;
+    state.settings.limits.retry_reserve = reserve;
+    auto call = stream_call();
+    call.deadline = at(60'000);
+    auto const retries_until_spent = [&](int now_ms)
+    {
+        int retries = 0;
+        while (acquire_retry(state, call, dispatch::send_outcome::cut,
+                             at(now_ms)) == reason_code::none)
+            ++retries;
+        return retries;
+    };
+    EXPECT_EQ(retries_until_spent(0), 0);
+    set_gateways(state, {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"},
+                 at(1'000));
+    set_gateways(state, {"10.0.0.1"}, at(2'000));
+    EXPECT_LE(retries_until_spent(2'000), reserve / 4);
+    set_gateways(state, {"10.0.0.2"}, at(3'000));
+    EXPECT_EQ(state.retry_sharers.gateways, 4U);
+    // The others are gone for a whole window.
+    set_gateways(state, {"10.0.0.1"}, at(14'000));
+    review_retry_sharers(state, at(15'000));
+    EXPECT_EQ(state.retry_sharers.gateways, 1U + 1U);
+    review_retry_sharers(state, at(30'000));
+    EXPECT_EQ(state.retry_sharers.gateways, 1U);
+}
+
 // Calls waited for engines until their deadline, though their callers had left
 // long before for want of output (GONE).
 TEST(output_deadline, a_stream_needs_output_before_its_caller_leaves)
