--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -150,6 +150,8 @@
     std::vector<upstream_key> refused_by;
     /// For a stream that has begun: the software version that it continues at.
     std::optional<std::string> software_version;
+    /// The retry budget was charged for the next send.
+    bool is_paid_retry = false;
 };
 
 /// \brief Next step of a call.
--- a/jujubestand/gateway/migration.cpp
+++ b/jujubestand/gateway/migration.cpp
@@ -20,7 +20,7 @@
 {
     auto const& pool = call.dispatch_call.pool;
     return state.retry_budgets[pool].tokens >=
-           retry_options_of(state, pool, now).budget_limit / 2;
+           retry_budget_limit(state, pool, now) / 2;
 }
 
 void cancel_attempt(gateway_state& state, active_call& call,
--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -52,6 +52,25 @@
            limits::value_of(calls->second, now);
 }
 
+double budget_limit_of(retries::reserve_share const& share,
+                       gateway_state const& state, std::string const& pool,
+                       mono_time now)
+{
+    return share.retries + saved_retries(state, pool, now);
+}
+
+// Retries that were granted and wait for an upstream. They take up budget until
+// they are sent: what several windows had granted could arrive within one.
+double waiting_retries(gateway_state const& state, std::string const& pool)
+{
+    return static_cast<double>(std::count_if(
+        state.dispatch.waiting.begin(), state.dispatch.waiting.end(),
+        [&](auto const& row)
+        {
+            return row.second.is_paid_retry && row.second.pool == pool;
+        }));
+}
+
 // A response that has started would be lost without a retry, others would not.
 double kept_back_of(retries::reserve_share const& share)
 {
@@ -70,7 +89,8 @@
     retries::retry_options options;
     options.attempts_limit = sends_limit;
     options.budget_ratio = limits.retry_ratio * ratio_share;
-    options.budget_limit = share.retries + saved_retries(state, pool, now);
+    options.budget_limit =
+        budget_limit_of(share, state, pool, now) - waiting_retries(state, pool);
     options.budget_kept_back = kept_back_of(share);
     options.budget_turn = share.turn;
     options.budget_per_second = 0;
@@ -108,6 +128,13 @@
         update_retry_sharers(state, now);
 }
 
+double retry_budget_limit(gateway_state const& state, std::string const& pool,
+                          mono_time now)
+{
+    return budget_limit_of(retries::share_of(reserve_of(state), wall_now()),
+                           state, pool, now);
+}
+
 void record_call(gateway_state& state, std::string const& pool, mono_time now)
 {
     limits::add_call(state.recent_calls[pool], now);
@@ -149,7 +176,7 @@
     call.dispatch_call.tried.push_back(call.upstream_key);
 }
 
-reason_code acquire_retry(gateway_state& state, active_call const& call,
+reason_code acquire_retry(gateway_state& state, active_call& call,
                           dispatch::send_outcome outcome, mono_time now)
 {
     bool const is_repeatable =
@@ -175,6 +202,9 @@
     auto const retry_decision =
         retries::decide(state.retry_budgets[call.dispatch_call.pool], options,
                         progress, failure, now, state.random_engine());
+    call.dispatch_call.is_paid_retry =
+        retry_decision.is_retry &&
+        (failure.has_arrived || call.dispatch_call.is_paid_retry);
     return retry_decision.is_retry ? reason_code::none : retry_decision.why;
 }
 
--- a/jujubestand/gateway/retries.hpp
+++ b/jujubestand/gateway/retries.hpp
@@ -13,6 +13,10 @@
 retry_options_of(gateway_state const& state, std::string const& pool,
                  mono_time now);
 
+/// \brief Retries that this gateway may hold for a pool, sent or waiting.
+[[nodiscard]] double retry_budget_limit(gateway_state const& state,
+                                        std::string const& pool, mono_time now);
+
 /// \brief Counts the gateways that share the reserve: all that were listed
 /// within the last window.
 void update_retry_sharers(gateway_state& state, mono_time now);
@@ -40,8 +44,7 @@
 
 /// \brief Whether the call may be retried; if so, charges the retry budget.
 /// \returns `none`, or the reason against a retry
-[[nodiscard]] reason_code acquire_retry(gateway_state& state,
-                                        active_call const& call,
+[[nodiscard]] reason_code acquire_retry(gateway_state& state, active_call& call,
                                         dispatch::send_outcome outcome,
                                         mono_time now);
 
--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
+#include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/agents.hpp>
+#include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/http1/test/sockets.hpp>
@@ -41,7 +43,7 @@
     return call;
 }
 
-reason_code try_acquire_retry(gateway_state& state, active_call const& call,
+reason_code try_acquire_retry(gateway_state& state, active_call call,
                               dispatch::send_outcome outcome)
 {
     return acquire_retry(state, call, outcome, at(0));
@@ -284,6 +286,76 @@
     EXPECT_EQ(state.retry_sharers.gateways, 1U);
 }
 
+namespace
+{
+
+/// A gateway whose pool `engines` has one plain upstream; no socket is used.
+class waiting_retries : public suspended_answer
+{
+protected:
+    void SetUp() override
+    {
+        suspended_answer::SetUp();
+        this->state.suspended_calls.clear();
+        this->state.active_calls.clear();
+        this->state.is_review_scheduled = true;
+        traffic::upstream_record record;
+        record.id = "u1";
+        record.pool = "engines";
+        record.where = {"127.0.0.1", 1};
+        dispatch::on_upstream_record(this->state.dispatch, record);
+    }
+
+    dispatch::upstream& only_upstream()
+    {
+        return this->state.dispatch.upstreams.begin()->second;
+    }
+
+    /// \brief A call whose attempt was cut, and that waits for the upstream if
+    /// it is granted a retry. \returns whether it is
+    bool add_cut(dispatch::call_key call_key)
+    {
+        auto call = stream_call();
+        call.route.attempts_limit = 9;
+        call.dispatch_call.key = call_key;
+        call.deadline = mono_now() + std::chrono::seconds{60};
+        call.dispatch_call.deadline = call.deadline;
+        auto& added =
+            this->state.active_calls.emplace(call_key, call).first->second;
+        if (acquire_retry(this->state, added, dispatch::send_outcome::cut,
+                          mono_now()) != reason_code::none)
+            return false;
+        retry_call(this->state, call_key);
+        return true;
+    }
+};
+
+} // namespace
+
+// Retries that had been granted over several windows and waited for an upstream
+// arrived within one (BUDGET).
+TEST_F(waiting_retries, take_up_budget_until_they_are_sent)
+{
+    constexpr double earned_each_time = 2;
+    this->only_upstream().avoid_until = mono_now() + std::chrono::hours{1};
+    std::size_t granted = 0;
+    for (dispatch::call_key number = 1; number <= 6; ++number)
+    {
+        // What calls have earned meanwhile.
+        this->state.retry_budgets["engines"].tokens += earned_each_time;
+        granted += this->add_cut(number) ? 1 : 0;
+    }
+    double const limit = retry_budget_limit(this->state, "engines", mono_now());
+    EXPECT_GT(granted, 0U);
+    EXPECT_LE(static_cast<double>(granted), limit);
+    EXPECT_EQ(this->state.dispatch.waiting.size(), granted);
+    this->only_upstream().avoid_until = {};
+    review_waiting(this->state);
+    EXPECT_EQ(this->state.dispatch.sends.size(), granted);
+    this->state.retry_budgets["engines"].tokens += earned_each_time;
+    EXPECT_TRUE(this->add_cut(7));
+}
+
 // Calls waited for engines until their deadline, though their callers had left
 // long before for want of output (GONE).
 TEST(output_deadline, a_stream_needs_output_before_its_caller_leaves)
