--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -236,7 +236,7 @@
 TEST(retry_budget, the_shares_of_many_gateways_are_within_the_reserve)
 {
     constexpr double reserve = 54;
-    for (std::uint32_t const gateways : {1, 4, 6, 18, 40, 103, 390})
+    for (std::uint32_t const gateways : {1U, 4U, 6U, 18U, 40U, 103U, 390U})
     {
         gateway_state state;
         state.settings.limits.retry_reserve = reserve;
--- a/jujubestand/retries/test/reserve_share_test.cpp
+++ b/jujubestand/retries/test/reserve_share_test.cpp
@@ -96,7 +96,7 @@
 {
     for (double const retries : {2.0, 25.5, 46.0, 209.0})
     {
-        for (std::uint32_t const processes : {3, 26, 40, 103, 390})
+        for (std::uint32_t const processes : {3U, 26U, 40U, 103U, 390U})
         {
             // Enough for all to have a turn.
             auto const duration =
