Keep nothing back before a gateway has its share of the reserve

Cause: what is kept back for begun answers was taken from what its own calls had earned, while the reserve that it is a part of was not there yet. Now nothing is kept back before.

--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -91,10 +91,11 @@
     options.budget_ratio = limits.retry_ratio * ratio_share;
     options.budget_limit =
         budget_limit_of(share, state, pool, now) - waiting_retries(state, pool);
-    options.budget_kept_back = kept_back_of(share);
+    options.filled_from = reserve_due_at(state);
+    options.budget_kept_back =
+        now < options.filled_from ? 0 : kept_back_of(share);
     options.budget_turn = share.turn;
     options.budget_per_second = 0;
-    options.filled_from = reserve_due_at(state);
     options.backoff_base = std::chrono::milliseconds{0};
     options.time_left_min = state.dispatch.limits.service_time_min;
     return options;
--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -252,6 +252,24 @@
     }
 }
 
+// Gateways that were restarted in series hardly retried: what was kept back for
+// begun answers came out of what their own calls had earned.
+TEST(retry_budget, a_young_gateway_uses_what_its_calls_earn)
+{
+    gateway_state state;
+    state.settings.limits.retry_ratio = 0.2;
+    state.retry_sharers.gateways = 3;
+    state.started_at = at(0);
+    constexpr int enough_for_one = 6;
+    for (int number = 0; number < enough_for_one; ++number)
+        record_call(state, "engines", at(100));
+    auto const call = stream_call();
+    EXPECT_EQ(try_acquire_retry(state, call, dispatch::send_outcome::cut),
+              reason_code::none);
+    EXPECT_EQ(try_acquire_retry(state, call, dispatch::send_outcome::cut),
+              reason_code::retry_budget_spent);
+}
+
 // A gateway that knew no list of gateways, or the short one of an agent that
 // has just started, took the whole reserve for its own (BUDGET).
 TEST(retry_budget, a_list_that_lacks_gateways_makes_no_share_larger)
