--- a/jujubestand/gateway/retries.hpp
+++ b/jujubestand/gateway/retries.hpp
@@ -13,7 +13,8 @@
 retry_options_of(gateway_state const& state, std::string const& pool,
                  mono_time now);
 
-/// \brief Retries that this gateway may hold for a pool, sent or waiting.
+/// \brief Maximum of the retry budget of a pool, with what granted retries that
+/// wait for an upstream take up.
 [[nodiscard]] double retry_budget_limit(gateway_state const& state,
                                         std::string const& pool, mono_time now);
 
--- a/jujubestand/jujubestand.hpp
+++ b/jujubestand/jujubestand.hpp
@@ -25,6 +25,7 @@
 #include <jujubestand/quarantine/evidence.hpp>
 #include <jujubestand/quarantine/strike.hpp>
 #include <jujubestand/retries/circuit.hpp>
+#include <jujubestand/retries/reserve_share.hpp>
 #include <jujubestand/retries/retry.hpp>
 
 #endif
--- a/jujubestand/retries/retry.cpp
+++ b/jujubestand/retries/retry.cpp
@@ -28,8 +28,8 @@
 void begin_turn(retry_budget& budget, retry_options const& options,
                 mono_time now)
 {
-    if (options.budget_turn == 0 || options.budget_turn == budget.turn ||
-        now < options.filled_from)
+    // A wall clock that is set back brings no turn again.
+    if (options.budget_turn <= budget.turn || now < options.filled_from)
         return;
     budget.turn = options.budget_turn;
     budget.tokens += 1.0;
--- a/jujubestand/retries/test/reserve_share_test.cpp
+++ b/jujubestand/retries/test/reserve_share_test.cpp
@@ -110,7 +110,7 @@
     }
 }
 
-// A restart in its turn brings no second retry.
+// Neither a restart nor a clock that is set back brings a second retry.
 TEST(reserve_share, a_turn_adds_its_retry_once)
 {
     retry_options options;
@@ -134,6 +134,9 @@
     EXPECT_FALSE(retries_at(restarted, mono_time{1h + 11s}));
     EXPECT_TRUE(retries_at(restarted, mono_time{1h + 13s}));
     EXPECT_TRUE(retries_at(budget, mono_time{1h + 13s}));
+    // The wall clock is set back.
+    options.budget_turn = 7;
+    EXPECT_FALSE(retries_at(budget, mono_time{1h + 14s}));
 }
 
 } // namespace jujubestand::retries
--- a/programs/test/faults_test.cpp
+++ b/programs/test/faults_test.cpp
@@ -80,19 +80,6 @@
             settle_time);
     }
 
-    /// \brief Most repeats that arrived within one window.
-    [[nodiscard]] std::size_t most_repeats() const
-    {
-        std::vector<mono_time> repeats;
-        for (auto const& [id, call] : this->calls)
-        {
-            if (call.arrivals.size() > 1)
-                repeats.insert(repeats.end(), call.arrivals.begin() + 1,
-                               call.arrivals.end());
-        }
-        return most_within(std::move(repeats), window);
-    }
-
     static constexpr std::size_t gateway_count = 3;
     static constexpr std::size_t service_count = 3;
     static constexpr std::size_t first_service = 200;
@@ -132,10 +119,11 @@
     EXPECT_GT(served, this->calls.size() / 4);
     auto const in_window = std::min(
         this->calls.size(), static_cast<std::size_t>(window / call_interval));
-    EXPECT_LE(static_cast<double>(this->most_repeats()),
+    EXPECT_LE(static_cast<double>(most_repeats(this->calls, window)),
               reserve + ratio * static_cast<double>(in_window));
     RecordProperty("calls", static_cast<int>(this->calls.size()));
-    RecordProperty("repeats", static_cast<int>(this->most_repeats()));
+    RecordProperty("repeats",
+                   static_cast<int>(most_repeats(this->calls, window)));
 }
 
 } // namespace jujubestand::programs::test
--- a/programs/test/many_gateways_test.cpp
+++ b/programs/test/many_gateways_test.cpp
@@ -73,18 +73,6 @@
         }
     }
 
-    [[nodiscard]] std::size_t most_repeats() const
-    {
-        std::vector<mono_time> repeats;
-        for (auto const& [id, call] : this->calls)
-        {
-            if (call.arrivals.size() > 1)
-                repeats.insert(repeats.end(), call.arrivals.begin() + 1,
-                               call.arrivals.end());
-        }
-        return most_within(std::move(repeats), window);
-    }
-
     /// \brief Plays, and checks that all gateways together keep the limit.
     void check_limit(std::size_t gateway_count)
     {
@@ -93,12 +81,13 @@
         this->play(play_time(usual_seconds));
         auto const in_window =
             static_cast<double>(window / call_interval) * ratio;
-        EXPECT_LE(static_cast<double>(this->most_repeats()),
+        EXPECT_LE(static_cast<double>(most_repeats(this->calls, window)),
                   reserve + in_window)
             << "seed " << this->seed;
-        EXPECT_GT(this->most_repeats(), 0U);
+        EXPECT_GT(most_repeats(this->calls, window), 0U);
         RecordProperty("calls", static_cast<int>(this->calls.size()));
-        RecordProperty("repeats", static_cast<int>(this->most_repeats()));
+        RecordProperty("repeats",
+                       static_cast<int>(most_repeats(this->calls, window)));
     }
 
     static constexpr std::size_t service_count = 3;
--- a/programs/test/repeat_counts.hpp
+++ b/programs/test/repeat_counts.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <jujubestand/core/time.hpp>
+#include <utility>
 #include <vector>
 
 namespace jujubestand::programs::test
@@ -24,6 +25,21 @@
     return most;
 }
 
+/// \brief Most arrivals beyond the first of each call within one window.
+/// \param calls rows of ids and calls with `arrivals`
+template <class Calls>
+std::size_t most_repeats(Calls const& calls, microseconds window)
+{
+    std::vector<mono_time> repeats;
+    for (auto const& [id, call] : calls)
+    {
+        if (call.arrivals.size() > 1)
+            repeats.insert(repeats.end(), call.arrivals.begin() + 1,
+                           call.arrivals.end());
+    }
+    return most_within(std::move(repeats), window);
+}
+
 } // namespace jujubestand::programs::test
 
 #endif
