Begin a retry budget with the whole share, however large

Cause: a budget began with 20, less than the quarter of the share that is kept back since. It now begins with more than any limit and is reduced to the one in force, which is what its comment says.

--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -188,11 +188,13 @@
     call->granted_at = mono_now();
     auto const dispatch_decision =
         dispatch::submit(state.dispatch, call->dispatch_call, call->granted_at);
+    auto const& pool = call->dispatch_call.pool;
     state.log->write(
         event_number::retry_scheduled, call->caller_request.request_id,
         {{"sends", static_cast<std::int64_t>(call->upstream_attempts)},
-         {"budget", static_cast<std::int64_t>(
-                        state.retry_budgets[call->dispatch_call.pool].tokens)},
+         {"budget", static_cast<std::int64_t>(std::min(
+                        state.retry_budgets[pool].tokens,
+                        retry_budget_limit(state, pool, call->granted_at)))},
          {"gateways",
           static_cast<std::int64_t>(state.retry_sharers.gateways)}});
     apply_decision(state, dispatch_decision);
--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -252,6 +252,26 @@
     }
 }
 
+// A gateway with a large share made no retry: its budget began with less than
+// what is kept back for begun answers.
+TEST(retry_budget, begins_with_the_whole_share_however_large)
+{
+    gateway_state state;
+    state.settings.limits.retry_ratio = 0;
+    state.settings.limits.retry_reserve = 1'000;
+    state.retry_sharers.gateways = 1;
+    auto call = stream_call();
+    int retries = 0;
+    while (try_acquire_retry(state, call, dispatch::send_outcome::cut) ==
+           reason_code::none)
+        ++retries;
+    EXPECT_GT(retries, 600);
+    EXPECT_LE(retries, 850);
+    call.is_response_started = true;
+    EXPECT_EQ(try_acquire_retry(state, call, dispatch::send_outcome::cut),
+              reason_code::none);
+}
+
 // Gateways that were restarted in series hardly retried: what was kept back for
 // begun answers came out of what their own calls had earned.
 TEST(retry_budget, a_young_gateway_uses_what_its_calls_earn)
--- a/jujubestand/retries/retry.hpp
+++ b/jujubestand/retries/retry.hpp
@@ -6,6 +6,7 @@
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
 #include <jujubestand/core/verdict.hpp>
+#include <limits>
 
 namespace jujubestand::retries
 {
@@ -44,7 +45,8 @@
 /// `retry_options::filled_from` is later.
 struct retry_budget
 {
-    double tokens = 20.0;
+    /// More than any limit: the first use reduces it to the limit in force.
+    double tokens = std::numeric_limits<double>::max();
     mono_time refilled_at;
     /// It is yet to be filled.
     bool awaits_filling = false;
