Play loads of engines without agents at gateways that have no retries

It says that a load which is ordered does not end the streams that run; so far no move was made only because budgets began with 20 of a share of 283 there, and moves leave half. The test states its condition: no retries at all. Its checks are unchanged, and stricter by that: a stream that the load ends can't be replaced unseen.

--- a/programs/test/unattended_engines_test.cpp
+++ b/programs/test/unattended_engines_test.cpp
@@ -187,9 +187,12 @@
     this->expect_served("third-");
 }
 
-// A load that is ordered does not end the streams that run.
+// A load that is ordered does not end the streams that run. Gateways have no
+// retries, so that they can't move them instead.
 TEST_F(unattended_engines, keep_their_streams_through_a_load)
 {
+    this->retry_reserve = 0;
+    this->retry_ratio = 0;
     this->start();
     this->miss_agents();
     for (auto const& engine : this->engines)
