Decide by the measured flow where the queue's discipline is useful_first

Cause: `submit` sends a new call past those that wait, and `decide_waiting` orders by priority and target alone and refuses 60 ms before the deadline. Expected waits come from a constant speed and the number of gateways.

Ruled out: changing the order for all deployments (those without quotas keep theirs); counting the engines' work for other gateways, which a gateway can't see; trying every waiting call in each review (126 waiting calls at 0.09 cores).

Added: `options::queue_discipline` (`by_target` by default) and `useful_first`, which uses the plan of the queue in both decisions: a new call is sent at once only if it comes first, at most 16 calls of a model are tried without success in a review, and room is kept for a large call that is owed. The time to the first output is measured at `on_first_output` and at the end of a send. `dispatch::call` has the team. Steps that both disciplines share are moved unchanged to decision_steps.*.

--- a/jujubestand/dispatch/dispatch.hpp
+++ b/jujubestand/dispatch/dispatch.hpp
@@ -19,6 +19,10 @@
 [[nodiscard]] std::vector<decision> decide_waiting(state& dispatcher,
                                                    mono_time now);
 
+/// \brief Sets how waiting calls are ordered and refused from now on; what was
+/// measured under the discipline before is dropped.
+void set_queue_discipline(state& dispatcher, queue_discipline discipline);
+
 /// \brief Whether a call that runs at an upstream could be sent to another one
 /// immediately.
 [[nodiscard]] bool has_alternative(state const& dispatcher, call const& request,
--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -9,6 +9,7 @@
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
 #include <jujubestand/dispatch/process_words.hpp>
+#include <jujubestand/dispatch/queue_flow.hpp>
 #include <jujubestand/limits/permit_holder.hpp>
 #include <jujubestand/limits/recent_count.hpp>
 #include <jujubestand/limits/upstream_limit.hpp>
@@ -122,6 +123,9 @@
     /// 0.1 s, may stand still: it gets no further calls for the time being.
     std::chrono::milliseconds quiet_limit{300};
     std::size_t waiting_limit = 2'000;
+    /// Set by `set_queue_discipline`.
+    dispatch::queue_discipline queue_discipline =
+        dispatch::queue_discipline::by_target;
 };
 
 /// \brief Latest report of an engine and the time that it describes.
@@ -142,6 +146,7 @@
 {
     call_key key = 0;
     std::string pool;
+    std::string team;
     /// Empty if the pool's upstreams are not model engines.
     std::optional<traffic::prompt> model_prompt;
     /// Owner of the cached parts: an isolated team, or the teams that share.
@@ -238,6 +243,8 @@
     std::uint64_t weights = 0;
     /// The process that it was sent to, as its record had it.
     process_id process{};
+    /// Of the call.
+    std::uint8_t priority = 0;
 };
 
 /// \brief State of one upstream as seen by this process.
@@ -323,6 +330,8 @@
     std::unordered_map<call_key, open_send> sends;
     words_table words;
     std::map<call_key, call> waiting;
+    /// By pool; empty under `queue_discipline::by_target`.
+    std::map<std::string, pool_flow> flows;
     /// Requested versions of each model, oldest first; at most one of them is
     /// older than `weights_lag`. Never empty.
     std::map<std::string, std::vector<wanted_version>> weights;
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <jujubestand/dispatch/failures.hpp>
 #include <jujubestand/dispatch/former_upstreams.hpp>
+#include <jujubestand/dispatch/useful_first.hpp>
 #include <jujubestand/placement/rendezvous.hpp>
 #include <utility>
 
@@ -338,17 +339,24 @@
 void on_first_output(state& dispatcher, call_key call)
 {
     auto const found = dispatcher.sends.find(call);
-    if (found != dispatcher.sends.end())
-        found->second.is_prefilling = false;
+    if (found == dispatcher.sends.end() || !found->second.is_prefilling)
+        return;
+    if (auto const* const target = find(dispatcher, found->second.upstream))
+        record_first_output(dispatcher, found->second, true,
+                            target->answered_at);
+    found->second.is_prefilling = false;
 }
 
 void on_send_end(state& dispatcher, call_key call, send_outcome outcome,
                  mono_time now)
 {
-    on_first_output(dispatcher, call);
     auto const found = dispatcher.sends.find(call);
     if (found == dispatcher.sends.end())
         return;
+    if (found->second.is_prefilling &&
+        (outcome == send_outcome::served || outcome == send_outcome::cancelled))
+        record_first_output(dispatcher, found->second,
+                            outcome == send_outcome::served, now);
     upstream* const target = find(dispatcher, found->second.upstream);
     auto const sent_at = found->second.sent_at;
     dispatcher.sends.erase(found);
