--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <jujubestand/dispatch/upstreams.hpp>
+#include <jujubestand/dispatch/useful_first.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
 #include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/crashes.hpp>
@@ -66,6 +67,7 @@
     dispatch::call result;
     result.key = key;
     result.pool = pool;
+    result.team = call.team.name;
     if (call.route.has_prompts)
         result.model_prompt = call.caller_request.asked;
     result.cache_owner =
@@ -208,7 +210,13 @@
                      call.caller_request.request_id,
                      {{"upstream", call.upstream}});
     if (call.upstream_call != http1::call_id{})
+    {
         record_unanswered(state, call);
+        if (state.dispatch.limits.queue_discipline ==
+            dispatch::queue_discipline::useful_first)
+            add_wasted_call(state.wasted,
+                            dispatch::tokens_of(call.dispatch_call));
+    }
     state.upstream_client->cancel(call.upstream_call);
     dispatch::on_send_end(state.dispatch, key,
                           dispatch::send_outcome::cancelled, mono_now());
@@ -226,6 +234,15 @@
     state.review_timer->start(review_interval);
 }
 
+void report_wasted_work(gateway_state& state)
+{
+    auto const work = take_wasted_work(state.wasted, mono_now());
+    if (work)
+        state.log->write(event_number::wasted_work, {},
+                         {{"calls", static_cast<std::int64_t>(work->calls)},
+                          {"tokens", static_cast<std::int64_t>(work->tokens)}});
+}
+
 void review_waiting(gateway_state& state)
 {
     if (state.dispatch.waiting.empty())
--- a/jujubestand/gateway/calls.hpp
+++ b/jujubestand/gateway/calls.hpp
@@ -23,6 +23,9 @@
 /// scheduled.
 void schedule_review(gateway_state& state);
 
+/// \brief Logs the calls whose callers left after the calls had been sent.
+void report_wasted_work(gateway_state& state);
+
 /// \brief Re-evaluates the dispatch decision of all waiting calls.
 void review_waiting(gateway_state& state);
 
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -234,6 +234,7 @@
     expire_origin_queries(state);
     review_crashes(state);
     review_limits(state);
+    report_wasted_work(state);
     review_software_history(state);
     query_agents(state);
     query_peers(state);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -13,6 +13,7 @@
 #include <jujubestand/gateway/route_pools.hpp>
 #include <jujubestand/gateway/software_history.hpp>
 #include <jujubestand/gateway/stream_origins.hpp>
+#include <jujubestand/gateway/wasted_work.hpp>
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <jujubestand/limits/permit_issuer.hpp>
@@ -181,6 +182,8 @@
     std::unique_ptr<follow::follower> quarantine_topic;
     crash_watch crashes;
     limit_exchange limits;
+    /// Under `queue_discipline::useful_first`.
+    wasted_work wasted;
     /// Status datagrams to and from agents and other gateways.
     std::unique_ptr<loop::datagrams> datagrams;
     /// Serves store records to other gateways.
