--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -194,6 +194,23 @@
             });
     }
 
+    /// \brief Whether a gateway has logged this event with a field.
+    /// \param field empty: any
+    bool has_logged(std::size_t gateway, std::string const& event,
+                    std::string const& field) const
+    {
+        std::ifstream file(this->gateways[gateway].process->output() + ".out");
+        for (std::string line; std::getline(file, line);)
+        {
+            line += ' ';
+            if (line.find(' ' + event + ' ') != std::string::npos &&
+                (field.empty() ||
+                 line.find(' ' + field + ' ') != std::string::npos))
+                return true;
+        }
+        return false;
+    }
+
     /// Limits of repeated sends; set before the first gateway starts.
     unsigned retry_reserve = 1'000;
     double retry_ratio = 0.2;
@@ -203,6 +220,8 @@
     std::string more_bounds;
     /// The store's address for a gateway by name, if it is not the store's own.
     std::map<std::string, address> store_addresses;
+    /// Words before the command of a gateway, by its name.
+    std::map<std::string, std::vector<std::string>> command_prefixes;
     std::vector<running_gateway> gateways;
     http1::client caller;
     standins::delays later{this->base.get()};
@@ -243,24 +262,14 @@
     {
         auto const path = (this->folder / gateway.name).string();
         std::ofstream(path + ".toml") << this->settings_of(gateway);
-        return std::make_unique<bench::child_process>(
-            std::vector<std::string>{JUJUBESTAND_BINARY_DIR "/jujubestand_node",
-                                     "gateway", "--settings", path + ".toml"},
-            path);
-    }
-
-    bool has_logged(std::size_t gateway, std::string const& event,
-                    std::string const& field) const
-    {
-        std::ifstream file(this->gateways[gateway].process->output() + ".out");
-        for (std::string line; std::getline(file, line);)
-        {
-            line += ' ';
-            if (line.find(' ' + event + ' ') != std::string::npos &&
-                line.find(' ' + field + ' ') != std::string::npos)
-                return true;
-        }
-        return false;
+        auto const prefix = this->command_prefixes.find(gateway.name);
+        auto command = prefix == this->command_prefixes.end()
+                           ? std::vector<std::string>{}
+                           : prefix->second;
+        command.insert(command.end(),
+                       {JUJUBESTAND_BINARY_DIR "/jujubestand_node", "gateway",
+                        "--settings", path + ".toml"});
+        return std::make_unique<bench::child_process>(std::move(command), path);
     }
 };
 
