--- a/jujubestand/core/reason.cpp
+++ b/jujubestand/core/reason.cpp
@@ -3,7 +3,7 @@
 namespace jujubestand
 {
 
-std::array<enum_name<reason_code>, 64> const reason_names{{
+std::array<enum_name<reason_code>, 65> const reason_names{{
     {reason_code::none, "none"},
     {reason_code::malformed_request, "malformed_request"},
     {reason_code::body_too_large, "body_too_large"},
@@ -48,6 +48,7 @@
     {reason_code::answer_out_of_order, "answer_out_of_order"},
     {reason_code::answer_incomplete, "answer_incomplete"},
     {reason_code::answer_too_large, "answer_too_large"},
+    {reason_code::status_invalid, "status_invalid"},
     {reason_code::tables_stale, "tables_stale"},
     {reason_code::tables_missing, "tables_missing"},
     {reason_code::edit_conflict, "edit_conflict"},
--- a/jujubestand/core/reason.hpp
+++ b/jujubestand/core/reason.hpp
@@ -68,6 +68,7 @@
     answer_out_of_order = 506,
     answer_incomplete = 507,
     answer_too_large = 508,
+    status_invalid = 509,
 
     // Configuration and orders.
     tables_stale = 600,
@@ -103,7 +104,7 @@
 };
 
 /// \brief Names of the reasons, stable for scripts.
-extern std::array<enum_name<reason_code>, 64> const reason_names;
+extern std::array<enum_name<reason_code>, 65> const reason_names;
 
 /// \brief Name of a reason.
 [[nodiscard]] std::string_view to_name(reason_code code) noexcept;
--- a/jujubestand/http/client.cpp
+++ b/jujubestand/http/client.cpp
@@ -7,6 +7,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <jujubestand/core/byte_ledger.hpp>
+#include <jujubestand/http/response_end.hpp>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
@@ -65,10 +66,13 @@
         std::size_t received_bytes = 0;
         /// What the owner keeps of it.
         std::size_t kept_bytes = 0;
+        bool has_status = false;
         bool has_head = false;
         bool has_sent = false;
         bool is_over = false;
         bool is_cancelled = false;
+        /// The server had received all of it when the connection was closed.
+        bool is_request_received = true;
         exchange_end end;
     };
 
@@ -112,7 +116,9 @@
         row.received_bytes += info->n_added;
         if (row.is_over)
             return;
-        if (!row.owner->is_within_limits(row, unparsed))
+        if (!row.has_status && !check_status(row, input))
+            row.owner->end_invalid(row);
+        else if (!row.owner->is_within_limits(row, unparsed))
             row.owner->end_too_large(row, "answer without end");
         else
         {
@@ -127,6 +133,21 @@
         this->finish(row, false);
     }
 
+    // While its first line is not whole, the input begins with it.
+    static bool check_status(exchange& row, evbuffer* input)
+    {
+        auto const is_valid = has_valid_status(input);
+        row.has_status = is_valid == true;
+        return is_valid != false;
+    }
+
+    void end_invalid(exchange& row)
+    {
+        row.end.why =
+            reason{reason_code::status_invalid, "no status of HTTP", {}};
+        this->finish(row, false);
+    }
+
     void end_excess()
     {
         for (auto const id : this->kept.excess())
@@ -177,12 +198,21 @@
                 reason{reason_code::upstream_read_cut, "connection cut", {}};
     }
 
+    static void on_closing(evhttp_connection* connection, void* argument)
+    {
+        auto& row = *static_cast<exchange*>(argument);
+        row.is_request_received = is_acknowledged(connection);
+    }
+
     static void on_done(evhttp_request* handle, void* argument)
     {
         auto& row = *static_cast<exchange*>(argument);
-        bool const is_whole = handle != nullptr && row.has_head &&
-                              row.end.why.code == reason_code::none &&
-                              evhttp_request_get_response_code(handle) != 0;
+        if (row.is_over)
+            return;
+        bool const is_whole =
+            handle != nullptr && row.has_head &&
+            row.end.why.code == reason_code::none &&
+            (row.is_request_received || !ends_by_close(handle));
         row.owner->finish(row, is_whole);
     }
 
@@ -248,6 +278,7 @@
         evbuffer_add_cb(bufferevent_get_output(buffer), on_sent, &row);
         evbuffer_add_cb(bufferevent_get_input(buffer), on_received, &row);
         evhttp_connection_set_retries(connection, 0);
+        evhttp_connection_set_closecb(connection, on_closing, &row);
         evhttp_connection_set_max_headers_size(
             connection,
             static_cast<ev_ssize_t>(this->options.header_limit_bytes));
--- a/jujubestand/http1/client_state.hpp
+++ b/jujubestand/http1/client_state.hpp
@@ -90,6 +90,8 @@
     void on_input(connection_id id);
     bool take_answer(connection_id id);
     void on_close(connection_id id, short what);
+    [[nodiscard]] static bool is_completed_by_close(connection& closed,
+                                                    short what);
     void set_kept(call_id id, kept_bytes const& kept);
     void end_excess();
     void end_call(call_id id, call_end const& end);
--- a/jujubestand/platform/http_client.cpp
+++ b/jujubestand/platform/http_client.cpp
@@ -2,6 +2,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <jujubestand/http/response_end.hpp>
 #include <jujubestand/platform/http_client.hpp>
 #include <jujubestand/platform/libevent.hpp>
 #include <limits>
@@ -22,6 +23,8 @@
 {
     void operator()(evhttp_connection* owned) const noexcept
     {
+        // Its owner may be on its way out.
+        evhttp_connection_set_closecb(owned, nullptr, nullptr);
         evhttp_connection_free(owned);
     }
 };
@@ -51,8 +54,11 @@
     return text;
 }
 
-reason reason_of(std::optional<evhttp_request_error> error, bool sent)
+reason reason_of(std::optional<evhttp_request_error> error, bool sent,
+                 bool has_invalid_status)
 {
+    if (has_invalid_status)
+        return {reason_code::status_invalid, "no status of HTTP", {}};
     if (error == EVREQ_HTTP_TIMEOUT)
         return {reason_code::upstream_timeout, "no whole answer in time", {}};
     if (error == EVREQ_HTTP_DATA_TOO_LONG)
@@ -92,6 +98,10 @@
         std::optional<evhttp_request_error> error;
         bool sent = false;
         std::size_t input_limit_bytes = 0;
+        /// The server had received all of it when the connection was closed.
+        bool is_request_received = true;
+        bool has_status = false;
+        bool has_invalid_status = false;
     };
 
     event_base* base = nullptr;
@@ -106,6 +116,7 @@
 
     static void on_done(evhttp_request* answer, void* argument);
     static void on_error(evhttp_request_error error, void* argument);
+    static void on_closing(evhttp_connection* connection, void* argument);
     static void on_output(evbuffer* buffer, evbuffer_cb_info const* info,
                           void* argument);
     static void on_input(evbuffer* buffer, evbuffer_cb_info const* info,
@@ -134,7 +145,8 @@
         return;
     result.may_have_sent = found->sent;
     if (result.status == 0)
-        result.why = reason_of(found->error, found->sent);
+        result.why =
+            reason_of(found->error, found->sent, found->has_invalid_status);
     this->moved_bytes += result.body.size();
     http_callback const done = std::move(found->done);
     this->retire(id);
@@ -153,16 +165,29 @@
 void http_client::state::on_done(evhttp_request* answer, void* argument)
 {
     auto const* held = static_cast<context*>(argument);
-    call const* found = held->owner->calls.find(held->id);
+    call* found = held->owner->calls.find(held->id);
     if (found == nullptr)
         return;
     http_result result;
-    if (answer != nullptr && !found->error &&
-        evhttp_request_get_response_code(answer) > 0)
-        read_answer(answer, result);
+    if (answer != nullptr && !found->error)
+    {
+        bool const is_whole =
+            found->is_request_received || !http::ends_by_close(answer);
+        if (is_whole)
+            read_answer(answer, result);
+    }
     held->owner->finish(held->id, std::move(result));
 }
 
+void http_client::state::on_closing(evhttp_connection* connection,
+                                    void* argument)
+{
+    auto const* held = static_cast<context*>(argument);
+    call* found = held->owner->calls.find(held->id);
+    if (found != nullptr)
+        found->is_request_received = http::is_acknowledged(connection);
+}
+
 void http_client::state::on_error(evhttp_request_error error, void* argument)
 {
     auto const* held = static_cast<context*>(argument);
@@ -192,11 +217,21 @@
 {
     auto const* held = static_cast<context*>(argument);
     call* found = held->owner->calls.find(held->id);
-    if (found == nullptr || found->error ||
-        evbuffer_get_length(buffer) <= found->input_limit_bytes)
+    if (found == nullptr || found->error)
         return;
-    found->error = EVREQ_HTTP_DATA_TOO_LONG;
-    event_active(found->timer.get(), EV_TIMEOUT, 0);
+    if (!found->has_status)
+    {
+        // While its first line is not whole, the input begins with it.
+        auto const is_valid = http::has_valid_status(buffer);
+        found->has_status = is_valid == true;
+        found->has_invalid_status = is_valid == false;
+    }
+    if (found->has_invalid_status)
+        found->error = EVREQ_HTTP_INVALID_HEADER;
+    else if (evbuffer_get_length(buffer) > found->input_limit_bytes)
+        found->error = EVREQ_HTTP_DATA_TOO_LONG;
+    if (found->error)
+        event_active(found->timer.get(), EV_TIMEOUT, 0);
 }
 
 void http_client::state::on_timeout(evutil_socket_t /*socket*/, short /*what*/,
@@ -252,6 +287,7 @@
         request.server.port));
     evhttp_connection* const raw = connection.get();
     evhttp_connection_set_retries(raw, 0);
+    evhttp_connection_set_closecb(raw, state::on_closing, argument);
     evhttp_connection_set_max_headers_size(raw, header_limit_bytes);
     evhttp_connection_set_max_body_size(
         raw, static_cast<ev_ssize_t>(request.answer_limit_bytes));
--- a/jujubestand/sidecar/answers.cpp
+++ b/jujubestand/sidecar/answers.cpp
@@ -188,6 +188,11 @@
             this->finish_whole(id);
         return;
     }
+    if (end.why.code == reason_code::status_invalid)
+    {
+        this->fail_answer(id, end.why);
+        return;
+    }
     auto point = failure_point::upstream_connect_refused;
     if (end.may_have_sent)
         point = end.why.code == reason_code::upstream_timeout
