--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -10,7 +10,14 @@
 # Tests of the programs start these among stand-ins.
 add_library(programs_support INTERFACE)
 target_link_libraries(programs_support INTERFACE bench_support)
-set(programs_programs jujubestand_node)
+set(programs_programs jujubestand_node clock_step)
+# Preloaded into a process, so that no sanitizer may be in it.
+add_library(clock_step MODULE
+    ${PROJECT_SOURCE_DIR}/programs/test/preload/clock_step.cpp)
+target_compile_options(clock_step PRIVATE -fno-sanitize=all)
+target_link_options(clock_step PRIVATE -fno-sanitize=all)
+target_compile_definitions(programs_support INTERFACE
+    JUJUBESTAND_CLOCK_STEP="$<TARGET_FILE:clock_step>")
 foreach(folder ${test_folders})
     file(GLOB test_sources CONFIGURE_DEPENDS
         ${PROJECT_SOURCE_DIR}/${folder}/test/*.cpp)
