--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -10,6 +10,7 @@
 #include <jujubestand/node/memory_limits.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
+#include <random>
 #include <unistd.h>
 
 namespace jujubestand::agent
@@ -144,8 +145,10 @@
     log.write(event_number::process_started, {},
               {{"role", "agent"}, {"name", state.settings.name}});
     state.report_timer->start_every(report_interval);
-    status::begin(state.cache, static_cast<std::uint64_t>(
-                                   wall_now().time_since_epoch().count()));
+    std::random_device device;
+    std::uint64_t const high = device();
+    status::begin(state.cache,
+                  status::first_generation((high << 32U) | device()));
     request_cache_events(state);
     acquire_fence(state);
     event_base_dispatch(base);
--- a/jujubestand/agent/call_limit.cpp
+++ b/jujubestand/agent/call_limit.cpp
@@ -14,6 +14,7 @@
     limits::limit_record record;
     record.upstream = upstream_id{state.upstream};
     record.incarnation = incarnation_id{state.upstream_incarnation};
+    record.sent_at_ms = wall_now().time_since_epoch().count();
     record.is_named = !state.limit->ended_at;
     record.calls_per_second = state.limit->calls_per_second;
     record.stated_at_ms = state.limit->stated_at.time_since_epoch().count();
--- a/jujubestand/core/time.hpp
+++ b/jujubestand/core/time.hpp
@@ -34,12 +34,14 @@
         std::chrono::nanoseconds{now.tv_nsec})};
 }
 
-/// \brief Reads the wall clock; for shells and programs only.
-[[nodiscard]] inline wall_time wall_now() noexcept
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
+/// \brief Time of day for decisions; for shells and programs only. It follows
+/// the machine's wall clock slowly, so that a step of that clock changes no age
+/// (docs/design/clocks.md).
+[[nodiscard]] wall_time wall_now() noexcept;
+
+/// \brief Reads the machine's wall clock, for lines that people compare with
+/// those of other machines.
+[[nodiscard]] wall_time machine_wall_now() noexcept;
 
 /// \brief A number of microseconds, less its fraction.
 [[nodiscard]] constexpr microseconds scaled(double microseconds_count) noexcept
--- a/jujubestand/dispatch/process_words.cpp
+++ b/jujubestand/dispatch/process_words.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <jujubestand/core/wall_clock.hpp>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -49,6 +50,15 @@
 
 } // namespace
 
+void check_clock(words_table& table, std::uint64_t born_ms, wall_time wall_now)
+{
+    /// Clocks that are kept differ by less.
+    constexpr std::chrono::milliseconds difference_min{250};
+    wall_time const born{std::chrono::milliseconds{born_ms}};
+    if (born > wall_now + difference_min)
+        table.clock_tolerance = clock_tolerance;
+}
+
 // The process before had ended when this one started. Clocks that differ may
 // prolong a pause of the one before, which costs less than a pause not kept.
 void record_process(words_table& table, process_id const& process)
@@ -59,7 +69,7 @@
         return;
     auto const before = find_words(table, *last);
     wall_time const born{std::chrono::milliseconds{process.born_ms}};
-    if (before.pause_stated_at < born)
+    if (before.pause_stated_at + table.clock_tolerance < born)
         return;
     words.paused_until = before.paused_until;
     words.pause_stated_at = before.pause_stated_at;
--- a/jujubestand/dispatch/process_words.hpp
+++ b/jujubestand/dispatch/process_words.hpp
@@ -39,8 +39,15 @@
 {
     std::map<process_id, process_words> rows;
     std::uint64_t last_number = 0;
+    /// By how much this gateway's clock may be behind those by which upstreams
+    /// state their start; 0 while nothing shows that it is.
+    std::chrono::milliseconds clock_tolerance{0};
 };
 
+/// \brief Compares the clock of this gateway with a start that a record states:
+/// one in the future shows that the clocks differ.
+void check_clock(words_table& table, std::uint64_t born_ms, wall_time wall_now);
+
 /// \brief Records that a process has been named by a record of its upstream. A
 /// pause that was asked for since its start, while an older record named the
 /// upstream, is its own.
--- a/jujubestand/dispatch/test/pauses_test.cpp
+++ b/jujubestand/dispatch/test/pauses_test.cpp
@@ -151,6 +151,25 @@
     EXPECT_EQ(available_count(dispatcher, "engines", at(2'999)), 1U);
 }
 
+// A pause that the latest process had asked for ended with its record, at a
+// gateway whose clock was 5 s behind.
+TEST(pauses, a_clock_that_is_behind_ends_no_pause)
+{
+    constexpr int behind = 5'000;
+    constexpr int born = 60'000;
+    auto dispatcher = fleet(1);
+    on_pause_stated(dispatcher, engine(dispatcher, 1).key,
+                    std::chrono::milliseconds{3'000},
+                    wall_at(born + 1'000 - behind), at(0));
+    auto restarted = engine_record(1);
+    restarted.born_ms = born;
+    check_clock(dispatcher.words, restarted.born_ms,
+                wall_at(born + 1'500 - behind));
+    on_upstream_record(dispatcher, restarted);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(2'999)), 0U);
+    EXPECT_EQ(available_count(dispatcher, "engines", at(3'001)), 1U);
+}
+
 // Calls waited until their deadline for a pool that paused.
 TEST(pauses, a_call_is_refused_if_the_whole_pool_pauses_for_too_long)
 {
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -172,6 +172,7 @@
     if (is_known && state.dispatch.upstreams.at(known->second).record.born_ms <
                         record->born_ms)
         record_upstream_end(state, known->second);
+    dispatch::check_clock(state.dispatch.words, record->born_ms, wall_now());
     bool const is_new = dispatch::on_upstream_record(state.dispatch, *record);
     if (is_new)
         state.log->write(event_number::member_live, {},
--- a/jujubestand/gateway/call_limits.cpp
+++ b/jujubestand/gateway/call_limits.cpp
@@ -248,6 +248,14 @@
            now - last->second >= interval;
 }
 
+void convert(gateway_state& state, address const& sender,
+             limits::limit_record& record)
+{
+    to_own_clock(record,
+                 clock_difference(state.clocks, sender.host, record.sent_at_ms,
+                                  wall_now(), mono_now()));
+}
+
 // What was issued before a pause may have been issued by another gateway since.
 void reset_after_pause(gateway_state& state, mono_time now)
 {
@@ -353,18 +361,26 @@
 void on_limit_datagram(gateway_state& state, address const& sender,
                        std::string_view bytes)
 {
-    if (auto const notice = status::from_datagram<status::limit_notice>(bytes))
+    if (auto notice = status::from_datagram<status::limit_notice>(bytes))
+    {
+        convert(state, sender, notice->limit);
         apply_record(state, notice->limit);
+    }
     else if (status::from_datagram<status::limit_query>(bytes))
         on_limit_query(state, sender);
     else if (status::from_datagram<status::limit_response>(bytes))
         on_limit_response(state, sender);
-    else if (auto const query =
-                 status::from_datagram<status::permit_query>(bytes))
+    else if (auto query = status::from_datagram<status::permit_query>(bytes))
+    {
+        convert(state, sender, query->request.limit);
         on_permit_query(state, sender, query->request);
-    else if (auto const response =
+    }
+    else if (auto response =
                  status::from_datagram<status::permit_response>(bytes))
+    {
+        convert(state, sender, response->answer.limit);
         on_permit_response(state, response->answer);
+    }
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/crashes.cpp
+++ b/jujubestand/gateway/crashes.cpp
@@ -7,6 +7,7 @@
 #include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/quarantine_records.hpp>
 #include <jujubestand/gateway/sends.hpp>
+#include <jujubestand/quarantine/clock_alignment.hpp>
 #include <jujubestand/status/messages.hpp>
 
 namespace jujubestand::gateway
@@ -39,6 +40,7 @@
 {
     status::crash_notice notice;
     notice.evidence = evidence;
+    notice.sent_at_ms = wall_now().time_since_epoch().count();
     for (auto const& [fingerprint, until] : state.crashes.evidence.culprits)
         notice.culprits.push_back(fingerprint);
     auto const datagram = status::to_datagram(notice);
@@ -231,33 +233,6 @@
 
 } // namespace
 
-std::vector<quarantine::suspect_key> suspect_keys_of(active_call const& call)
-{
-    std::vector<quarantine::suspect_key> keys;
-    std::string content;
-    append_part(content, call.caller_request.method);
-    append_part(content, call.caller_request.target);
-    append_part(content, call.caller_request.body);
-    if (auto const& prompt = call.caller_request.asked)
-    {
-        append_part(content, prompt->model);
-        std::uint8_t depth = 0;
-        for (std::size_t at = 0; at < prompt->parts.size(); ++at)
-        {
-            auto const id = prompt->parts[at].id;
-            append_part(content, std::to_string(id));
-            bool const is_own = at + 1 == prompt->parts.size();
-            if (!is_own && depth < quarantine::whole_request_depth)
-                keys.push_back({quarantine::fingerprint_of_part(id), depth++});
-        }
-    }
-    keys.push_back(
-        {quarantine::fingerprint_of(team_id{call.team.name},
-                                    route_id{call.route.name}, content),
-         quarantine::whole_request_depth});
-    return keys;
-}
-
 void record_output(gateway_state& state, active_call& call)
 {
     auto const now = mono_now();
@@ -381,14 +356,18 @@
     announce(state, now);
 }
 
-void on_crash_datagram(gateway_state& state, std::string_view bytes)
+void on_crash_datagram(gateway_state& state, address const& sender,
+                       std::string_view bytes)
 {
     auto const notice = status::from_datagram<status::crash_notice>(bytes);
     if (!notice)
         return;
-    apply_notice(state, notice->evidence);
-    auto const until =
-        wall_now() + state.crashes.evidence.strikes.options.lifetime;
+    auto const now = wall_now();
+    auto const difference = clock_difference(
+        state.clocks, sender.host, notice->sent_at_ms, now, mono_now());
+    apply_notice(state, quarantine::by_own_clock(state.crashes.evidence.strikes,
+                                                 notice->evidence, difference));
+    auto const until = now + state.crashes.evidence.strikes.options.lifetime;
     for (auto const& fingerprint : notice->culprits)
         apply_culprit(state, fingerprint, until, "gateway");
 }
--- a/jujubestand/gateway/crashes.hpp
+++ b/jujubestand/gateway/crashes.hpp
@@ -40,7 +40,8 @@
 void review_crashes(gateway_state& state);
 
 /// \brief Handles a crash notice of another gateway.
-void on_crash_datagram(gateway_state& state, std::string_view bytes);
+void on_crash_datagram(gateway_state& state, address const& sender,
+                       std::string_view bytes);
 
 /// \brief Applies evidence of another gateway.
 void apply_notice(gateway_state& state, quarantine::notice const& evidence);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -143,7 +143,7 @@
             on_engine_notice(state, sender, bytes);
             on_peer_datagram(state, sender, bytes);
             on_origin_datagram(state, sender, bytes);
-            on_crash_datagram(state, bytes);
+            on_crash_datagram(state, sender, bytes);
             on_limit_datagram(state, sender, bytes);
         });
 }
--- a/jujubestand/gateway/limit_records.hpp
+++ b/jujubestand/gateway/limit_records.hpp
@@ -13,6 +13,11 @@
 [[nodiscard]] limits::limit_record record_of(dispatch::upstream const& target,
                                              mono_time now);
 
+/// \brief Converts the time of a record of another process.
+/// \param difference by which this process's clock is ahead of the other's
+void to_own_clock(limits::limit_record& record,
+                  std::chrono::milliseconds difference);
+
 /// \brief Whether a record of another process can be used.
 [[nodiscard]] bool is_valid(limits::limit_record const& record);
 
--- a/jujubestand/gateway/part_stores.cpp
+++ b/jujubestand/gateway/part_stores.cpp
@@ -71,9 +71,8 @@
     auto const name = to_text(where);
     auto& watched = state.watched_stores[name];
     if (watched.cache.generation == 0)
-        status::begin(
-            watched.cache,
-            static_cast<std::uint64_t>(wall_now().time_since_epoch().count()));
+        status::begin(watched.cache,
+                      status::first_generation(state.random_engine()));
     watched.is_poll_in_flight = true;
     auto request =
         platform::cache_events_request(where, watched.cache.next, events_wait);
--- a/jujubestand/gateway/quarantine_records.cpp
+++ b/jujubestand/gateway/quarantine_records.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/placement/rendezvous.hpp>
+#include <jujubestand/quarantine/clock_alignment.hpp>
 #include <jujubestand/quarantine/crash_records.hpp>
 #include <platform/names.hpp>
 
@@ -171,7 +172,9 @@
     reason why;
     auto const stored = quarantine::unpack(row.value, why);
     if (stored)
-        apply_notice(state, *stored);
+        apply_notice(state,
+                     quarantine::stored_by_own_clock(
+                         state.crashes.evidence.strikes, *stored, wall_now()));
     else
         reject(state, row, "not a crash");
 }
--- a/jujubestand/gateway/retries.cpp
+++ b/jujubestand/gateway/retries.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <jujubestand/core/wall_clock.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/sends.hpp>
@@ -28,6 +29,11 @@
     reserve.window = state.settings.limits.retry_window;
     reserve.processes = state.retry_sharers.gateways;
     reserve.position = state.retry_sharers.position;
+    // A process whose clock differs makes one retry too many in a window. What
+    // is left of the reserve has room for that, unless the reserve is small.
+    double const left = state.settings.limits.retry_reserve - reserve.retries;
+    if (left < 1)
+        reserve.clock_tolerance = clock_tolerance;
     return reserve;
 }
 
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <jujubestand/core/verdict.hpp>
+#include <jujubestand/core/wall_clock.hpp>
 #include <jujubestand/dispatch/dispatch.hpp>
 #include <jujubestand/follow/follower.hpp>
 #include <jujubestand/follow/lapses.hpp>
@@ -180,6 +181,8 @@
     /// Culprits and crashes, so that a restart forgets none.
     std::unique_ptr<follow::follower> quarantine_topic;
     crash_watch crashes;
+    /// Wall clocks of the processes that send datagrams with times.
+    peer_clocks clocks;
     limit_exchange limits;
     /// Status datagrams to and from agents and other gateways.
     std::unique_ptr<loop::datagrams> datagrams;
--- a/jujubestand/limits/permit_messages.hpp
+++ b/jujubestand/limits/permit_messages.hpp
@@ -18,9 +18,13 @@
     double calls_per_second = 0;
     /// Wall clock of the process that received it from the upstream.
     std::int64_t stated_at_ms = 0;
+    /// Wall clock of the sender; 0 in records of older versions.
+    std::int64_t sent_at_ms = 0;
+    /// Not sent: `stated_at_ms` was converted to the receiver's clock.
+    bool is_converted = false;
 
     MSGPACK_DEFINE_ARRAY(upstream, incarnation, is_named, calls_per_second,
-                         stated_at_ms)
+                         stated_at_ms, sent_at_ms)
 };
 
 /// \brief Request of a gateway, or of an upstream's agent, for permits to send
--- a/jujubestand/limits/test/upstream_limit_test.cpp
+++ b/jujubestand/limits/test/upstream_limit_test.cpp
@@ -84,6 +84,23 @@
               limit_change::altered);
 }
 
+// Two processes with clocks that differ told each other an older limit, which
+// grew newer with each message than the one that was named since.
+TEST(upstream_limit, a_converted_report_of_what_is_known_makes_it_no_newer)
+{
+    std::optional<upstream_limit> known;
+    on_own_statement(known, names(10, 0), at(0));
+    for (int ms = 10; ms < 500; ms += 10)
+        EXPECT_EQ(on_reported_statement(known, {10.0, wall(ms), true}, wall(ms),
+                                        at(ms)),
+                  limit_change::none);
+    EXPECT_EQ(on_reported_statement(known, names(5, 450), wall(500), at(500)),
+              limit_change::altered);
+    EXPECT_EQ(on_reported_statement(known, {std::nullopt, wall(600), true},
+                                    wall(600), at(600)),
+              limit_change::ended);
+}
+
 TEST(upstream_limit, rises_step_by_step_after_its_end)
 {
     std::optional<upstream_limit> known;
--- a/jujubestand/limits/upstream_limit.cpp
+++ b/jujubestand/limits/upstream_limit.cpp
@@ -43,6 +43,12 @@
     return is_altered ? limit_change::altered : limit_change::none;
 }
 
+bool is_same(upstream_limit const& known, statement const& stated)
+{
+    return known.ended_at ? !stated.calls_per_second
+                          : stated.calls_per_second == known.calls_per_second;
+}
+
 } // namespace
 
 limit_change on_own_statement(std::optional<upstream_limit>& known,
@@ -58,6 +64,10 @@
     stated.stated_at = std::min(stated.stated_at, wall_now);
     if (known && stated.stated_at <= known->stated_at)
         return limit_change::none;
+    // What two processes tell each other again and again would otherwise grow
+    // newer with each message.
+    if (known && stated.is_converted && is_same(*known, stated))
+        return limit_change::none;
     return apply(known, stated, now);
 }
 
--- a/jujubestand/limits/upstream_limit.hpp
+++ b/jujubestand/limits/upstream_limit.hpp
@@ -32,6 +32,9 @@
     std::optional<double> calls_per_second;
     /// When it was received from the upstream.
     wall_time stated_at{};
+    /// The time was converted from a clock that differs, and is later than the
+    /// true one by the time that the message took.
+    bool is_converted = false;
 };
 
 /// \brief How a statement changes what is known.
--- a/jujubestand/logs/log.cpp
+++ b/jujubestand/logs/log.cpp
@@ -105,10 +105,10 @@
     {
         auto const count = static_cast<std::int64_t>(this->rate.dropped);
         this->rate.dropped = 0;
-        this->put(to_line(wall_now(), event_number::lines_dropped, {},
+        this->put(to_line(machine_wall_now(), event_number::lines_dropped, {},
                           {{"count", count}}));
     }
-    this->put(to_line(wall_now(), number, request, fields));
+    this->put(to_line(machine_wall_now(), number, request, fields));
 }
 
 // The descriptor may be shared, so it stays in blocking mode; a reader that
--- a/jujubestand/retries/reserve_share.hpp
+++ b/jujubestand/retries/reserve_share.hpp
@@ -18,6 +18,8 @@
     std::uint32_t processes = 0;
     /// Of this process in an order that all of them share, from 0.
     std::uint32_t position = 0;
+    /// Most by which the wall clocks of two processes differ.
+    std::chrono::milliseconds clock_tolerance{0};
 };
 
 /// \brief What one process may use of a shared reserve now.
@@ -30,8 +32,8 @@
 };
 
 /// \brief The share of a process. Where there are more processes than retries,
-/// some have a whole retry for a window each, in turns by the wall clock, and
-/// the others none.
+/// some have a whole retry for a turn each, by the wall clock, and the others
+/// none. A turn takes a window and the clock tolerance.
 [[nodiscard]] reserve_share share_of(shared_reserve const& reserve,
                                      wall_time now);
 
--- a/jujubestand/retries/test/reserve_share_test.cpp
+++ b/jujubestand/retries/test/reserve_share_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <gtest/gtest.h>
 #include <jujubestand/retries/reserve_share.hpp>
 #include <jujubestand/retries/retry.hpp>
@@ -110,6 +111,40 @@
     }
 }
 
+// Where clocks differed by 5 s, the retries of three turns could come within
+// one window: late ones by a clock that is behind and early ones by one ahead.
+TEST(reserve_share, holds_in_any_window_where_clocks_differ)
+{
+    constexpr std::chrono::milliseconds tolerance{5'000};
+    for (double const retries : {2.0, 4.0, 24.0, 46.0})
+    {
+        auto const holders = static_cast<std::uint32_t>(retries / 2);
+        auto const processes = 3 * holders;
+        for (auto start = window; start < 6 * window; start += step)
+        {
+            std::size_t retried = 0;
+            for (std::uint32_t at = 0; at < processes; ++at)
+            {
+                // Groups have turns in the order 0, 2, 1.
+                constexpr std::array ahead{0ms, 5'000ms, 2'500ms};
+                auto reserve = reserve_of(retries, processes, at);
+                reserve.clock_tolerance = tolerance;
+                std::set<std::uint64_t> turns;
+                for (auto time = start; time < start + window; time += step)
+                {
+                    auto const share = share_of(
+                        reserve, wall_time{time + ahead.at(at / holders)});
+                    if (share.retries > 0)
+                        turns.insert(share.turn);
+                }
+                retried += turns.size();
+            }
+            EXPECT_LE(static_cast<double>(retried), retries)
+                << start.count() << ' ' << retries;
+        }
+    }
+}
+
 // Neither a restart nor a clock that is set back brings a second retry.
 TEST(reserve_share, a_turn_adds_its_retry_once)
 {
--- a/jujubestand/status/cache_view.hpp
+++ b/jujubestand/status/cache_view.hpp
@@ -80,6 +80,16 @@
     std::uint64_t next = 0;
 };
 
+/// \brief A generation for the start of a view, from random bits: earlier runs
+/// of the process, and other processes, have not reached it, whatever the wall
+/// clock.
+[[nodiscard]] constexpr std::uint64_t
+first_generation(std::uint64_t random_bits) noexcept
+{
+    // Leaves room to count on.
+    return 1 + (random_bits >> 1U);
+}
+
 /// \brief Starts a view at a generation that no earlier run of the process has
 /// reached, so that copies of an earlier run are recognized as such.
 void begin(cache_view& view, std::uint64_t generation);
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -226,8 +226,10 @@
     std::uint32_t format = format_version;
     quarantine::notice evidence;
     std::vector<digest> culprits;
+    /// Wall clock of the sender; 0 in notices of older versions.
+    std::int64_t sent_at_ms = 0;
 
-    MSGPACK_DEFINE_ARRAY(format, evidence, culprits)
+    MSGPACK_DEFINE_ARRAY(format, evidence, culprits, sent_at_ms)
 };
 
 /// \brief Notice of a gateway on the limit of an upstream.
