--- a/jujubestand/process/daemon.cpp
+++ b/jujubestand/process/daemon.cpp
@@ -31,6 +31,7 @@
     duty work;
     event* terminate = nullptr;
     event* interrupt = nullptr;
+    event* hangup = nullptr;
     std::unique_ptr<loop::timer> drain_check;
     mono_time drain_began{};
     bool is_draining = false;
@@ -89,6 +90,14 @@
     process.drain_check->start_every(drain_check_period);
 }
 
+// Settings are read at the start only; without a handler the signal would end
+// the process.
+void on_hangup(evutil_socket_t, short, void* argument)
+{
+    auto& process = *static_cast<running*>(argument);
+    note(process.shared, event_number::settings_reloaded, {}, {}, {});
+}
+
 void say_ready(running& process, listening const& where)
 {
     auto const& read = process.shared.settings;
@@ -142,6 +151,8 @@
                                       });
     process->terminate = evsignal_new(base, SIGTERM, on_signal, process.get());
     process->interrupt = evsignal_new(base, SIGINT, on_signal, process.get());
+    process->hangup = evsignal_new(base, SIGHUP, on_hangup, process.get());
+    event_add(process->hangup, nullptr);
     event_add(process->terminate, nullptr);
     event_add(process->interrupt, nullptr);
     if (start_duty(*process, role))
@@ -151,6 +162,7 @@
     exit_code const result = process->result;
     event_free(process->terminate);
     event_free(process->interrupt);
+    event_free(process->hangup);
     process.reset();
     event_base_free(base);
     return result;
