--- a/jujubestand/dispatch/types.hpp
+++ b/jujubestand/dispatch/types.hpp
@@ -9,6 +9,7 @@
 #include <jujubestand/core/reason.hpp>
 #include <jujubestand/core/time.hpp>
 #include <jujubestand/dispatch/process_words.hpp>
+#include <jujubestand/dispatch/speed_samples.hpp>
 #include <jujubestand/limits/permit_holder.hpp>
 #include <jujubestand/limits/recent_count.hpp>
 #include <jujubestand/limits/upstream_limit.hpp>
@@ -238,6 +239,8 @@
     std::uint64_t weights = 0;
     /// The process that it was sent to, as its record had it.
     process_id process{};
+    send_forecast forecast{};
+    output_progress output{};
 };
 
 /// \brief State of one upstream as seen by this process.
@@ -281,6 +284,7 @@
     limits::permit_holder permits;
     /// Sends of this process.
     limits::recent_count sends;
+    upstream_speeds speeds;
 };
 
 /// \brief What is kept of an upstream whose record is gone. Its process may go
@@ -339,6 +343,9 @@
     std::uint32_t gateways = 1;
     /// Mean prompt size, used to estimate the work of other gateways.
     double mean_prefill_tokens = 2'000;
+    /// By pool.
+    std::map<std::string, pool_speeds, std::less<>> speeds;
+    mono_time speeds_reviewed_at{};
     std::string data_center;
 };
 
--- a/jujubestand/dispatch/upstreams.cpp
+++ b/jujubestand/dispatch/upstreams.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <jujubestand/dispatch/failures.hpp>
 #include <jujubestand/dispatch/former_upstreams.hpp>
+#include <jujubestand/dispatch/speeds.hpp>
 #include <jujubestand/placement/rendezvous.hpp>
 #include <utility>
 
@@ -157,6 +158,7 @@
         target.avoid_until = mono_time{};
         target.limit.reset();
         target.sends = {};
+        target.speeds = {};
     }
     if (is_new)
         mark_replaced(dispatcher, target, record);
@@ -350,14 +352,15 @@
     if (found == dispatcher.sends.end())
         return;
     upstream* const target = find(dispatcher, found->second.upstream);
-    auto const sent_at = found->second.sent_at;
+    auto const ended = std::move(found->second);
     dispatcher.sends.erase(found);
     if (target == nullptr)
         return;
     --target->open_calls;
     if (target->open_calls == 0)
         target->unanswered_since.reset();
-    record_outcome(dispatcher, *target, outcome, sent_at, now);
+    record_outcome(dispatcher, *target, outcome, ended.sent_at, now);
+    measure_end(dispatcher, *target, ended, outcome, now);
 }
 
 upstream const* find_by_host(state const& dispatcher, std::string const& host)
