--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/dispatch/failures.hpp>
 #include <jujubestand/dispatch/parts.hpp>
+#include <jujubestand/dispatch/speeds.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/placement/rendezvous.hpp>
@@ -139,7 +140,7 @@
     double const left_ms =
         milliseconds(*target.load->load_due_at - now).count();
     double const output_ms = request.model_prompt->output_tokens_expected *
-                             dispatcher.limits.output_ms_per_token;
+                             output_ms_per_token(dispatcher, target);
     double const duration_ms = expected_ms + output_ms;
     if (duration_ms <= left_ms)
         return 0;
@@ -168,6 +169,14 @@
            in_flight.unreported_tokens * (1.0 + other_gateways * correlation);
 }
 
+// Other gateways may have brought shared parts to the engine that are not known
+// to be there yet; its prefill would seem too fast.
+bool is_mostly_own(double uncached_shared_tokens, double prefill_tokens)
+{
+    constexpr double shared_share = 0.25;
+    return uncached_shared_tokens <= prefill_tokens * shared_share;
+}
+
 std::optional<choice>
 evaluate_engine(state const& dispatcher, upstream const& target,
                 call const& request, prompt_split const& split,
@@ -203,14 +212,13 @@
         return std::nullopt;
     if (is_full_of_prefilling(dispatcher, in_flight))
         return std::nullopt;
-    double const backlog_ms =
-        prefill_backlog(dispatcher, target, in_flight, now) /
-        dispatcher.limits.prefill_tokens_per_ms;
+    double const backlog = prefill_backlog(dispatcher, target, in_flight, now);
+    double const speed = prefill_tokens_per_ms(dispatcher, target);
+    double const backlog_ms = backlog / speed;
     if (backlog_ms > dispatcher.limits.prefill_backlog_limit_ms)
         return std::nullopt;
     result.expected_ms =
-        backlog_ms +
-        result.prefill_tokens / dispatcher.limits.prefill_tokens_per_ms +
+        backlog_ms + result.prefill_tokens / speed +
         fetched * best.ms_per_token + running_cost(dispatcher, target, now) +
         weights.cost_ms + failure_cost(dispatcher, target, now);
     if (fetched > fetch_tokens_min)
@@ -222,6 +230,10 @@
         result.expected_ms += dispatcher.limits.copy_cost_ms;
     double const uncached = split.shared_tokens - cached - fetched;
     result.save_to = select_store(dispatcher, request, split, uncached, now);
+    result.forecast = {backlog, !dispatcher.waiting.empty(),
+                       is_reported && !request.software_version &&
+                           fetched <= fetch_tokens_min &&
+                           is_mostly_own(uncached, result.prefill_tokens)};
     if (weights.is_old)
         result.expected_ms +=
             uncached * dispatcher.limits.old_weights_prefill_cost_ms_per_token;
@@ -233,6 +245,18 @@
     return result;
 }
 
+// While few calls are open, cost by these alone would send all calls of all
+// gateways to the fastest service. Recent calls share them in proportion to
+// speed.
+double uneven_cost(upstream const& target, double ratio,
+                   double open_call_cost_ms, mono_time now)
+{
+    constexpr double recent_call_cost_ms = 2;
+    return ratio *
+           (target.open_calls * open_call_cost_ms +
+            (1 + limits::value_of(target.sends, now)) * recent_call_cost_ms);
+}
+
 std::optional<choice> evaluate_plain(state const& dispatcher,
                                      upstream const& target, mono_time now)
 {
@@ -242,14 +266,21 @@
     constexpr std::uint32_t share_min = 3;
     constexpr double open_call_cost_ms = 40;
     constexpr double other_data_center_cost_ms = 2;
-    std::uint32_t const share = std::max(
-        share_min, target.record.slots * queue_factor / dispatcher.gateways);
+    auto const ratio = relative_call_time(target);
+    auto const slots =
+        static_cast<std::uint32_t>(target.record.slots / ratio.value_or(1));
+    std::uint32_t const share =
+        std::max(share_min, slots * queue_factor / dispatcher.gateways);
     if (target.record.slots > 0 && target.open_calls >= share)
         return std::nullopt;
     choice result;
     result.upstream = target.key;
     result.expected_ms = target.open_calls * open_call_cost_ms +
                          failure_cost(dispatcher, target, now);
+    if (ratio)
+        result.expected_ms =
+            uneven_cost(target, *ratio, open_call_cost_ms, now) +
+            failure_cost(dispatcher, target, now);
     if (target.record.data_center != dispatcher.data_center)
         result.expected_ms += other_data_center_cost_ms;
     return result;
--- a/jujubestand/dispatch/choice.hpp
+++ b/jujubestand/dispatch/choice.hpp
@@ -18,6 +18,7 @@
     double cached_tokens = 0;
     double prefill_tokens = 0;
     double memory_tokens = 0;
+    send_forecast forecast;
 };
 
 /// \brief Selects the upstream with the least expected time to the first
--- a/jujubestand/dispatch/dispatch.cpp
+++ b/jujubestand/dispatch/dispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubestand/dispatch/choice.hpp>
 #include <jujubestand/dispatch/parts.hpp>
+#include <jujubestand/dispatch/speeds.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <map>
@@ -67,6 +68,7 @@
     in_flight.sent_at = now;
     in_flight.prefill_tokens = chosen.prefill_tokens;
     in_flight.memory_tokens = chosen.memory_tokens;
+    in_flight.forecast = chosen.forecast;
     if (request.model_prompt)
     {
         in_flight.model = request.model_prompt->model;
@@ -144,7 +146,8 @@
         static_cast<double>(std::max<std::size_t>(
             1, available_count(dispatcher, request.pool, now))) /
         dispatcher.gateways;
-    return tokens / (dispatcher.limits.prefill_tokens_per_ms * engines);
+    return tokens / (pool_prefill_tokens_per_ms(dispatcher, request.pool, now) *
+                     engines);
 }
 
 /// The queue of a pool, as far as a call in it is concerned.
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/gateway/upstream_responses.hpp>
 
+#include <jujubestand/dispatch/speeds.hpp>
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/answers.hpp>
@@ -203,7 +204,8 @@
     }
     if (events.empty())
         return;
-    dispatch::on_first_output(state.dispatch, key);
+    dispatch::on_output(state.dispatch, key, call->events.response_events,
+                        mono_now());
     if (!call->is_response_started)
     {
         call->is_response_started = true;
