--- a/jujubestand/dispatch/decision_steps.cpp
+++ b/jujubestand/dispatch/decision_steps.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/dispatch/parts.hpp>
+#include <jujubestand/dispatch/speeds.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 
 namespace jujubestand::dispatch
@@ -82,6 +83,7 @@
     in_flight.priority = request.priority;
     in_flight.prefill_tokens = chosen.prefill_tokens;
     in_flight.memory_tokens = chosen.memory_tokens;
+    in_flight.forecast = chosen.forecast;
     if (request.model_prompt)
     {
         in_flight.model = request.model_prompt->model;
@@ -149,7 +151,8 @@
         static_cast<double>(std::max<std::size_t>(
             1, available_count(dispatcher, request.pool, now))) /
         dispatcher.gateways;
-    return tokens / (dispatcher.limits.prefill_tokens_per_ms * engines);
+    return tokens / (pool_prefill_tokens_per_ms(dispatcher, request.pool, now) *
+                     engines);
 }
 
 // Retry-After is the time in which the calls ahead of it will have been sent.
--- a/jujubestand/dispatch/useful_first.cpp
+++ b/jujubestand/dispatch/useful_first.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <jujubestand/dispatch/decision_steps.hpp>
 #include <jujubestand/dispatch/queue_order.hpp>
+#include <jujubestand/dispatch/speeds.hpp>
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <map>
 #include <set>
@@ -56,7 +57,8 @@
     queue_terms terms;
     terms.now = now;
     if (request.model_prompt)
-        terms.prefill_tokens_per_ms = limits.prefill_tokens_per_ms;
+        terms.prefill_tokens_per_ms =
+            pool_prefill_tokens_per_ms(dispatcher, request.pool, now);
     terms.service_time_min = limits.service_time_min;
     terms.retry_after_min = limits.return_margin;
     terms.retry_after_max = limits.limited_retry_limit;
