--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -78,6 +78,8 @@
     {event_number::circuit_closed, "circuit_closed"},
     {event_number::limit_changed, "limit_changed"},
     {event_number::upstream_paused, "upstream_paused"},
+    {event_number::quota_exceeded, "quota_exceeded"},
+    {event_number::quota_state, "quota_state"},
 });
 
 bool needs_quotes(std::string const& value)
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -107,6 +107,8 @@
     circuit_closed = 2002,
     limit_changed = 2003,
     upstream_paused = 2004,
+    quota_exceeded = 2010,
+    quota_state = 2011,
 };
 
 /// \brief Names of all events, in the order of their numbers.
--- a/jujubestand/core/reason.cpp
+++ b/jujubestand/core/reason.cpp
@@ -3,7 +3,7 @@
 namespace jujubestand
 {
 
-std::array<enum_name<reason_code>, 64> const reason_names{{
+std::array<enum_name<reason_code>, 65> const reason_names{{
     {reason_code::none, "none"},
     {reason_code::malformed_request, "malformed_request"},
     {reason_code::body_too_large, "body_too_large"},
@@ -30,6 +30,7 @@
     {reason_code::entry_full, "entry_full"},
     {reason_code::upstream_limited, "upstream_limited"},
     {reason_code::upstream_paused, "upstream_paused"},
+    {reason_code::quota_unavailable, "quota_unavailable"},
     {reason_code::claim_lost, "claim_lost"},
     {reason_code::claim_pending, "claim_pending"},
     {reason_code::claim_unknown, "claim_unknown"},
--- a/jujubestand/core/reason.hpp
+++ b/jujubestand/core/reason.hpp
@@ -46,6 +46,7 @@
     entry_full = 305,
     upstream_limited = 306,
     upstream_paused = 307,
+    quota_unavailable = 308,
 
     // Claims.
     claim_lost = 400,
@@ -103,7 +104,7 @@
 };
 
 /// \brief Names of the reasons, stable for scripts.
-extern std::array<enum_name<reason_code>, 64> const reason_names;
+extern std::array<enum_name<reason_code>, 65> const reason_names;
 
 /// \brief Name of a reason.
 [[nodiscard]] std::string_view to_name(reason_code code) noexcept;
--- a/jujubestand/node/settings.hpp
+++ b/jujubestand/node/settings.hpp
@@ -33,6 +33,13 @@
     /// Repeated sends that are always allowed in a window, over all
     /// instances.
     double retry_reserve = 50;
+    /// The quota of a team must hold in each window of this length; 0: not
+    /// told, and then no part of the tolerance depends on it.
+    std::chrono::milliseconds quota_window{0};
+    /// Part of a quota by which it may be exceeded.
+    double quota_overage = 0;
+    /// What a quota may be exceeded by beside that.
+    double quota_slack = 0;
 };
 
 /// \brief What a process learns of itself and its surroundings at start.
--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -29,6 +29,8 @@
     /// Time until the caller's timeout, from when the call was read.
     std::optional<std::chrono::milliseconds> time_left;
     std::optional<prompt> asked;
+    /// Tokens of the prompt and limit of those of the output, if stated.
+    std::optional<std::uint64_t> stated_tokens;
     /// Last event that the caller has of a stream which it resumes.
     std::string last_event;
     /// Id of the request that brought the first event of that stream.
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -93,6 +93,21 @@
     std::string data_center;
 };
 
+/// \brief What all calls of a team together may cost.
+struct team_quota
+{
+    /// Per second; more than 0.
+    double rate = 0;
+    /// What may be used at once beside the rate.
+    double burst = 0;
+    /// A call costs its tokens; otherwise 1.
+    bool counts_tokens = false;
+    /// Cost of a call that doesn't state its tokens, if tokens are counted.
+    double plain_cost = 1;
+
+    bool operator==(team_quota const&) const = default;
+};
+
 /// \brief A customer's team.
 struct team
 {
@@ -101,6 +116,8 @@
     std::optional<std::uint8_t> priority;
     /// Shares no cached part of a prompt with any other team.
     bool is_isolated = false;
+    /// Empty: any number of calls.
+    std::optional<team_quota> quota;
 };
 
 /// \brief What callers may send, and how slowly.
