--- a/jujubestand/limits/permit_issuer.cpp
+++ b/jujubestand/limits/permit_issuer.cpp
@@ -159,7 +159,13 @@
 std::optional<std::string> issuer_of(std::vector<std::string> const& hosts,
                                      upstream_id const& upstream)
 {
-    auto const key = placement::name_hash_of(upstream.text);
+    return issuer_of(hosts, std::string_view(upstream.text));
+}
+
+std::optional<std::string> issuer_of(std::vector<std::string> const& hosts,
+                                     std::string_view name)
+{
+    auto const key = placement::name_hash_of(name);
     std::optional<std::string> best;
     double best_score = 0;
     for (auto const& host : hosts)
--- a/jujubestand/limits/permit_issuer.hpp
+++ b/jujubestand/limits/permit_issuer.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// \brief The gateway that grants all permits of an upstream. It is chosen by
@@ -68,6 +69,10 @@
 [[nodiscard]] std::optional<std::string>
 issuer_of(std::vector<std::string> const& hosts, upstream_id const& upstream);
 
+/// \brief The same for what has a name.
+[[nodiscard]] std::optional<std::string>
+issuer_of(std::vector<std::string> const& hosts, std::string_view name);
+
 } // namespace jujubestand::limits
 
 #endif
--- a/jujubestand/limits/token_bucket.cpp
+++ b/jujubestand/limits/token_bucket.cpp
@@ -22,10 +22,17 @@
 void fill(token_bucket& bucket, double tokens_per_second, mono_time now)
 {
     double const capacity = std::max(1.0, tokens_per_second * kept_for.count());
+    bucket.tokens = std::min(bucket.tokens, capacity);
+    fill(bucket, tokens_per_second, capacity, now);
+}
+
+void fill(token_bucket& bucket, double tokens_per_second, double capacity,
+          mono_time now)
+{
     std::chrono::duration<double> const passed =
         std::max(microseconds{0}, now - bucket.filled_at);
-    bucket.tokens =
-        std::min(bucket.tokens + tokens_per_second * passed.count(), capacity);
+    bucket.tokens = std::min(bucket.tokens + tokens_per_second * passed.count(),
+                             std::max(bucket.tokens, capacity));
     bucket.filled_at = now;
 }
 
--- a/jujubestand/limits/token_bucket.hpp
+++ b/jujubestand/limits/token_bucket.hpp
@@ -18,6 +18,11 @@
 /// \brief Adds the tokens since the last time.
 void fill(token_bucket& bucket, double tokens_per_second, mono_time now);
 
+/// \brief Adds the tokens since the last time, up to a capacity; what is there
+/// already stays.
+void fill(token_bucket& bucket, double tokens_per_second, double capacity,
+          mono_time now);
+
 /// \brief Tokens that are owed for calls which were sent before the limit was
 /// known, within `recent_time`.
 [[nodiscard]] double debt_of(double sent_before, double tokens_per_second);
--- a/jujubestand/status/messages.cpp
+++ b/jujubestand/status/messages.cpp
@@ -47,5 +47,8 @@
 template std::optional<permit_query> from_datagram(std::string_view);
 template std::optional<permit_response> from_datagram(std::string_view);
 template std::optional<engine_notice> from_datagram(std::string_view);
+template std::optional<quota_query> from_datagram(std::string_view);
+template std::optional<quota_response> from_datagram(std::string_view);
+template std::optional<gateway_end_notice> from_datagram(std::string_view);
 
 } // namespace jujubestand::status
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -6,6 +6,8 @@
 #include <jujubestand/limits/permit_messages.hpp>
 #include <jujubestand/quarantine/strike.hpp>
 #include <jujubestand/status/cache_view.hpp>
+#include <jujubestand/status/format_version.hpp>
+#include <jujubestand/status/quota_messages.hpp>
 #include <map>
 #include <msgpack.hpp>
 #include <optional>
@@ -16,10 +18,6 @@
 namespace jujubestand::status
 {
 
-/// \brief Version of the message format; messages of other versions are
-/// ignored.
-inline constexpr std::uint32_t format_version = 2;
-
 /// \brief Status request of a gateway to an agent.
 struct status_request
 {
@@ -295,6 +293,9 @@
     permit_query = 'w',
     permit_response = 'g',
     engine_notice = 'h',
+    quota_query = 't',
+    quota_response = 'u',
+    gateway_end_notice = 'v',
 };
 
 /// \brief Kind of a message type.
@@ -343,6 +344,15 @@
 inline constexpr message_kind kind_of<engine_notice> =
     message_kind::engine_notice;
 
+template <>
+inline constexpr message_kind kind_of<quota_query> = message_kind::quota_query;
+template <>
+inline constexpr message_kind kind_of<quota_response> =
+    message_kind::quota_response;
+template <>
+inline constexpr message_kind kind_of<gateway_end_notice> =
+    message_kind::gateway_end_notice;
+
 /// \brief Serializes a message as one datagram, with its kind.
 template <class Message>
 [[nodiscard]] std::string to_datagram(Message const& message);
