--- a/jujubestand/gateway/answers.hpp
+++ b/jujubestand/gateway/answers.hpp
@@ -21,6 +21,7 @@
 
 inline constexpr int status_unauthorized = 401;
 inline constexpr int status_not_found = 404;
+inline constexpr int status_too_many = 429;
 inline constexpr int status_bad_gateway = 502;
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_timeout = 504;
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -4,6 +4,7 @@
 #include <jujubestand/dispatch/upstreams.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/record_age.hpp>
+#include <jujubestand/gateway/team_quotas.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <string_view>
@@ -99,6 +100,7 @@
     apply_limits(state);
     apply_stores(state);
     apply_cache_owners(state);
+    apply_quotas(state);
     state.log->write(
         event_number::tables_applied, {},
         {{"version", static_cast<std::int64_t>(state.tables->version)},
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -11,6 +11,7 @@
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/gateway/stop.hpp>
+#include <jujubestand/gateway/team_quotas.hpp>
 #include <platform/calls.hpp>
 
 namespace jujubestand::gateway
@@ -103,7 +104,9 @@
     auto const pool = traffic::choose_pool(call.route, state.random_engine());
     call.dispatch_call = to_dispatch_call(state, call, key, pool);
     call.suspect_keys = suspect_keys_of(call);
-    record_call(state, call.dispatch_call.pool, call.arrived_at);
+    // A call with a quota counts for retries once it has been charged.
+    if (!call.team.quota)
+        record_call(state, call.dispatch_call.pool, call.arrived_at);
     state.log->write(
         event_number::request_accepted, call.caller_request.request_id,
         {{"route", call.route.name},
@@ -121,16 +124,22 @@
         return;
     }
     state.call_by_exchange[call.exchange] = key;
-    bool const is_taken_up = is_resumed(call);
+    bool const has_quota = call.team.quota.has_value();
     state.active_calls.emplace(key, std::move(call));
-    if (is_taken_up)
+    if (!has_quota || charge_call(state, key))
+        begin_call(state, key);
+}
+
+} // namespace
+
+void begin_call(gateway_state& state, dispatch::call_key key)
+{
+    if (is_resumed(state.active_calls.at(key)))
         begin_resumed(state, key);
     else
         submit_call(state, key);
 }
 
-} // namespace
-
 void on_request(gateway_state& state, http1::exchange_id exchange,
                 http1::server_request request)
 {
@@ -209,6 +218,8 @@
                      {{"upstream", call.upstream}});
     if (call.upstream_call != http1::call_id{})
         record_unanswered(state, call);
+    else if (call.outcome == verdict::not_run)
+        refund_call(state, call);
     state.upstream_client->cancel(call.upstream_call);
     dispatch::on_send_end(state.dispatch, key,
                           dispatch::send_outcome::cancelled, mono_now());
--- a/jujubestand/gateway/calls.hpp
+++ b/jujubestand/gateway/calls.hpp
@@ -19,6 +19,10 @@
 /// complete.
 void on_caller_disconnected(gateway_state& state, http1::exchange_id exchange);
 
+/// \brief Starts a call that has been accepted: submits it, or first finds
+/// where the stream began that it resumes.
+void begin_call(gateway_state& state, dispatch::call_key key);
+
 /// \brief Schedules a review of the waiting calls unless one is already
 /// scheduled.
 void schedule_review(gateway_state& state);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/stop.hpp>
+#include <jujubestand/gateway/team_quotas.hpp>
 #include <jujubestand/loop/signals.hpp>
 #include <jujubestand/node/memory_limits.hpp>
 #include <platform/documents.hpp>
@@ -145,6 +146,7 @@
             on_origin_datagram(state, sender, bytes);
             on_crash_datagram(state, bytes);
             on_limit_datagram(state, sender, bytes);
+            on_quota_datagram(state, sender, bytes);
         });
 }
 
@@ -234,6 +236,7 @@
     expire_origin_queries(state);
     review_crashes(state);
     review_limits(state);
+    review_team_quotas(state);
     review_software_history(state);
     query_agents(state);
     query_peers(state);
@@ -275,6 +278,8 @@
     hold_calls(state);
     state.log = &log;
     state.settings = std::move(settings);
+    state.quotas.exchange =
+        limits::begin_exchange(state.settings.ip, state.started_at);
     state.dispatch.data_center = state.settings.data_center;
     constexpr std::chrono::milliseconds weights_margin{1'200};
     constexpr std::chrono::milliseconds begin_margin{300};
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -7,6 +7,7 @@
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/retries.hpp>
+#include <jujubestand/gateway/team_quotas.hpp>
 #include <jujubestand/gateway/upstream_responses.hpp>
 #include <platform/calls.hpp>
 
@@ -217,6 +218,8 @@
     active_call const* const call = find_call(state, key);
     if (call == nullptr)
         return;
+    if (error.outcome == verdict::not_run)
+        refund_call(state, *call);
     if (call->is_response_started)
     {
         state.log->write(event_number::request_failed,
@@ -237,6 +240,7 @@
     active_call const* const call = find_call(state, key);
     if (call == nullptr)
         return;
+    remove_uncharged(state, *call);
     state.call_by_exchange.erase(call->exchange);
     state.active_calls.erase(key);
 }
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -16,6 +16,7 @@
 #include <jujubestand/http1/client.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <jujubestand/limits/permit_issuer.hpp>
+#include <jujubestand/limits/quota_exchange.hpp>
 #include <jujubestand/limits/recent_count.hpp>
 #include <jujubestand/logs/log.hpp>
 #include <jujubestand/loop/datagrams.hpp>
@@ -92,6 +93,9 @@
     bool has_survived = false;
     /// Fingerprints of the call and of the shared parts of its prompt.
     std::vector<quarantine::suspect_key> suspect_keys;
+    /// Tokens of its team's quota that it was charged, and when.
+    std::uint64_t quota_charge = 0;
+    mono_time quota_charged_at{};
 };
 
 /// \brief A store of cached prompt parts whose events this gateway reads.
@@ -153,6 +157,27 @@
     mono_time reviewed_at{};
 };
 
+/// \brief Calls of a team that were refused for its quota, not logged yet.
+struct quota_refusals
+{
+    std::int64_t count = 0;
+    mono_time logged_at{};
+};
+
+/// \brief What a gateway does about the quotas of teams.
+struct team_quotas
+{
+    limits::quota_exchange exchange;
+    /// Runs while requests for tokens are in flight.
+    std::optional<loop::timer> review_timer;
+    bool is_review_scheduled = false;
+    /// By team.
+    std::map<std::string, quota_refusals> refusals;
+    mono_time state_logged_at{};
+    /// When the other gateways were last told that this one is about to end.
+    mono_time end_announced_at{};
+};
+
 /// \brief The gateways that share the reserve of retries.
 struct retry_group
 {
@@ -181,6 +206,7 @@
     std::unique_ptr<follow::follower> quarantine_topic;
     crash_watch crashes;
     limit_exchange limits;
+    team_quotas quotas;
     /// Status datagrams to and from agents and other gateways.
     std::unique_ptr<loop::datagrams> datagrams;
     /// Serves store records to other gateways.
--- a/jujubestand/limits/gateway_list.cpp
+++ b/jujubestand/limits/gateway_list.cpp
@@ -62,6 +62,11 @@
 {
     if (listed.empty())
         return;
+    bool const is_same = listed == gateways.listed &&
+                         gateways.unlisted.empty() &&
+                         gateways.missing.empty() && gateways.ending.empty();
+    if (is_same)
+        return;
     auto with_own = listed;
     if (!contains(with_own, own))
         with_own.push_back(own);
--- a/jujubestand/limits/test/quota_fleet.cpp
+++ b/jujubestand/limits/test/quota_fleet.cpp
@@ -325,28 +325,40 @@
            count;
 }
 
+void quota_fleet::tell_agent(agent& told, std::size_t number)
+{
+    bool const is_new =
+        told.heard_at.insert_or_assign(number, this->now).second;
+    auto const expired =
+        std::erase_if(told.heard_at,
+                      [this](auto const& row)
+                      {
+                          return this->now - row.second > agent_memory;
+                      });
+    if (!is_new && expired == 0)
+        return;
+    told.list.clear();
+    for (auto const& [other, heard_at] : told.heard_at)
+        told.list.push_back(host_of(other));
+}
+
 void quota_fleet::exchange_lists(std::size_t number)
 {
     constexpr int targets = 2;
     for (int target = 0; target < targets; ++target)
     {
-        std::size_t const agent = this->random() % agent_count;
-        if (!this->is_reachable(number, agent) ||
+        std::size_t const chosen = this->random() % agent_count;
+        if (!this->is_reachable(number, chosen) ||
             this->draw() < this->plan.loss)
             continue;
         bool const is_ignored =
-            this->plan.lists_differ && agent % 2 == 0 && number % 4 == 0;
+            this->plan.lists_differ && chosen % 2 == 0 && number % 4 == 0;
+        auto& told = this->agents[chosen];
         if (!is_ignored)
-            this->agents[agent][number] = this->now;
-        std::vector<std::string> list;
-        for (auto const& [other, heard_at] : this->agents[agent])
-        {
-            if (this->now - heard_at <= agent_memory)
-                list.push_back(host_of(other));
-        }
+            this->tell_agent(told, number);
         auto& exchange = this->gateways[number].exchange;
         exchange.heard_at = this->now;
-        set_listed(exchange.gateways, list, exchange.own, this->now);
+        set_listed(exchange.gateways, told.list, exchange.own, this->now);
     }
 }
 
@@ -359,51 +371,4 @@
     this->apply(number, review_quotas(exchange, this->now, this->draw()));
 }
 
-double most_in_window(std::vector<run_call> const& calls, microseconds window,
-                      mono_time from, mono_time until)
-{
-    double most = 0;
-    double sum = 0;
-    std::size_t first = 0;
-    for (auto const& last : calls)
-    {
-        if (last.at < from)
-        {
-            ++first;
-            continue;
-        }
-        sum += last.cost;
-        for (; last.at - calls[first].at > window; ++first)
-            sum -= calls[first].cost;
-        if (calls[first].at <= until)
-            most = std::max(most, sum);
-    }
-    return most;
-}
-
-double allowed_in_window(quota_terms const& quota)
-{
-    return quota.rate * std::chrono::duration<double>(quota.window).count() +
-           quota.burst + tolerance_of(quota);
-}
-
-double part_served(team_result const& result, quota_terms const& quota,
-                   mono_time from)
-{
-    token_bucket bucket{quota.burst, start};
-    double entitled = 0;
-    for (auto const& call : result.offered)
-    {
-        fill(bucket, quota.rate, quota.burst, call.at);
-        if (bucket.tokens < call.cost)
-            continue;
-        bucket.tokens -= call.cost;
-        entitled += call.at >= from ? call.cost : 0;
-    }
-    double served = 0;
-    for (auto const& call : result.run)
-        served += call.at >= from ? call.cost : 0;
-    return entitled > 0 ? served / entitled : 1;
-}
-
 } // namespace jujubestand::limits::test
--- a/jujubestand/limits/test/quota_fleet.hpp
+++ b/jujubestand/limits/test/quota_fleet.hpp
@@ -117,6 +117,13 @@
         std::map<std::size_t, mono_time> quota_due;
     };
 
+    struct agent
+    {
+        /// When it last heard of each gateway.
+        std::map<std::size_t, mono_time> heard_at;
+        std::vector<std::string> list;
+    };
+
     struct arriving_call
     {
         std::size_t team = 0;
@@ -158,6 +165,7 @@
     void make_calls();
     void make_call(std::size_t team);
     std::size_t place(team_plan const& team);
+    void tell_agent(agent& told, std::size_t number);
     void exchange_lists(std::size_t number);
     void review(std::size_t number);
 
@@ -166,8 +174,7 @@
     mono_time now = start;
     std::vector<gateway> gateways;
     bool is_divided = false;
-    /// When each agent last heard of each gateway.
-    std::vector<std::map<std::size_t, mono_time>> agents;
+    std::vector<agent> agents;
     std::multimap<mono_time, event> events;
     std::multimap<mono_time, std::function<void()>> actions;
     std::map<std::uint64_t, open_call> open;
