--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -17,6 +17,7 @@
     {event_number::settings_refused, "settings_refused"},
     {event_number::settings_reloaded, "settings_reloaded"},
     {event_number::lines_dropped, "lines_dropped"},
+    {event_number::clients_limited, "clients_limited"},
     {event_number::request_accepted, "request_accepted"},
     {event_number::request_refused, "request_refused"},
     {event_number::request_finished, "request_finished"},
@@ -78,7 +79,10 @@
     {event_number::circuit_closed, "circuit_closed"},
     {event_number::limit_changed, "limit_changed"},
     {event_number::upstream_paused, "upstream_paused"},
+    {event_number::quota_exceeded, "quota_exceeded"},
+    {event_number::quota_state, "quota_state"},
     {event_number::wasted_work, "wasted_work"},
+    {event_number::speeds_in_use, "speeds_in_use"},
 });
 
 bool needs_quotes(std::string const& value)
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -26,6 +26,7 @@
     settings_refused = 1005,
     settings_reloaded = 1006,
     lines_dropped = 1007,
+    clients_limited = 1010,
 
     // Entry.
     request_accepted = 1100,
@@ -107,7 +108,10 @@
     circuit_closed = 2002,
     limit_changed = 2003,
     upstream_paused = 2004,
+    quota_exceeded = 2010,
+    quota_state = 2011,
     wasted_work = 2015,
+    speeds_in_use = 2016,
 };
 
 /// \brief Names of all events, in the order of their numbers.
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/queue_discipline.hpp>
 #include <jujubestand/gateway/record_age.hpp>
+#include <jujubestand/gateway/team_quotas.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
 #include <string_view>
@@ -101,6 +102,7 @@
     apply_stores(state);
     apply_cache_owners(state);
     apply_queue_discipline(state.dispatch, *state.tables);
+    apply_quotas(state);
     state.log->write(
         event_number::tables_applied, {},
         {{"version", static_cast<std::int64_t>(state.tables->version)},
--- a/jujubestand/gateway/queue_discipline.cpp
+++ b/jujubestand/gateway/queue_discipline.cpp
@@ -1,15 +1,18 @@
 #include <jujubestand/gateway/queue_discipline.hpp>
 
+#include <algorithm>
 #include <jujubestand/dispatch/dispatch.hpp>
 
 namespace jujubestand::gateway
 {
 
-// Teams have no quotas in the tables yet. Once `traffic::team` has `quota`,
-// this is whether any of `tables.teams` has one.
-bool has_quotas(traffic::tables const& /*tables*/)
+bool has_quotas(traffic::tables const& tables)
 {
-    return false;
+    return std::any_of(tables.teams.begin(), tables.teams.end(),
+                       [](traffic::team const& team)
+                       {
+                           return team.quota.has_value();
+                       });
 }
 
 void apply_queue_discipline(dispatch::state& dispatcher,
