--- a/jujubestand/limits/quota_exchange.cpp
+++ b/jujubestand/limits/quota_exchange.cpp
@@ -20,6 +20,7 @@
 void restart_issuing(quota_exchange& exchange, mono_time now)
 {
     exchange.issuer = {};
+    exchange.is_assigned = false;
     exchange.steady_since = now;
 }
 
@@ -47,6 +48,31 @@
     return result;
 }
 
+// A bucket fills from the time at which this gateway becomes the issuer, also
+// before the first request: after all gateways were restarted at once the list
+// of them changes for a while, and a bucket that began anew with each change
+// refused calls within the quota.
+void assign_teams(quota_exchange& exchange, mono_time now)
+{
+    if (exchange.is_assigned &&
+        exchange.assigned_members == exchange.gateways.changed_at)
+        return;
+    exchange.is_assigned = true;
+    exchange.assigned_members = exchange.gateways.changed_at;
+    std::erase_if(exchange.issuer.teams,
+                  [&](auto const& row)
+                  {
+                      return !exchange.teams.contains(row.first) ||
+                             !is_issuer(exchange, row.first);
+                  });
+    for (auto const& [team, terms] : exchange.teams)
+    {
+        if (is_issuer(exchange, team))
+            begin_issuing(exchange.issuer, team,
+                          issue_terms_of(exchange, terms), now);
+    }
+}
+
 void append(std::vector<quota_decision>& into,
             std::vector<quota_decision> const& more)
 {
@@ -146,6 +172,7 @@
             drop_team(exchange, team, effects);
     }
     exchange.teams = std::move(next);
+    exchange.is_assigned = false;
     return effects;
 }
 
@@ -222,12 +249,7 @@
     check_pause(exchange, now);
     if (is_cut_off(exchange, now))
         restart_issuing(exchange, now);
-    std::erase_if(exchange.issuer.teams,
-                  [&](auto const& row)
-                  {
-                      return !exchange.teams.contains(row.first) ||
-                             !is_issuer(exchange, row.first);
-                  });
+    assign_teams(exchange, now);
     for (auto& [team, issued] : exchange.issuer.teams)
         refill(issued, issue_terms_of(exchange, exchange.teams.at(team)), now);
     quota_effects effects;
--- a/jujubestand/limits/quota_exchange.hpp
+++ b/jujubestand/limits/quota_exchange.hpp
@@ -30,6 +30,10 @@
     std::map<std::string, team_terms> teams;
     std::map<std::string, quota_holder> holders;
     quota_issuer issuer;
+    /// The issuer keeps a bucket for each of its teams, by the present teams
+    /// and members.
+    bool is_assigned = false;
+    mono_time assigned_members{};
     /// The configuration in force is confirmed to be current.
     bool is_current = false;
     /// Last message of another process; without any, another issuer may have
--- a/jujubestand/limits/quota_issuer.cpp
+++ b/jujubestand/limits/quota_issuer.cpp
@@ -58,24 +58,6 @@
                   });
 }
 
-// A new issuer can't tell what the one before it granted: it starts with what
-// the rate brings from the time on at which that one has surely ended.
-issued_quota& find_issued(quota_issuer& issuer, quota_request const& request,
-                          issue_terms const& terms, mono_time now)
-{
-    auto const [at, is_new] = issuer.teams.try_emplace(request.team);
-    auto& issued = at->second;
-    if (!is_new)
-        return issued;
-    issued.counts_tokens = terms.quota.counts_tokens;
-    issued.bucket.filled_at = std::min(now, terms.since + takeover_time);
-    fill(issued.bucket, terms.quota.rate * terms.rate_share, terms.quota.burst,
-         now);
-    // The bucket is filled only from the end of the takeover on.
-    issued.bucket.filled_at = std::max(now, terms.since + takeover_time);
-    return issued;
-}
-
 double held_by_all(issued_quota const& issued, mono_time now)
 {
     double result = 0;
@@ -164,13 +146,31 @@
 
 } // namespace
 
+// A new issuer can't tell what the one before it granted: it starts with what
+// the rate brings from the time on at which that one has surely ended.
+void begin_issuing(quota_issuer& issuer, std::string const& team,
+                   issue_terms const& terms, mono_time now)
+{
+    auto const [at, is_new] = issuer.teams.try_emplace(team);
+    if (!is_new)
+        return;
+    auto& issued = at->second;
+    issued.counts_tokens = terms.quota.counts_tokens;
+    issued.bucket.filled_at = std::min(now, terms.since + takeover_time);
+    fill(issued.bucket, terms.quota.rate * terms.rate_share, terms.quota.burst,
+         now);
+    // The bucket is filled only from the end of the takeover on.
+    issued.bucket.filled_at = std::max(now, terms.since + takeover_time);
+}
+
 quota_answer issue(quota_issuer& issuer, std::string const& host,
                    quota_request const& request, issue_terms const& terms,
                    mono_time now, double draw)
 {
     if (request.counts_tokens != terms.quota.counts_tokens)
         return undecided(request);
-    auto& issued = find_issued(issuer, request, terms, now);
+    begin_issuing(issuer, request.team, terms, now);
+    auto& issued = issuer.teams.at(request.team);
     auto const known = issued.requesters.find(host);
     if (known != issued.requesters.end() &&
         request.number <= known->second.last_answer.number)
--- a/jujubestand/limits/quota_issuer.hpp
+++ b/jujubestand/limits/quota_issuer.hpp
@@ -54,6 +54,10 @@
     double rate_share = 1;
 };
 
+/// \brief Keeps a bucket of a team's tokens from now on, if there is none.
+void begin_issuing(quota_issuer& issuer, std::string const& team,
+                   issue_terms const& terms, mono_time now);
+
 /// \brief Decides on a request for tokens.
 /// \param host IP address of the requester
 /// \param draw uniform in [0, 1); spreads the next requests
