--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -78,6 +78,7 @@
     {event_number::circuit_closed, "circuit_closed"},
     {event_number::limit_changed, "limit_changed"},
     {event_number::upstream_paused, "upstream_paused"},
+    {event_number::speeds_in_use, "speeds_in_use"},
 });
 
 bool needs_quotes(std::string const& value)
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -107,6 +107,7 @@
     circuit_closed = 2002,
     limit_changed = 2003,
     upstream_paused = 2004,
+    speeds_in_use = 2016,
 };
 
 /// \brief Names of all events, in the order of their numbers.
--- a/jujubestand/dispatch/test/speeds_test.cpp
+++ b/jujubestand/dispatch/test/speeds_test.cpp
@@ -80,7 +80,8 @@
         for (auto& [key, target] : dispatcher.upstreams)
         {
             double const tokens =
-                (ms / 100 + key) % 3 == 0 ? short_tokens : long_tokens;
+                (static_cast<call_key>(ms / 100) + key) % 3 == 0 ? short_tokens
+                                                                 : long_tokens;
             sent.send(target, tokens, first_output_ms(target, tokens, ms), ms);
         }
         auto const next = review_speeds(dispatcher, at(ms));
--- a/jujubestand/dispatch/test/uneven_fleet_test.cpp
+++ b/jujubestand/dispatch/test/uneven_fleet_test.cpp
@@ -135,7 +135,7 @@
             ends.erase(ends.begin());
         }
         static_cast<void>(review_speeds(gateway, at(ms)));
-        auto request = prompt_call(static_cast<call_key>(ms + 1), 1, ms);
+        auto request = prompt_call(static_cast<call_key>(ms) + 1, 1, ms);
         request.model_prompt.reset();
         auto const decided = submit(gateway, request, at(ms));
         ASSERT_EQ(decided.next_action, action::send);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include <jujubestand/gateway/crashes.hpp>
 #include <jujubestand/gateway/directory.hpp>
 #include <jujubestand/gateway/engine_orders.hpp>
+#include <jujubestand/gateway/learned_speeds.hpp>
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/gateway/quarantine_records.hpp>
@@ -234,6 +235,7 @@
     expire_origin_queries(state);
     review_crashes(state);
     review_limits(state);
+    review_learned_speeds(state);
     review_software_history(state);
     query_agents(state);
     query_peers(state);
