--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -52,6 +52,27 @@
     endforeach()
 endforeach()
 
+# Misbehaving clients of whole processes: memory is measured, so that one such
+# test runs at a time and apart from all others.
+file(GLOB client_test_sources CONFIGURE_DEPENDS
+    ${PROJECT_SOURCE_DIR}/programs/test_clients/*.cpp)
+add_executable(test_clients ${client_test_sources})
+target_link_libraries(test_clients PRIVATE jujubestand programs_support
+    GTest::gmock GTest::gtest GTest::gtest_main)
+add_dependencies(test_clients jujubestand_node jujubestandd
+    ${standins_programs})
+target_compile_definitions(test_clients PRIVATE
+    JUJUBESTAND_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
+    JUJUBESTAND_BINARY_DIR="${PROJECT_BINARY_DIR}")
+set(client_shards 4)
+math(EXPR last_client_shard "${client_shards} - 1")
+foreach(shard RANGE ${last_client_shard})
+    add_test(NAME clients_${shard} COMMAND test_clients)
+    set_tests_properties(clients_${shard} PROPERTIES TIMEOUT 300
+        RUN_SERIAL ON ENVIRONMENT
+        "GLOG_logtostderr=1;GLOG_minloglevel=2;GTEST_TOTAL_SHARDS=${client_shards};GTEST_SHARD_INDEX=${shard}")
+endforeach()
+
 # GCC 12 takes memory of std::regex for uninitialized where the address
 # sanitizer checks optimized code; the plain build has the warning.
 if(JUJUBESTAND_SANITIZE)
--- a/programs/test/gateways_fixture.hpp
+++ b/programs/test/gateways_fixture.hpp
@@ -16,6 +16,8 @@
 {
     std::string name;
     address callers;
+    /// Only with `gateways_test::has_readiness_port`.
+    address readiness;
     std::unique_ptr<bench::child_process> process;
 };
 
@@ -201,6 +203,8 @@
     unsigned retry_window_s = 0;
     /// Further bounds, as lines of settings.
     std::string more_bounds;
+    /// Gateways listen on a port for the balancer as well.
+    bool has_readiness_port = false;
     /// The store's address for a gateway by name, if it is not the store's own.
     std::map<std::string, address> store_addresses;
     std::vector<running_gateway> gateways;
@@ -218,9 +222,13 @@
         auto const where = other == this->store_addresses.end()
                                ? this->store.bound()
                                : other->second;
-        return settings_text(gateway.name, gateway.callers, this->internal_port,
-                             where) +
-               "[bounds]\nrevoke-ms = 60000\nbudget-slack = " +
+        auto text = settings_text(gateway.name, gateway.callers,
+                                  this->internal_port, where);
+        constexpr std::string_view listen = "[listen-addrs]\n";
+        if (this->has_readiness_port)
+            text.insert(text.find(listen) + listen.size(),
+                        "ready = \"" + to_text(gateway.readiness) + "\"\n");
+        return text + "[bounds]\nrevoke-ms = 60000\nbudget-slack = " +
                std::to_string(this->retry_reserve) +
                "\nbudget-window-s = " + std::to_string(this->retry_window_s) +
                "\nretry-budget-ratio = " + std::to_string(this->retry_ratio) +
@@ -235,6 +243,11 @@
         do
             gateway.callers = {where, free_port(where)};
         while (gateway.callers.port == this->internal_port);
+        while (this->has_readiness_port &&
+               (gateway.readiness.port == 0 ||
+                gateway.readiness.port == gateway.callers.port ||
+                gateway.readiness.port == this->internal_port))
+            gateway.readiness = {where, free_port(where)};
         gateway.process = this->process_of(gateway);
     }
 
