--- a/jujubestand/agent/agent.cpp
+++ b/jujubestand/agent/agent.cpp
@@ -7,6 +7,7 @@
 #include <jujubestand/agent/engine.hpp>
 #include <jujubestand/agent/weights.hpp>
 #include <jujubestand/loop/signals.hpp>
+#include <jujubestand/node/client_limits.hpp>
 #include <jujubestand/node/memory_limits.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
@@ -82,9 +83,15 @@
                                           state.operator_topic->known(), 0)));
     };
     served.on_gone = [](http1::exchange_id) {};
+    served.on_limited = node::limited_logger(*state.log, "internal");
     state.records_server = std::make_unique<http1::server>(state.base, served);
     state.records_server->set_unread_limit(kept.unread_records);
+    state.records_server->set_request_limit(kept.internal_requests);
     state.records_server->set_limits(node::internal_request_limits());
+    state.records_server->set_connection_limit(
+        node::connection_limits_of(node::descriptor_limit(state.settings),
+                                   state.settings.memory_bytes)
+            .internal);
     state.report_timer.emplace(state.base,
                                [&state]
                                {
--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -17,6 +17,7 @@
     {event_number::settings_refused, "settings_refused"},
     {event_number::settings_reloaded, "settings_reloaded"},
     {event_number::lines_dropped, "lines_dropped"},
+    {event_number::clients_limited, "clients_limited"},
     {event_number::request_accepted, "request_accepted"},
     {event_number::request_refused, "request_refused"},
     {event_number::request_finished, "request_finished"},
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -26,6 +26,7 @@
     settings_refused = 1005,
     settings_reloaded = 1006,
     lines_dropped = 1007,
+    clients_limited = 1010,
 
     // Entry.
     request_accepted = 1100,
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -38,6 +38,7 @@
     limits.message.body_bytes = configured.body_bytes;
     limits.head_timeout = configured.head_timeout;
     limits.idle_timeout = configured.idle_timeout;
+    limits.body_timeout = state.settings.body_timeout;
     state.caller_server->set_limits(limits);
 }
 
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -16,6 +16,7 @@
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/stop.hpp>
 #include <jujubestand/loop/signals.hpp>
+#include <jujubestand/node/client_limits.hpp>
 #include <jujubestand/node/memory_limits.hpp>
 #include <platform/documents.hpp>
 #include <platform/names.hpp>
@@ -165,6 +166,7 @@
     {
         on_no_room(state, exchange, head);
     };
+    events.on_limited = node::limited_logger(*state.log, "callers");
     state.caller_server = std::make_unique<http1::server>(state.base, events);
     http1::server_events ready;
     ready.on_request =
@@ -176,6 +178,7 @@
             exchange, is_ready(state, mono_now()) ? ok : unavailable, {}, {});
     };
     ready.on_gone = [](http1::exchange_id) {};
+    ready.on_limited = node::limited_logger(*state.log, "readiness");
     state.readiness_server = std::make_unique<http1::server>(state.base, ready);
     http1::server_events records;
     records.on_request = [&state](http1::exchange_id exchange,
@@ -184,13 +187,22 @@
         on_records_request(state, exchange, request);
     };
     records.on_gone = [](http1::exchange_id) {};
+    records.on_limited = node::limited_logger(*state.log, "internal");
     state.records_server = std::make_unique<http1::server>(state.base, records);
     auto const kept = node::memory_limits_of(state.settings.memory_bytes);
     state.caller_server->set_request_limit(kept.caller_requests);
     state.caller_server->set_unread_limit(kept.unread_by_callers);
+    state.readiness_server->set_request_limit(kept.internal_requests);
+    state.readiness_server->set_unread_limit(kept.internal_requests);
+    state.records_server->set_request_limit(kept.internal_requests);
     state.records_server->set_unread_limit(kept.unread_records);
     state.records_server->set_limits(node::internal_request_limits());
     state.readiness_server->set_limits(node::internal_request_limits());
+    auto const open = node::connection_limits_of(
+        node::descriptor_limit(state.settings), state.settings.memory_bytes);
+    state.caller_server->set_connection_limit(open.callers);
+    state.readiness_server->set_connection_limit(open.readiness);
+    state.records_server->set_connection_limit(open.internal);
 }
 
 bool listen(gateway_state& state, reason& why)
--- a/jujubestand/http1/server.cpp
+++ b/jujubestand/http1/server.cpp
@@ -43,6 +43,7 @@
                      to_text(where)};
         return false;
     }
+    evconnlistener_set_error_cb(made, state::on_accept_error);
     this->self->listeners.emplace_back(made);
     return true;
 }
@@ -54,7 +55,13 @@
 
 void server::set_request_limit(std::size_t bytes)
 {
-    this->self->bodies.set_limit(bytes);
+    this->self->requests.set_limit(bytes);
+    this->self->request_limit = bytes;
+}
+
+void server::set_connection_limit(std::size_t count)
+{
+    this->self->connection_limit = count;
 }
 
 void server::set_unread_limit(std::size_t bytes)
--- a/jujubestand/http1/server.hpp
+++ b/jujubestand/http1/server.hpp
@@ -38,6 +38,25 @@
     std::string body;
 };
 
+/// \brief What a server did to stay within its limits, since it last told.
+struct limited_clients
+{
+    /// Idle ones, and those that had sent nothing.
+    std::uint64_t closed_idle = 0;
+    /// Those that sent or read too slowly.
+    std::uint64_t closed_slow = 0;
+    /// Requests for which there was no room.
+    std::uint64_t refused = 0;
+    /// New connections that no other one made room for, or for which the
+    /// process had no descriptor.
+    std::uint64_t turned_away = 0;
+    /// Connections whose requests that were read ahead were dropped.
+    std::uint64_t cut_ahead = 0;
+    /// Now.
+    std::size_t connections = 0;
+    std::size_t held_bytes = 0;
+};
+
 /// \brief What the server tells its owner, from the loop.
 struct server_events
 {
@@ -48,6 +67,8 @@
     /// There is no room for the request's body. The owner refuses the request,
     /// whose body it is not given; the connection closes after the answer.
     std::function<void(exchange_id, message_head const&)> on_no_room;
+    /// Clients were limited; at most once a second.
+    std::function<void(limited_clients const&)> on_limited;
 };
 
 /// \brief What callers may send, and how slowly.
@@ -56,6 +77,9 @@
     reader_limits message;
     std::chrono::milliseconds head_timeout{5'000};
     std::chrono::milliseconds idle_timeout{60'000};
+    /// Of a whole body, from its head on. Within it no span without a byte may
+    /// be longer than `head_timeout`.
+    std::chrono::milliseconds body_timeout{30'000};
 };
 
 /// \brief HTTP/1.1 server on libevent's loop; one request at a time on each
@@ -78,9 +102,16 @@
     /// \brief Limits of requests that begin from now on.
     void set_limits(server_limits limits);
 
-    /// \brief Limits the bytes of the bodies of all requests together that are
-    /// being read or wait for the end of their answer. Past it the largest of
-    /// those that are being read are refused, but no small one.
+    /// \brief Limits the connections that are open. For a new one past it an
+    /// idle or slow one is closed; requests past seven eighths of it that wait
+    /// for their answer are refused.
+    /// \param count 0: no limit
+    void set_connection_limit(std::size_t count);
+
+    /// \brief Limits the bytes of all requests together that are being read,
+    /// wait for the end of their answer or were read ahead. Past it slow ones
+    /// that are being read are refused, then the largest; past one and a half
+    /// of it those whose bytes arrive, however small.
     /// \param bytes 0: no limit
     void set_request_limit(std::size_t bytes);
 
--- a/jujubestand/node/settings.hpp
+++ b/jujubestand/node/settings.hpp
@@ -54,6 +54,11 @@
     address store;
     /// The process is ended if it takes more.
     std::size_t memory_bytes = 128U << 20U;
+    /// The process may open no more, files among them; 0: as many as the system
+    /// allows it.
+    std::size_t descriptors = 0;
+    /// Longest time from the head of a caller's request to its last byte.
+    std::chrono::milliseconds body_timeout{30'000};
     /// Width of the instance's link, in Mbit/s; 0: not told.
     double link_mbps = 0;
     /// Interval at which upstreams renew their records.
--- a/programs/test_clients/clients_fixture.hpp
+++ b/programs/test_clients/clients_fixture.hpp
@@ -253,6 +253,11 @@
                 limit);
             if (answer->status == HTTP_OK && answer->end)
                 return true;
+            std::cout << "attempt " << attempt << ": status " << answer->status
+                      << ", "
+                      << (answer->end ? to_text(answer->end->why)
+                                      : "no answer in time")
+                      << '\n';
             this->caller.cancel(answer->call);
             this->run_load(pause);
         }
