--- a/jujubestand/limits/quota_holder.cpp
+++ b/jujubestand/limits/quota_holder.cpp
@@ -71,6 +71,7 @@
     double const kept = decay(holder, now);
     auto const cost = static_cast<double>(charge);
     holder.recent_cost = holder.recent_cost * kept + cost;
+    holder.recent_calls = holder.recent_calls * kept + 1;
     holder.largest_cost = std::max(holder.largest_cost * kept, cost);
     holder.called_at = now;
 }
@@ -152,7 +153,7 @@
             return {};
         return {need_s * demand, scarce_target_s * demand};
     }
-    if (demand < calls_min * holder.largest_cost)
+    if (holder.recent_calls * decay(holder, now) < calls_min)
         return {};
     // The next call needs no answer if it comes within the validity.
     double const next = holder.largest_cost;
--- a/jujubestand/limits/quota_holder.hpp
+++ b/jujubestand/limits/quota_holder.hpp
@@ -73,6 +73,7 @@
 
     /// Cost of the calls of about the last second, also of refused ones.
     double recent_cost = 0;
+    double recent_calls = 0;
     /// Cost of the largest recent call.
     double largest_cost = 0;
     mono_time called_at{};
