--- a/jujubestand/http1/server_clients.cpp
+++ b/jujubestand/http1/server_clients.cpp
@@ -214,12 +214,7 @@
     open->is_keep_alive = false;
     if (open->request.head.method.empty() || !this->events.on_no_room)
     {
-        std::string const head =
-            response_head(status_unavailable,
-                          this->with_connection({{"Retry-After", "1"}}, *open),
-                          body_framing::length, 0);
-        this->write(*open, head);
-        this->close_after_write(*open);
+        this->refuse_unread(id);
         return;
     }
     auto const request = std::exchange(open->request, {});
@@ -228,6 +223,18 @@
     this->events.on_no_room({id, open->exchanges}, request.head);
 }
 
+// Refuses a client whose request's head has not come.
+void server::state::refuse_unread(peer_id id)
+{
+    auto* const open = this->connections.find(id);
+    open->is_keep_alive = false;
+    this->write(*open, response_head(
+                           status_unavailable,
+                           this->with_connection({{"Retry-After", "1"}}, *open),
+                           body_framing::length, 0));
+    this->close_after_write(*open);
+}
+
 // Requests behind the one that is answered were not looked at: they have not
 // run, and the connection closes after the answer.
 void server::state::drop_read_ahead()
--- a/jujubestand/http1/server_state.cpp
+++ b/jujubestand/http1/server_state.cpp
@@ -41,11 +41,15 @@
 
 void server::state::accept(evutil_socket_t socket)
 {
-    if (this->connection_limit > 0 &&
-        this->connections.size() >= this->connection_limit &&
-        !this->close_one())
-    {
+    auto const limit = this->connection_limit;
+    bool const is_turned_away =
+        limit > 0 && this->connections.size() >= limit && !this->close_one();
+    if (is_turned_away)
         this->count(&limited_clients::turned_away);
+    // A few more are kept until they have received their refusal.
+    if (is_turned_away &&
+        this->connections.size() >= limit + limit / turned_away_part + 1)
+    {
         evutil_closesocket(socket);
         return;
     }
@@ -79,6 +83,8 @@
     evbuffer_add_cb(bufferevent_get_output(stream), on_output, argument);
     this->watch_reading(*this->connections.find(argument->id));
     bufferevent_enable(stream, EV_READ | EV_WRITE);
+    if (is_turned_away)
+        this->refuse_unread(argument->id);
 }
 
 void server::state::on_input(evbuffer* /*input*/, evbuffer_cb_info const* info,
--- a/jujubestand/http1/server_state.hpp
+++ b/jujubestand/http1/server_state.hpp
@@ -28,6 +28,10 @@
 /// receives the answer instead of a reset.
 inline constexpr std::chrono::milliseconds linger_timeout{1'000};
 
+/// Part of the limit on connections that may be open above it, only to refuse
+/// them.
+inline constexpr std::size_t turned_away_part = 8;
+
 /// A client with more of its answers unread gets no further one.
 inline constexpr std::size_t unread_pause_bytes = 65'536;
 
@@ -110,6 +114,7 @@
     bool has_room_for_call();
     bool close_one();
     void refuse_no_room(peer_id id);
+    void refuse_unread(peer_id id);
     void count(std::uint64_t limited_clients::*counter);
     void set_request_bytes(connection& open);
     [[nodiscard]] std::vector<client_row> rows();
--- a/jujubestand/http1/test/clients_test.cpp
+++ b/jujubestand/http1/test/clients_test.cpp
@@ -264,6 +264,24 @@
         << "room is free again";
 }
 
+// A connection that found no room was closed without a word, so that its caller
+// did not know whether its call had run.
+TEST_F(clients, a_connection_without_room_is_refused_with_a_reason)
+{
+    this->under_test.set_connection_limit(2);
+    // Whoever sends a request is not closed.
+    std::string const begun = "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n";
+    auto const first = this->connect(begun);
+    auto const second = this->connect(begun);
+    this->run(milliseconds{20});
+    auto const third = this->connect(whole);
+    EXPECT_TRUE(this->is_told(third, "503"));
+    EXPECT_NE(third->received.find("Retry-After"), std::string::npos);
+    EXPECT_TRUE(this->asked.empty());
+    first->send("123456789");
+    EXPECT_TRUE(this->is_told(first, "200"));
+}
+
 // A field of four bytes takes 64 bytes and more, which nobody counted.
 TEST_F(clients, heads_of_short_fields_are_counted)
 {
@@ -274,6 +292,7 @@
     for (std::size_t number = 0; number < fields; ++number)
         head += "a:\r\n";
     std::vector<client_ptr> callers;
+    callers.reserve(4);
     for (int number = 0; number < 4; ++number)
         callers.push_back(this->connect(head + "Content-Length: 0\r\n\r\n"));
     EXPECT_TRUE(this->is_told(callers.back(), "503"));
