--- a/jujubestand/gateway/test/wasted_work_test.cpp
+++ b/jujubestand/gateway/test/wasted_work_test.cpp
@@ -41,7 +41,7 @@
 {
     dispatch::state dispatcher;
     traffic::tables tables;
-    tables.teams.push_back({"a", {}, false});
+    tables.teams.emplace_back().name = "a";
     apply_queue_discipline(dispatcher, tables);
     EXPECT_EQ(dispatcher.limits.queue_discipline,
               dispatch::queue_discipline::by_target);
@@ -52,4 +52,16 @@
               dispatch::queue_discipline::by_target);
 }
 
+// The order by use serves teams that compete; it must follow the tables.
+TEST(queue_discipline, is_useful_first_while_a_team_has_a_quota)
+{
+    dispatch::state dispatcher;
+    traffic::tables tables;
+    tables.teams.resize(2);
+    tables.teams.back().quota.emplace().rate = 10;
+    apply_queue_discipline(dispatcher, tables);
+    EXPECT_EQ(dispatcher.limits.queue_discipline,
+              dispatch::queue_discipline::useful_first);
+}
+
 } // namespace jujubestand::gateway
