--- a/jujubestand/core/wall_clock.cpp
+++ b/jujubestand/core/wall_clock.cpp
@@ -28,6 +28,12 @@
 /// Longer than a process or a link is held up.
 constexpr std::chrono::seconds measurement_lifetime{30};
 
+/// The year 2200; sums of later times could overflow.
+constexpr std::int64_t stated_limit_ms = 7'258'118'400'000;
+
+/// Datagrams from forged addresses must not fill the memory.
+constexpr std::size_t peers_limit = 4'096;
+
 void follow(stepless_clock& clock, microseconds target, mono_time now)
 {
     auto const difference = target - clock.offset;
@@ -63,7 +69,17 @@
                                            std::int64_t sent_at_ms,
                                            wall_time wall_now, mono_time now)
 {
-    if (sent_at_ms == 0)
+    if (sent_at_ms <= 0 || sent_at_ms > stated_limit_ms)
+        return std::chrono::milliseconds{0};
+    bool const is_full = clocks.size() >= peers_limit && !clocks.contains(host);
+    if (is_full)
+        std::erase_if(clocks,
+                      [now](auto const& row)
+                      {
+                          return now - row.second.measured_at >
+                                 measurement_lifetime;
+                      });
+    if (is_full && clocks.size() >= peers_limit)
         return std::chrono::milliseconds{0};
     auto const difference =
         wall_now.time_since_epoch() - std::chrono::milliseconds{sent_at_ms};
--- a/jujubestand/dispatch/queue_order.cpp
+++ b/jujubestand/dispatch/queue_order.cpp
@@ -23,11 +23,6 @@
 /// Callers return only if Retry-After is at most this share of their time.
 constexpr double return_share = 1.0 / 3;
 
-double to_ms(microseconds duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 // Expected time from sending a call to its first output.
 double service_time(priority_flow const* flow, queue_entry const& entry,
                     queue_terms const& terms)
--- a/jujubestand/dispatch/speed_rule.cpp
+++ b/jujubestand/dispatch/speed_rule.cpp
@@ -43,8 +43,10 @@
 speed_demand demand_of_engines(distribution const& speeds, double constant)
 {
     auto result = demand_of_spread(speeds.spread);
+    // Nothing is measured, as after a restart of most upstreams: the switch
+    // stays as it is.
     if (speeds.median <= 0)
-        return result;
+        return {};
     constexpr double fast_limit = 4.0 / 3;
     constexpr double slow_limit = 2.0 / 3;
     constexpr double fast_low = 1.25;
--- a/jujubestand/dispatch/speeds.cpp
+++ b/jujubestand/dispatch/speeds.cpp
@@ -201,7 +201,9 @@
 {
     auto const calls =
         distribution_among(members, &upstream_speeds::call, call_samples_min);
-    if (update(pool.calls, demand_of_spread(calls.spread), now))
+    auto const demanded =
+        calls.median > 0 ? demand_of_spread(calls.spread) : speed_demand{};
+    if (update(pool.calls, demanded, now))
         changes.push_back(
             {name, "calls", pool.calls.is_learned, calls.median, calls.spread});
     if (pool.calls.is_learned && calls.median > 0)
--- a/jujubestand/dispatch/useful_first.cpp
+++ b/jujubestand/dispatch/useful_first.cpp
@@ -107,8 +107,7 @@
 // What only some upstreams can serve says nothing of the room at the others.
 bool is_constrained(call const& request)
 {
-    return request.software_version || !request.tried.empty() ||
-           !request.reached.empty();
+    return is_committed(request) || !request.reached.empty();
 }
 
 std::optional<choice> find_room(pool_review& review, queue_place const& place,
@@ -230,7 +229,11 @@
         return *refusal;
     pool_queue const queue{
         find_flow(dispatcher, request.pool, now),
-        static_cast<std::size_t>(std::distance(places.begin(), place))};
+        static_cast<std::size_t>(std::count_if(places.begin(), place,
+                                               [](queue_place const& row)
+                                               {
+                                                   return !row.is_refused;
+                                               }))};
     if (auto const refusal =
             refuse_limited(dispatcher, request, queue,
                            dispatcher.limits.limited_wait_share, now))
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -166,7 +166,7 @@
     mono_time logged_at{};
 };
 
-/// \brief What a gateway does about the quotas of teams.
+/// \brief State of the team quotas at a gateway.
 struct team_quotas
 {
     limits::quota_exchange exchange;
@@ -176,7 +176,7 @@
     /// By team.
     std::map<std::string, quota_refusals> refusals;
     mono_time state_logged_at{};
-    /// When the other gateways were last told that this one is about to end.
+    /// When the end of this process was last announced to the other gateways.
     mono_time end_announced_at{};
 };
 
--- a/jujubestand/gateway/team_quotas.cpp
+++ b/jujubestand/gateway/team_quotas.cpp
@@ -49,13 +49,13 @@
     if (decision.step == limits::quota_step::unavailable)
     {
         error.why = reason{reason_code::quota_unavailable,
-                           "no answer on the quota of the team",
+                           "the issuer of the team's quota does not respond",
                            {}};
         return error;
     }
     error.status = status_too_many;
     error.why =
-        reason{reason_code::team_limit, "quota of the team is used", {}};
+        reason{reason_code::team_limit, "quota of the team is exhausted", {}};
     return error;
 }
 
@@ -241,9 +241,15 @@
 
 void refund_call(gateway_state& state, active_call const& call)
 {
-    auto& holders = state.quotas.exchange.holders;
-    auto const holder = holders.find(call.team.name);
-    if (call.quota_charge > 0 && holder != holders.end())
+    auto& exchange = state.quotas.exchange;
+    auto const terms = exchange.teams.find(call.team.name);
+    auto const holder = exchange.holders.find(call.team.name);
+    // A charge in calls is worth nothing in tokens, and the other way round.
+    bool const is_same_unit =
+        call.team.quota && terms != exchange.teams.end() &&
+        terms->second.quota.counts_tokens == call.team.quota->counts_tokens;
+    if (call.quota_charge > 0 && is_same_unit &&
+        holder != exchange.holders.end())
         limits::refund(holder->second,
                        {call.quota_charge, call.quota_charged_at});
 }
@@ -291,7 +297,7 @@
     auto const now = mono_now();
     auto& exchange = state.quotas.exchange;
     if (sender.host != exchange.own)
-        exchange.heard_at = now;
+        exchange.received_at = now;
     if (auto const query = status::from_datagram<status::quota_query>(bytes))
         on_quota_query(state, sender, query->request, now);
     else if (auto const response =
--- a/jujubestand/http/client.cpp
+++ b/jujubestand/http/client.cpp
@@ -144,7 +144,7 @@
     void end_invalid(exchange& row)
     {
         row.end.why =
-            reason{reason_code::status_invalid, "no status of HTTP", {}};
+            reason{reason_code::status_invalid, "invalid HTTP status", {}};
         this->finish(row, false);
     }
 
--- a/jujubestand/http/response_end.cpp
+++ b/jujubestand/http/response_end.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/http/response_end.hpp>
 
 #include <array>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -48,12 +49,14 @@
 }
 
 // A FIN acknowledges what its sender had received, so that a server that reads
-// the whole request before it ends its response leaves nothing here.
+// the whole request before it ends its response leaves nothing here. Where the
+// system can't tell, a response without a length would never be whole.
 bool is_acknowledged(std::intptr_t socket) noexcept
 {
     int unacknowledged = 0;
-    return ::ioctl(static_cast<int>(socket), SIOCOUTQ, &unacknowledged) == 0 &&
-           unacknowledged == 0;
+    if (::ioctl(static_cast<int>(socket), SIOCOUTQ, &unacknowledged) != 0)
+        return errno != EBADF;
+    return unacknowledged == 0;
 }
 
 bool is_acknowledged(evhttp_connection* connection) noexcept
--- a/jujubestand/http/response_end.hpp
+++ b/jujubestand/http/response_end.hpp
@@ -20,7 +20,7 @@
 
 /// \brief Whether the peer's side has acknowledged all bytes that were written
 /// to a socket. Not true of a peer that has ended its side before it received
-/// them all.
+/// them all; true where the system does not tell.
 [[nodiscard]] bool is_acknowledged(std::intptr_t socket) noexcept;
 
 /// \brief The same for evhttp's connections; call before they are closed.
--- a/jujubestand/http1/client_responses.cpp
+++ b/jujubestand/http1/client_responses.cpp
@@ -53,7 +53,7 @@
         return from.read(input);
     read_result result;
     result.failure =
-        reason{reason_code::status_invalid, "no status of HTTP", {}};
+        reason{reason_code::status_invalid, "invalid HTTP status", {}};
     return result;
 }
 
--- a/jujubestand/http1/server.hpp
+++ b/jujubestand/http1/server.hpp
@@ -38,7 +38,7 @@
     std::string body;
 };
 
-/// \brief What a server did to stay within its limits, since it last told.
+/// \brief Counts of clients that a server limited since its last report.
 struct limited_clients
 {
     /// Idle ones, and those that had sent nothing.
--- a/jujubestand/http1/server_clients.cpp
+++ b/jujubestand/http1/server_clients.cpp
@@ -19,10 +19,10 @@
 /// Requests that hold less are refused only past the limit for small ones.
 constexpr std::size_t small_request_bytes = 16'384;
 
-/// Less that was read ahead is not worth a connection.
+/// Connections with less input read ahead are not closed to free memory.
 constexpr std::size_t small_ahead_bytes = 1'024;
 
-constexpr std::chrono::milliseconds tell_interval{1'000};
+constexpr std::chrono::milliseconds report_interval{1'000};
 
 /// Without descriptors, accepting is tried again after this long.
 constexpr std::chrono::milliseconds accept_pause{100};
@@ -276,7 +276,7 @@
             evtimer_new(this->base, on_limited_timer, this));
     if (evtimer_pending(this->limited_timer.get(), nullptr) != 0)
         return;
-    auto const due = this->limited_told_at + tell_interval;
+    auto const due = this->limited_reported_at + report_interval;
     auto const left =
         std::max(std::chrono::ceil<std::chrono::milliseconds>(due - mono_now()),
                  std::chrono::milliseconds{0});
@@ -288,11 +288,11 @@
                                      void* argument)
 {
     auto& self = *static_cast<state*>(argument);
-    auto told = std::exchange(self.limited, {});
-    told.connections = self.connections.size();
-    told.held_bytes = self.requests.total();
-    self.limited_told_at = mono_now();
-    self.events.on_limited(told);
+    auto report = std::exchange(self.limited, {});
+    report.connections = self.connections.size();
+    report.held_bytes = self.requests.total();
+    self.limited_reported_at = mono_now();
+    self.events.on_limited(report);
 }
 
 // The kernel would report the same waiting connection again at once, and the
--- a/jujubestand/http1/server_state.cpp
+++ b/jujubestand/http1/server_state.cpp
@@ -162,8 +162,10 @@
     if (is_receiving && !open.is_receiving)
     {
         open.since = now;
-        open.received = received;
-        open.due = now + this->limits.head_timeout;
+        open.received = std::max(received, open.request.body.size());
+        // The end of a body is due from its head on; `read_some` sets it.
+        if (!open.input.is_within_message())
+            open.due = now + this->limits.head_timeout;
     }
     open.is_receiving = is_receiving;
     // The client is not waited for while it has answers to read.
--- a/jujubestand/http1/server_state.hpp
+++ b/jujubestand/http1/server_state.hpp
@@ -97,7 +97,7 @@
     /// Connections in `phase::answering`.
     std::size_t answering = 0;
     limited_clients limited;
-    mono_time limited_told_at{};
+    mono_time limited_reported_at{};
     event_ptr limited_timer;
     event_ptr accept_timer;
     /// Bytes of answers that callers have not taken.
--- a/jujubestand/http1/test/clients_test.cpp
+++ b/jujubestand/http1/test/clients_test.cpp
@@ -190,6 +190,7 @@
 TEST_F(clients, a_body_has_a_time_as_a_whole)
 {
     server_limits limits;
+    limits.head_timeout = milliseconds{60'000};
     limits.body_timeout = milliseconds{300};
     this->under_test.set_limits(limits);
     auto const slow =
@@ -205,6 +206,29 @@
     EXPECT_TRUE(is_ended);
 }
 
+// A body whose head came in one piece had only the time of a head.
+TEST_F(clients, a_body_may_take_longer_than_a_head)
+{
+    constexpr int body_bytes = 9;
+    server_limits limits;
+    limits.head_timeout = milliseconds{200};
+    limits.body_timeout = milliseconds{60'000};
+    this->under_test.set_limits(limits);
+    auto const steady =
+        this->connect("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+    for (int sent = 0; sent < body_bytes; ++sent)
+    {
+        this->run(milliseconds{50});
+        steady->send("x");
+    }
+    EXPECT_TRUE(this->run_until(
+        [this]
+        {
+            return !this->asked.empty();
+        },
+        milliseconds{5'000}));
+}
+
 // Connections were accepted without a limit, until no descriptor was left.
 TEST_F(clients, an_idle_connection_makes_room_for_a_new_one)
 {
--- a/jujubestand/limits/gateway_list.cpp
+++ b/jujubestand/limits/gateway_list.cpp
@@ -72,6 +72,12 @@
         with_own.push_back(own);
     if (with_own != gateways.listed)
     {
+        // A gateway that is listed anew has started again.
+        for (auto const& host : with_own)
+        {
+            if (!contains(gateways.listed, host))
+                gateways.ending.erase(host);
+        }
         note_unlisted(gateways, with_own, now);
         gateways.listed = std::move(with_own);
         for (auto const& host : gateways.listed)
--- a/jujubestand/limits/quota_exchange.cpp
+++ b/jujubestand/limits/quota_exchange.cpp
@@ -10,10 +10,10 @@
 namespace
 {
 
-/// After a gap like this between reviews the process has stood still.
+/// A longer gap between reviews means that the process was suspended.
 constexpr std::chrono::milliseconds pause_limit{1'000};
 
-/// A gateway that hears nobody for this long issues nothing.
+/// A gateway that has received no message for this long issues nothing.
 constexpr std::chrono::milliseconds silence_limit{1'500};
 
 // What was issued before may have been issued by another gateway since.
@@ -79,7 +79,7 @@
     into.insert(into.end(), more.begin(), more.end());
 }
 
-// Without a list of gateways nobody can be asked, and calls wait for it.
+// Without a list of gateways there is no issuer to send to; calls wait.
 void send_due(quota_exchange& exchange, std::string const& team, mono_time now,
               double draw, quota_effects& effects)
 {
@@ -144,7 +144,7 @@
 {
     quota_exchange result;
     result.own = std::move(own);
-    result.heard_at = now;
+    result.received_at = now;
     result.steady_since = now;
     result.reviewed_at = now;
     return result;
@@ -198,10 +198,13 @@
     }
     auto const [at, is_new] = exchange.holders.try_emplace(team);
     auto& holder = at->second;
-    // Numbers go up, also after a restart.
+    // Numbers go up over restarts of the process. After a restart of the
+    // machine the issuer accepts lower ones once it has removed this requester.
     if (is_new)
         holder.last_number = static_cast<std::uint64_t>(to_us(now));
-    auto const credit = credit_of(quota, exchange.gateways.members.size());
+    // Missing gateways may be cut off and use a credit as well.
+    auto const credit = credit_of(quota, exchange.gateways.members.size() +
+                                             exchange.gateways.missing.size());
     auto const decision = on_call(holder, quota, credit, call, *charge, now);
     if (decision.step != quota_step::wait)
         effects.decisions.push_back(decision);
@@ -271,7 +274,7 @@
 bool is_cut_off(quota_exchange const& exchange, mono_time now)
 {
     bool const has_others = exchange.gateways.members.size() > 1;
-    return has_others && now - exchange.heard_at > silence_limit;
+    return has_others && now - exchange.received_at > silence_limit;
 }
 
 } // namespace jujubestand::limits
--- a/jujubestand/limits/quota_exchange.hpp
+++ b/jujubestand/limits/quota_exchange.hpp
@@ -38,8 +38,8 @@
     bool is_current = false;
     /// Last message of another process; without any, another issuer may have
     /// taken over.
-    mono_time heard_at{};
-    /// Since when this process has been running and heard others.
+    mono_time received_at{};
+    /// Since when this process has run and received messages without a gap.
     mono_time steady_since{};
     mono_time reviewed_at{};
 };
@@ -90,8 +90,8 @@
 [[nodiscard]] quota_effects review_quotas(quota_exchange& exchange,
                                           mono_time now, double draw);
 
-/// \brief Whether the other gateways may have another issuer: nobody has been
-/// heard for some time.
+/// \brief Whether no message has been received for so long that the other
+/// gateways may have chosen another issuer.
 [[nodiscard]] bool is_cut_off(quota_exchange const& exchange, mono_time now);
 
 } // namespace jujubestand::limits
--- a/jujubestand/limits/quota_holder.cpp
+++ b/jujubestand/limits/quota_holder.cpp
@@ -10,10 +10,6 @@
 namespace
 {
 
-/// Validity of granted tokens, from when they were requested: an issuer that
-/// takes over doesn't know of them.
-constexpr std::chrono::milliseconds grant_validity{1'000};
-
 constexpr std::chrono::milliseconds answer_timeout{150};
 constexpr std::chrono::milliseconds unavailable_pause{200};
 
--- a/jujubestand/limits/quota_holder.hpp
+++ b/jujubestand/limits/quota_holder.hpp
@@ -78,8 +78,8 @@
     double largest_cost = 0;
     mono_time called_at{};
 
-    /// Tokens used without a grant, and those that the issuer has not been
-    /// told of.
+    /// Tokens used without a grant, and the part not yet reported to the
+    /// issuer.
     std::uint64_t credit_used = 0;
     std::uint64_t credit_unreported = 0;
     mono_time credit_used_at{};
--- a/jujubestand/limits/quota_issuer.cpp
+++ b/jujubestand/limits/quota_issuer.cpp
@@ -21,9 +21,6 @@
 /// requests are spread over, has no demand.
 constexpr std::chrono::milliseconds requester_memory{2'000};
 
-/// Validity of granted tokens; the requester counts from its request on.
-constexpr std::chrono::milliseconds grant_validity{1'000};
-
 /// Gateways learn of a new one at different times: until then the issuer before
 /// it goes on.
 constexpr std::chrono::milliseconds takeover_time{500};
@@ -171,6 +168,7 @@
         return undecided(request);
     begin_issuing(issuer, request.team, terms, now);
     auto& issued = issuer.teams.at(request.team);
+    remove_silent(issued, now);
     auto const known = issued.requesters.find(host);
     if (known != issued.requesters.end() &&
         request.number <= known->second.last_answer.number)
@@ -183,7 +181,6 @@
     requester.demand = stated(request.demand);
     requester.held = stated(request.held);
     requester.held_until = now + grant_validity;
-    remove_silent(issued, now);
     settle_reports(issued, request, terms, now);
     auto const parts = divide(issued, requester, request, terms.quota);
     double const granted = parts.for_waiting + parts.in_advance;
--- a/jujubestand/limits/quota_issuer.hpp
+++ b/jujubestand/limits/quota_issuer.hpp
@@ -43,7 +43,7 @@
     std::map<std::string, issued_quota> teams;
 };
 
-/// \brief What the issuer goes by.
+/// \brief Terms under which tokens of a team are issued.
 struct issue_terms
 {
     quota_terms quota;
--- a/jujubestand/limits/quota_terms.hpp
+++ b/jujubestand/limits/quota_terms.hpp
@@ -10,6 +10,10 @@
 namespace jujubestand::limits
 {
 
+/// \brief Validity of granted tokens, counted from their request: an issuer
+/// that takes over doesn't know of them.
+inline constexpr std::chrono::milliseconds grant_validity{1'000};
+
 /// \brief Quota of a team, and by how much its calls may exceed it.
 ///
 /// In each window its calls may cost up to `rate * window + burst` and the
@@ -49,7 +53,8 @@
 [[nodiscard]] std::optional<std::uint64_t> charge_for(quota_terms const& terms,
                                                       double cost) noexcept;
 
-/// \brief Shortest time after which a call that never fits may be sent again.
+/// \brief Window in which the quota must hold; 8 s if the deployment states
+/// none.
 [[nodiscard]] microseconds window_of(quota_terms const& terms) noexcept;
 
 } // namespace jujubestand::limits
--- a/jujubestand/limits/test/quota_fleet.cpp
+++ b/jujubestand/limits/test/quota_fleet.cpp
@@ -220,7 +220,7 @@
             refund(holder->second, call->charge);
         return;
     }
-    exchange.heard_at = this->now;
+    exchange.received_at = this->now;
     if (auto const* const request = std::get_if<quota_request>(&received.what))
     {
         status::quota_response response;
@@ -351,7 +351,7 @@
         if (!is_ignored)
             this->tell_agent(told, number);
         auto& exchange = this->gateways[number].exchange;
-        exchange.heard_at = this->now;
+        exchange.received_at = this->now;
         set_listed(exchange.gateways, told.list, exchange.own, this->now);
     }
 }
--- a/jujubestand/limits/test/quotas_test.cpp
+++ b/jujubestand/limits/test/quotas_test.cpp
@@ -293,23 +293,67 @@
     std::vector<std::string> const hosts{own, other};
     bool const is_own = *issuer_of(hosts, std::string_view("team")) == own;
     auto exchange = issuing_exchange(hosts, strict_terms());
-    exchange.heard_at = at(4'900);
+    exchange.received_at = at(4'900);
     for (int ms = 100; ms <= 5'000; ms += 100)
         static_cast<void>(review_quotas(exchange, at(ms), 0));
     EXPECT_EQ(on_quota_request(exchange, other, request_of(1, 1), at(5'050), 0)
                   .is_decided,
               is_own);
-    exchange.heard_at = at(3'000);
+    exchange.received_at = at(3'000);
     EXPECT_FALSE(
         on_quota_request(exchange, other, request_of(2, 1), at(5'050), 0)
             .is_decided);
-    exchange.heard_at = at(5'050);
+    exchange.received_at = at(5'050);
     exchange.is_current = false;
     EXPECT_FALSE(
         on_quota_request(exchange, other, request_of(3, 1), at(5'050), 0)
             .is_decided);
 }
 
+// A machine that was restarted begins with lower numbers; its requests were
+// taken for old ones and its calls refused without end.
+TEST(quota_exchange, accepts_lower_numbers_of_a_requester_that_was_away)
+{
+    auto exchange = issuing_exchange({own}, strict_terms());
+    for (int ms = 100; ms <= 9'100; ms += 100)
+    {
+        exchange.received_at = at(ms);
+        static_cast<void>(review_quotas(exchange, at(ms), 0));
+        if (ms == 5'000)
+        {
+            EXPECT_TRUE(on_quota_request(exchange, other, request_of(1'000, 1),
+                                         at(ms), 0)
+                            .is_decided);
+        }
+    }
+    EXPECT_TRUE(
+        on_quota_request(exchange, other, request_of(1, 1), at(9'150), 0)
+            .is_decided);
+}
+
+// The bucket of a team without a request began anew with each change of the
+// list of gateways: after a restart of all of them calls within the quota were
+// refused.
+TEST(quota_exchange, a_bucket_fills_while_the_list_of_gateways_changes)
+{
+    std::vector<std::string> hosts{own};
+    auto exchange = issuing_exchange(hosts, strict_terms());
+    for (int ms = 100; ms <= 5'000; ms += 100)
+    {
+        auto more = hosts;
+        more.push_back("10.0.9." + std::to_string(ms / 100));
+        if (*issuer_of(more, std::string_view("team")) == own)
+            hosts = more;
+        set_listed(exchange.gateways, hosts, own, at(ms));
+        exchange.received_at = at(ms);
+        static_cast<void>(review_quotas(exchange, at(ms), 0));
+    }
+    ASSERT_GT(hosts.size(), 2U);
+    EXPECT_EQ(on_quota_request(exchange, own, request_of(1, 500), at(5'050), 0)
+                  .granted,
+              500U);
+}
+
 // Waiting calls of a team whose quota went waited on.
 TEST(quota_exchange, calls_go_on_when_their_quota_is_gone)
 {
--- a/jujubestand/platform/http_client.cpp
+++ b/jujubestand/platform/http_client.cpp
@@ -58,7 +58,7 @@
                  bool has_invalid_status)
 {
     if (has_invalid_status)
-        return {reason_code::status_invalid, "no status of HTTP", {}};
+        return {reason_code::status_invalid, "invalid HTTP status", {}};
     if (error == EVREQ_HTTP_TIMEOUT)
         return {reason_code::upstream_timeout, "no whole answer in time", {}};
     if (error == EVREQ_HTTP_DATA_TOO_LONG)
--- a/jujubestand/traffic/test/tables_test.cpp
+++ b/jujubestand/traffic/test/tables_test.cpp
@@ -24,7 +24,7 @@
 {
     tables content;
     for (std::string const name : {"a", "ab", "b", "c"})
-        content.teams.push_back({name, {}, isolated.contains(name)});
+        content.teams.push_back({name, {}, isolated.contains(name), {}});
     return content;
 }
 
@@ -62,7 +62,7 @@
 TEST(tables, a_key_leads_to_its_team)
 {
     tables content;
-    content.teams = {{"t", {}, true}};
+    content.teams = {{"t", {}, true, {}}};
     content.keys["k"] = 0;
     EXPECT_EQ(find_team(content, "k")->name, "t");
     EXPECT_EQ(find_team(content, ""), nullptr);
@@ -111,7 +111,7 @@
     auto const expected = shared_cache_owner(content);
     std::reverse(content.teams.begin(), content.teams.end());
     EXPECT_EQ(shared_cache_owner(content), expected);
-    content.teams.push_back({"d", {}, false});
+    content.teams.push_back({"d", {}, false, {}});
     content.version += 1;
     EXPECT_EQ(shared_cache_owner(content), expected);
 }
--- a/programs/test_clients/clients_fixture.hpp
+++ b/programs/test_clients/clients_fixture.hpp
@@ -193,6 +193,7 @@
 #if !defined(__SANITIZE_ADDRESS__)
         EXPECT_LT(peak, this->limits.memory_mb * megabyte);
 #endif
+        EXPECT_GT(this->peak_descriptors, 0U) << "descriptors were not counted";
         EXPECT_LE(this->peak_descriptors, this->limits.max_fds);
     }
 
