--- a/jujubestand/dispatch/test/queue_order_test.cpp
+++ b/jujubestand/dispatch/test/queue_order_test.cpp
@@ -52,6 +52,7 @@
 std::vector<std::uint64_t> keys_of(std::vector<queue_place> const& places)
 {
     std::vector<std::uint64_t> keys;
+    keys.reserve(places.size());
     for (auto const& place : places)
         keys.push_back(place.entry.key);
     return keys;
