--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -50,17 +50,18 @@
                        });
 }
 
-// The last group waits for the longest time, the others in the order of their
-// loads: engines that are always busy would otherwise all load together.
+// Most engines find a moment without long calls in the first half of the time.
+// Those that are always busy stop waiting in the second half, one group after
+// the other: more loads at once would take longer each.
 std::chrono::milliseconds long_call_wait(rollout const& state)
 {
-    auto const last_group = (std::max<std::size_t>(state.pool_size, 1) - 1) /
-                            concurrent_loads(state);
-    auto const groups_after =
-        last_group - std::min(group_of(state), last_group);
-    return state.limits.long_call_wait_limit -
-           state.limits.group_interval *
-               static_cast<std::int64_t>(groups_after);
+    auto const groups = (std::max<std::size_t>(state.pool_size, 1) - 1) /
+                            concurrent_loads(state) +
+                        1;
+    auto const turn = std::min(group_of(state) + 1, groups);
+    auto const half = state.limits.long_call_wait_limit / 2;
+    return half + half * static_cast<std::int64_t>(turn) /
+                      static_cast<std::int64_t>(groups);
 }
 
 // Long calls get time to end before the engine stops accepting calls; those
--- a/jujubestand/agent/test/rollout_test.cpp
+++ b/jujubestand/agent/test/rollout_test.cpp
@@ -80,6 +80,31 @@
     }
 }
 
+// Busy engines of a pool of 49 waited for 10 s and then loaded within 2 s, more
+// than could load at a time: no engine took calls for 4 s.
+TEST(rollout, groups_of_busy_engines_have_time_to_load_one_after_the_other)
+{
+    constexpr std::size_t engine_count = 49;
+    constexpr int load_ms = 1'000;
+    std::map<int, int> starts;
+    for (std::size_t index = 0; index < engine_count; ++index)
+    {
+        auto state = ready(index, engine_count);
+        state.limits.long_call_wait_limit = std::chrono::milliseconds{12'000};
+        update_running_calls(state, {1}, at(0));
+        record_request(state, "m", 2, at(1'000));
+        ++starts[first_order(state, engine(1, 0), 1'000)];
+    }
+    int before = 0;
+    for (auto const& [when, count] : starts)
+    {
+        EXPECT_LE(count, 9);
+        EXPECT_GE(when - before, load_ms);
+        before = when;
+    }
+    EXPECT_LE(before, 1'000 + 12'000 + 500);
+}
+
 TEST(rollout, an_order_has_the_newest_version_and_the_accepted_count)
 {
     auto state = ready(0, 9);
