--- a/jujubestand/http1/head.cpp
+++ b/jujubestand/http1/head.cpp
@@ -65,7 +65,12 @@
     if (http::same_name(name, "Content-Length"))
     {
         if (seen.has_length)
-            return refuse(why, "more than one Content-Length");
+        {
+            why = reason{reason_code::conflicting_length,
+                         "more than one Content-Length",
+                         {}};
+            return false;
+        }
         if (!is_digits(value))
             return refuse(why, "Content-Length is not a number");
         seen.has_length = true;
--- a/jujubestand/http1/head.hpp
+++ b/jujubestand/http1/head.hpp
@@ -42,6 +42,8 @@
     std::vector<http::field> fields;
     /// The connection may carry another message after this one.
     bool is_keep_alive = false;
+    /// Requests only: the sender knows chunked bodies, as from HTTP/1.1 on.
+    bool takes_chunks = true;
     /// Responses only.
     body_framing framing = body_framing::none;
 };
--- a/jujubestand/http1/reader.cpp
+++ b/jujubestand/http1/reader.cpp
@@ -62,6 +62,7 @@
     bool is_value = false;
 
     void start();
+    [[nodiscard]] bool is_too_long() const;
     std::optional<reason> take_head(evbuffer* input);
     std::optional<reason> take_body(evbuffer* input);
 
@@ -120,6 +121,7 @@
     if (self->kind == message_kind::response)
         self->head.framing = framing_of(*parser);
     self->head.is_keep_alive = http_should_keep_alive(parser) != 0;
+    self->head.takes_chunks = parser->http_major > 1 || parser->http_minor >= 1;
     // No other protocol is offered: a request to upgrade is an ordinary one.
     parser->upgrade = 0;
     return 0;
@@ -171,6 +173,14 @@
     this->is_value = false;
 }
 
+// By its length alone, so that a request is refused before its body comes.
+bool reader::state::is_too_long() const
+{
+    return this->kind == message_kind::request &&
+           framing_of(this->parser) == body_framing::length &&
+           this->parser.content_length > this->limits.body_bytes;
+}
+
 std::optional<reason> reader::state::take_head(evbuffer* input)
 {
     auto const found =
@@ -253,8 +263,11 @@
         if (result.failure || !this->self->has_head)
             return result;
         result.head = std::move(this->self->head);
+        if (this->self->is_too_long())
+            result.failure =
+                too_large(reason_code::body_too_large, "body too large");
     }
-    if (!this->self->is_complete)
+    if (!result.failure && !this->self->is_complete)
         result.failure = this->self->take_body(input);
     result.body = std::exchange(this->self->body, {});
     result.is_complete = !result.failure && this->self->is_complete;
--- a/jujubestand/http1/server.cpp
+++ b/jujubestand/http1/server.cpp
@@ -5,6 +5,7 @@
 #include <jujubestand/http1/server_state.hpp>
 #include <jujubestand/http1/sockets.hpp>
 #include <jujubestand/http1/writer.hpp>
+#include <jujubestand/link/socket_address.hpp>
 #include <sys/socket.h>
 #include <utility>
 
@@ -29,14 +30,14 @@
 
 bool server::listen(address const& where, reason& why)
 {
-    auto const socket_address = to_sockaddr(where);
+    auto socket_address = link::to_socket_address(where);
     evconnlistener* made = nullptr;
     if (socket_address)
         made = evconnlistener_new_bind(
             this->self->base, state::on_accept, this->self.get(),
             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-            listen_backlog, reinterpret_cast<sockaddr const*>(&*socket_address),
-            sizeof *socket_address);
+            listen_backlog, socket_address->get(),
+            static_cast<int>(socket_address->length));
     if (made == nullptr)
     {
         why = reason{reason_code::settings_invalid, "cannot listen",
@@ -48,6 +49,20 @@
     return true;
 }
 
+address server::bound() const
+{
+    if (this->self->listeners.empty())
+        return {};
+    auto const& latest = this->self->listeners.back();
+    return link::bound_address(evconnlistener_get_fd(latest.get()))
+        .value_or(address{});
+}
+
+void server::stop_accepting()
+{
+    this->self->listeners.clear();
+}
+
 void server::set_limits(server_limits limits)
 {
     this->self->limits = limits;
@@ -80,7 +95,8 @@
         response_head(status, this->self->with_connection(fields, *open),
                       body_framing::length, body.size());
     this->self->write(*open, head);
-    this->self->write(*open, body);
+    if (open->framing != body_framing::none)
+        this->self->write(*open, body);
     this->self->complete(*open);
 }
 
@@ -91,9 +107,10 @@
     if (open == nullptr)
         return;
     open->is_started = true;
-    std::string const head =
-        response_head(status, this->self->with_connection(fields, *open),
-                      body_framing::chunked, 0);
+    open->is_keep_alive =
+        open->is_keep_alive && open->framing != body_framing::close;
+    std::string const head = response_head(
+        status, this->self->with_connection(fields, *open), open->framing, 0);
     this->self->write(*open, head);
     timeval const unread = to_timeval(write_timeout);
     bufferevent_set_timeouts(open->stream.get(), nullptr, &unread);
@@ -102,9 +119,12 @@
 void server::send(exchange_id exchange, std::string_view bytes)
 {
     auto* const open = this->self->find(exchange);
-    if (open == nullptr || bytes.empty())
+    if (open == nullptr || bytes.empty() || open->framing == body_framing::none)
         return;
-    this->self->write(*open, chunk(bytes));
+    if (open->framing == body_framing::chunked)
+        this->self->write(*open, chunk(bytes));
+    else
+        this->self->write(*open, bytes);
 }
 
 void server::finish(exchange_id exchange)
@@ -112,7 +132,8 @@
     auto* const open = this->self->find(exchange);
     if (open == nullptr)
         return;
-    this->self->write(*open, last_chunk);
+    if (open->framing == body_framing::chunked)
+        this->self->write(*open, last_chunk);
     this->self->complete(*open);
 }
 
@@ -122,11 +143,16 @@
     if (open == nullptr)
         return;
     // Without its last chunk the answer is incomplete, but what was sent of
-    // it still arrives.
-    if (open->is_started)
+    // it still arrives. An answer that ends with its connection is incomplete
+    // only if that is reset.
+    if (open->is_started && open->framing == body_framing::chunked)
+    {
         this->self->close_after_write(*open);
-    else
-        this->self->drop(exchange.peer);
+        return;
+    }
+    if (open->is_started)
+        set_reset_on_close(bufferevent_getfd(open->stream.get()));
+    this->self->drop(exchange.peer);
 }
 
 bool server::has_left(exchange_id exchange) const
@@ -140,6 +166,36 @@
     return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+std::string server::peer_host(exchange_id exchange) const
+{
+    auto const* const open = this->self->find(exchange);
+    if (open == nullptr)
+        return {};
+    link::socket_address peer;
+    peer.length = sizeof peer.storage;
+    if (getpeername(bufferevent_getfd(open->stream.get()), peer.get(),
+                    &peer.length) != 0)
+        return {};
+    return link::to_address(peer.get(), peer.length).value_or(address{}).host;
+}
+
+std::size_t server::unwritten_bytes(exchange_id exchange) const
+{
+    auto const* const open = this->self->find(exchange);
+    return open == nullptr ? 0 : state::unwritten(*open);
+}
+
+std::size_t server::unfinished() const
+{
+    std::size_t count = 0;
+    for (auto const id : this->self->connections.ids())
+    {
+        auto const& open = *this->self->connections.find(id);
+        count += open.now == phase::answering || state::unwritten(open) > 0;
+    }
+    return count;
+}
+
 void server::drain()
 {
     this->self->is_draining = true;
@@ -159,11 +215,9 @@
     std::size_t count = 0;
     for (auto const id : this->self->connections.ids())
     {
-        auto* const open = this->self->connections.find(id);
-        bool const is_unwritten =
-            evbuffer_get_length(bufferevent_get_output(open->stream.get())) > 0;
-        if (open->now == phase::answering || is_unwritten ||
-            (open->now == phase::reading && state::has_input(*open)))
+        auto const& open = *this->self->connections.find(id);
+        if (open.now == phase::answering || state::unwritten(open) > 0 ||
+            (open.now == phase::reading && state::has_input(open)))
             ++count;
     }
     return count;
--- a/jujubestand/http1/server.hpp
+++ b/jujubestand/http1/server.hpp
@@ -57,6 +57,14 @@
     std::size_t held_bytes = 0;
 };
 
+/// \brief Response to a request that can't be read.
+struct server_refusal
+{
+    int status = 400;
+    std::vector<http::field> fields;
+    std::string body;
+};
+
 /// \brief What the server tells its owner, from the loop.
 struct server_events
 {
@@ -67,6 +75,11 @@
     /// There is no room for the request's body. The owner refuses the request,
     /// whose body it is not given; the connection closes after the answer.
     std::function<void(exchange_id, message_head const&)> on_no_room;
+    /// All bytes of an answer that goes on have been written to the socket.
+    std::function<void(exchange_id)> on_written;
+    /// Makes the response to a request that can't be read; without it the
+    /// response is 413 or 400 with the reason's text.
+    std::function<server_refusal(reason const&)> refusal_of;
     /// Clients were limited; at most once a second.
     std::function<void(limited_clients const&)> on_limited;
 };
@@ -99,6 +112,12 @@
     /// \returns false with `why` set if it can't
     [[nodiscard]] bool listen(address const& where, reason& why);
 
+    /// \brief Address that was listened on last, with its port resolved.
+    [[nodiscard]] address bound() const;
+
+    /// \brief Closes the listeners; connections that are open stay so.
+    void stop_accepting();
+
     /// \brief Limits of requests that begin from now on.
     void set_limits(server_limits limits);
 
@@ -142,6 +161,17 @@
     /// what the kernel holds: a process that runs late has not been told yet.
     [[nodiscard]] bool has_left(exchange_id exchange) const;
 
+    /// \brief IP address of the caller of an open request; empty if it is gone.
+    [[nodiscard]] std::string peer_host(exchange_id exchange) const;
+
+    /// \brief Bytes of the answer to an open request that the socket has not
+    /// taken.
+    [[nodiscard]] std::size_t unwritten_bytes(exchange_id exchange) const;
+
+    /// \brief Requests that wait for the end of their answer, also for its last
+    /// bytes to be written.
+    [[nodiscard]] std::size_t unfinished() const;
+
     /// \brief From now on connections close after the answer under way, those
     /// that idle after an answer at once, and new ones after their first.
     void drain();
--- a/jujubestand/http1/server_clients.cpp
+++ b/jujubestand/http1/server_clients.cpp
@@ -55,8 +55,7 @@
     result.id = open.held->id;
     result.held = held;
     result.received = open.received;
-    result.unread =
-        evbuffer_get_length(bufferevent_get_output(open.stream.get()));
+    result.unread = unwritten(open);
     result.since = open.since;
     result.moved_at = open.moved_at;
     if (open.now == phase::answering)
@@ -106,8 +105,7 @@
 // has left nothing for it to read: the client is not the slow one.
 bool server::state::is_own_delay(connection const& open)
 {
-    auto const* const output = bufferevent_get_output(open.stream.get());
-    if (evbuffer_get_length(output) == 0)
+    if (unwritten(open) == 0)
         return open.now == phase::reading && kernel_bytes(open) > 0;
     int unacknowledged = 0;
     auto const descriptor = bufferevent_getfd(open.stream.get());
@@ -159,9 +157,47 @@
         this->on_closed(row.id);
         return true;
     }
+    this->end_pipelining();
     return false;
 }
 
+// Clients that send requests ahead keep their pace, and together they could
+// hold all connections for as long as they go on. One of them gives its
+// connection up after its current answer for each caller that is refused.
+void server::state::end_pipelining()
+{
+    for (auto const id : this->connections.ids())
+    {
+        auto& open = *this->connections.find(id);
+        auto* const input = bufferevent_get_input(open.stream.get());
+        if (!open.is_pipelining || open.is_processing ||
+            evbuffer_get_length(input) == 0)
+            continue;
+        if (open.now == phase::answering)
+        {
+            this->cut_ahead(open);
+            return;
+        }
+        if (open.now == phase::reading)
+        {
+            this->count(&limited_clients::cut_ahead);
+            this->close_after_write(open);
+            return;
+        }
+    }
+}
+
+// Requests behind the one that is answered were not looked at: they have not
+// run, and the connection closes after the answer.
+void server::state::cut_ahead(connection& open)
+{
+    this->count(&limited_clients::cut_ahead);
+    open.is_pipelining = false;
+    open.drops_input = true;
+    open.is_keep_alive = false;
+    this->take_ahead(open);
+}
+
 // \returns whether the request, of which bytes have just come, is still read
 bool server::state::make_room(peer_id id)
 {
@@ -235,8 +271,6 @@
     this->close_after_write(*open);
 }
 
-// Requests behind the one that is answered were not looked at: they have not
-// run, and the connection closes after the answer.
 void server::state::drop_read_ahead()
 {
     for (auto const id : this->connections.ids())
@@ -248,16 +282,14 @@
             continue;
         if (this->requests.total() <= this->request_limit)
             return;
-        this->count(&limited_clients::cut_ahead);
-        open.drops_input = true;
-        open.is_keep_alive = false;
-        this->take_ahead(open);
+        this->cut_ahead(open);
     }
 }
 
 void server::state::take_ahead(connection& open)
 {
     auto* const input = bufferevent_get_input(open.stream.get());
+    open.is_pipelining = !open.drops_input && evbuffer_get_length(input) > 0;
     if (open.drops_input)
         evbuffer_drain(input, evbuffer_get_length(input));
     this->set_request_bytes(open);
--- a/jujubestand/http1/server_state.cpp
+++ b/jujubestand/http1/server_state.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <event2/buffer.h>
 #include <jujubestand/http1/sockets.hpp>
-#include <jujubestand/http1/writer.hpp>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
@@ -11,6 +10,18 @@
 namespace jujubestand::http1
 {
 
+namespace
+{
+
+body_framing framing_of_answer(message_head const& request)
+{
+    if (request.method == "HEAD")
+        return body_framing::none;
+    return request.takes_chunks ? body_framing::chunked : body_framing::close;
+}
+
+} // namespace
+
 void server::state::on_accept(evconnlistener* /*listener*/,
                               evutil_socket_t socket, sockaddr* /*from*/,
                               int /*size*/, void* argument)
@@ -45,7 +56,10 @@
     bool const is_turned_away =
         limit > 0 && this->connections.size() >= limit && !this->close_one();
     if (is_turned_away)
+    {
         this->count(&limited_clients::turned_away);
+        this->end_pipelining();
+    }
     // A few more are kept until they have received their refusal.
     if (is_turned_away &&
         this->connections.size() >= limit + limit / turned_away_part + 1)
@@ -68,6 +82,8 @@
                    0,
                    {},
                    true,
+                   body_framing::chunked,
+                   false,
                    false,
                    false,
                    false,
@@ -109,27 +125,6 @@
         open->moved_at = mono_now();
 }
 
-void server::state::write(connection& open, std::string_view bytes)
-{
-    bufferevent_write(open.stream.get(), bytes.data(), bytes.size());
-    this->drop_excess();
-}
-
-// The connections are closed from the loop, since the owner may be in the
-// middle of an answer.
-void server::state::drop_excess()
-{
-    for (auto const id : this->unread.excess())
-    {
-        auto* const stream = this->connections.find(id)->stream.get();
-        this->unread.erase(id);
-        evbuffer_remove_cb(bufferevent_get_output(stream), on_output,
-                           this->connections.find(id)->held.get());
-        bufferevent_trigger_event(stream, BEV_EVENT_ERROR,
-                                  BEV_TRIG_DEFER_CALLBACKS);
-    }
-}
-
 std::size_t server::state::kernel_bytes(connection const& open)
 {
     int unread = 0;
@@ -139,6 +134,11 @@
                : 0;
 }
 
+std::size_t server::state::unwritten(connection const& open)
+{
+    return evbuffer_get_length(bufferevent_get_output(open.stream.get()));
+}
+
 // Bytes of a request that were read, or that the kernel still holds: a process
 // that runs late has not seen those.
 bool server::state::has_input(connection const& open)
@@ -154,8 +154,7 @@
 {
     auto const received =
         evbuffer_get_length(bufferevent_get_input(open.stream.get()));
-    auto const unwritten =
-        evbuffer_get_length(bufferevent_get_output(open.stream.get()));
+    auto const unread_bytes = unwritten(open);
     auto const now = mono_now();
     timeval const unread_limit = to_timeval(write_timeout);
     bool const is_receiving = received > 0 || open.input.is_within_message();
@@ -169,7 +168,8 @@
     }
     open.is_receiving = is_receiving;
     // The client is not waited for while it has answers to read.
-    if (unwritten > unread_pause_bytes || (unwritten > 0 && !is_receiving))
+    if (unread_bytes > unread_pause_bytes ||
+        (unread_bytes > 0 && !is_receiving))
     {
         bufferevent_set_timeouts(open.stream.get(), nullptr, &unread_limit);
         return;
@@ -230,18 +230,19 @@
 {
     connection* open = this->connections.find(id);
     if (open == nullptr || open->now != phase::reading ||
-        evbuffer_get_length(bufferevent_get_output(open->stream.get())) >
-            unread_pause_bytes)
+        unwritten(*open) > unread_pause_bytes)
         return false;
     auto found = open->input.read(bufferevent_get_input(open->stream.get()));
     bool const begins = found.head.has_value();
     if (begins)
     {
         open->is_keep_alive = found.head->is_keep_alive;
+        open->framing = framing_of_answer(*found.head);
         open->request.head = std::move(*found.head);
         open->message_bytes = memory_of(open->request.head);
         open->due = mono_now() + this->limits.body_timeout;
-        if (http::find_header(open->request.head.fields, "Expect"))
+        if (!found.failure &&
+            http::find_header(open->request.head.fields, "Expect"))
             bufferevent_write(open->stream.get(),
                               "HTTP/1.1 100 Continue\r\n\r\n", 25);
     }
@@ -269,79 +270,6 @@
            evbuffer_get_length(bufferevent_get_input(open->stream.get())) > 0;
 }
 
-// The owner keeps a copy of the fields that it passes on.
-void server::state::begin_answer(connection& open)
-{
-    open.now = phase::answering;
-    ++this->answering;
-    open.is_started = false;
-    open.is_receiving = false;
-    open.since = mono_now();
-    ++open.exchanges;
-    open.message_bytes += memory_of(open.request.head);
-    this->set_request_bytes(open);
-    bufferevent_setwatermark(open.stream.get(), EV_READ, 0, read_ahead_bytes);
-    bufferevent_set_timeouts(open.stream.get(), nullptr, nullptr);
-}
-
-void server::state::end_answer(connection& open, phase next)
-{
-    if (open.now == phase::answering)
-        --this->answering;
-    open.now = next;
-    open.since = mono_now();
-    open.is_receiving = false;
-    open.message_bytes = 0;
-}
-
-void server::state::refuse(peer_id id, reason const& why)
-{
-    connection* open = this->connections.find(id);
-    int const status = why.code == reason_code::body_too_large ? 413 : 400;
-    open->is_keep_alive = false;
-    std::string const head =
-        response_head(status, this->with_connection({}, *open),
-                      body_framing::length, why.text.size());
-    this->write(*open, head);
-    this->write(*open, why.text);
-    this->close_after_write(*open);
-}
-
-void server::state::close_after_write(connection& open)
-{
-    this->end_answer(open, phase::closing);
-    this->requests.erase(open.held->id);
-    open.request = {};
-    // A caller that sends its whole body first receives the answer after it.
-    open.due = mono_now() + this->limits.body_timeout;
-    auto* const input = bufferevent_get_input(open.stream.get());
-    evbuffer_drain(input, evbuffer_get_length(input));
-    bufferevent_setwatermark(open.stream.get(), EV_READ, 0, input_limit_bytes);
-    watch_closing(open);
-    if (evbuffer_get_length(bufferevent_get_output(open.stream.get())) == 0)
-        shutdown(bufferevent_getfd(open.stream.get()), SHUT_WR);
-}
-
-void server::state::on_written(peer_id id)
-{
-    connection* open = this->connections.find(id);
-    if (open != nullptr && open->now == phase::closing)
-        shutdown(bufferevent_getfd(open->stream.get()), SHUT_WR);
-    if (open == nullptr || open->now != phase::reading || open->is_processing)
-        return;
-    this->watch_reading(*open);
-    this->read_again(*open);
-}
-
-// A request that waits in the input brings no further read event.
-void server::state::read_again(connection& open)
-{
-    if (evbuffer_get_length(bufferevent_get_input(open.stream.get())) > 0)
-        bufferevent_trigger(open.stream.get(), EV_READ,
-                            BEV_TRIG_IGNORE_WATERMARKS |
-                                BEV_TRIG_DEFER_CALLBACKS);
-}
-
 void server::state::on_closed(peer_id id)
 {
     connection* open = this->connections.find(id);
@@ -372,28 +300,4 @@
     return is_current ? open : nullptr;
 }
 
-std::vector<http::field>
-server::state::with_connection(std::vector<http::field> fields,
-                               connection const& open) const
-{
-    if (!open.is_keep_alive || this->is_draining)
-        fields.push_back({"Connection", "close"});
-    return fields;
-}
-
-void server::state::complete(connection& open)
-{
-    if (!open.is_keep_alive || this->is_draining)
-    {
-        this->close_after_write(open);
-        return;
-    }
-    this->end_answer(open, phase::reading);
-    open.input.reset();
-    this->set_request_bytes(open);
-    bufferevent_setwatermark(open.stream.get(), EV_READ, 0, input_limit_bytes);
-    this->watch_reading(open);
-    read_again(open);
-}
-
 } // namespace jujubestand::http1
--- a/jujubestand/http1/server_state.hpp
+++ b/jujubestand/http1/server_state.hpp
@@ -65,10 +65,16 @@
         std::uint64_t exchanges = 0;
         server_request request;
         bool is_keep_alive = true;
+        /// Of an answer of unknown length; `none` for HEAD, whose answer has no
+        /// body.
+        body_framing framing = body_framing::chunked;
         bool is_started = false;
         bool is_processing = false;
         /// Bytes of a request have come that is not complete.
         bool is_receiving = false;
+        /// Bytes of a request came before the answer to the one before it was
+        /// complete.
+        bool is_pipelining = false;
         /// What comes after the current request is dropped.
         bool drops_input = false;
         /// Counted for the current request: its head and its body, also after
@@ -109,6 +115,8 @@
     bool make_room(peer_id id);
     void refuse_slow();
     void refuse_large();
+    void end_pipelining();
+    void cut_ahead(connection& open);
     void drop_read_ahead();
     void take_ahead(connection& open);
     bool has_room_for_call();
@@ -134,6 +142,7 @@
     void drop_excess();
     void watch_reading(connection& open) const;
     static void watch_closing(connection& open);
+    [[nodiscard]] static std::size_t unwritten(connection const& open);
     [[nodiscard]] static bool has_input(connection const& open);
     [[nodiscard]] static std::size_t kernel_bytes(connection const& open);
     [[nodiscard]] static bool is_own_delay(connection const& open);
--- a/jujubestand/http1/test/clients_test.cpp
+++ b/jujubestand/http1/test/clients_test.cpp
@@ -192,6 +192,7 @@
     server_limits limits;
     limits.head_timeout = milliseconds{60'000};
     limits.body_timeout = milliseconds{300};
+    limits.message.body_bytes = 9'000'000;
     this->under_test.set_limits(limits);
     auto const slow =
         this->connect("POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n");
@@ -206,6 +207,41 @@
     EXPECT_TRUE(is_ended);
 }
 
+// A body over the limit was read up to the limit before it was refused.
+TEST_F(clients, a_request_that_is_too_long_is_refused_by_its_length)
+{
+    auto const large =
+        this->connect("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+                      "Content-Length: 900000000\r\n\r\n");
+    EXPECT_TRUE(this->is_told(large, "HTTP/1.1 413"));
+    EXPECT_FALSE(large->received.starts_with("HTTP/1.1 100"));
+    EXPECT_TRUE(this->asked.empty());
+}
+
+// Clients that send requests ahead are neither idle nor slow, and held all
+// connections: every other caller was refused.
+TEST_F(clients, one_that_sends_requests_ahead_makes_room_after_its_answer)
+{
+    constexpr char const* kept = "GET /kept HTTP/1.1\r\nHost: a\r\n\r\n";
+    this->under_test.set_connection_limit(2);
+    auto const first = this->connect(std::string(kept) + kept);
+    auto const second = this->connect(std::string(kept) + kept);
+    EXPECT_TRUE(this->is_told(this->connect(whole), "HTTP/1.1 503"));
+    ASSERT_EQ(this->open.size(), 2U);
+    for (auto const id : std::exchange(this->open, {}))
+        this->under_test.respond(id, 200, {}, "");
+    EXPECT_TRUE(this->run_until(
+        [&]
+        {
+            first->read();
+            second->read();
+            return first->is_closed || second->is_closed;
+        },
+        milliseconds{5'000}));
+    EXPECT_FALSE(first->is_closed && second->is_closed);
+    EXPECT_TRUE(this->is_told(this->connect(whole), "HTTP/1.1 200"));
+}
+
 // A body whose head came in one piece had only the time of a head.
 TEST_F(clients, a_body_may_take_longer_than_a_head)
 {
--- a/jujubestand/http1/test/head_test.cpp
+++ b/jujubestand/http1/test/head_test.cpp
@@ -13,6 +13,7 @@
 {
     char const* what;
     char const* fields;
+    reason_code code = reason_code::malformed_request;
 };
 
 constexpr hostile_head hostile[] = {
@@ -22,8 +23,10 @@
     {"coding beside chunked", "Transfer-Encoding: gzip, chunked\r\n"},
     {"coding twice",
      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"},
-    {"two lengths", "Content-Length: 5\r\nContent-Length: 6\r\n"},
-    {"the same length twice", "Content-Length: 5\r\nContent-Length: 5\r\n"},
+    {"two lengths", "Content-Length: 5\r\nContent-Length: 6\r\n",
+     reason_code::conflicting_length},
+    {"the same length twice", "Content-Length: 5\r\nContent-Length: 5\r\n",
+     reason_code::conflicting_length},
     {"lengths in one field", "Content-Length: 5, 5\r\n"},
     {"negative length", "Content-Length: -5\r\n"},
     {"signed length", "Content-Length: +5\r\n"},
@@ -52,7 +55,7 @@
             std::string("POST /a/ HTTP/1.1\r\n") + row.fields + "\r\n";
         reason why;
         EXPECT_FALSE(is_unambiguous(head, why)) << row.what;
-        EXPECT_EQ(why.code, reason_code::malformed_request) << row.what;
+        EXPECT_EQ(why.code, row.code) << row.what;
         EXPECT_FALSE(why.text.empty()) << row.what;
     }
 }
--- a/jujubestand/node/client_limits.hpp
+++ b/jujubestand/node/client_limits.hpp
@@ -5,11 +5,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <jujubestand/core/descriptors.hpp>
 #include <jujubestand/http1/server.hpp>
 #include <jujubestand/logs/log.hpp>
 #include <jujubestand/node/settings.hpp>
 #include <string>
-#include <sys/resource.h>
 
 namespace jujubestand::node
 {
@@ -18,13 +18,7 @@
 /// system.
 [[nodiscard]] inline std::size_t descriptor_limit(settings const& read)
 {
-    // Where there is no limit, as many as a large instance has.
-    constexpr std::size_t without_limit = 65'536;
-    rlimit system{};
-    std::size_t allowed = without_limit;
-    if (::getrlimit(RLIMIT_NOFILE, &system) == 0 &&
-        system.rlim_cur != RLIM_INFINITY)
-        allowed = std::min(allowed, static_cast<std::size_t>(system.rlim_cur));
+    std::size_t const allowed = system_descriptor_limit();
     return read.descriptors == 0 ? allowed
                                  : std::min(allowed, read.descriptors);
 }
