--- a/jujubestand/entry/entry.cpp
+++ b/jujubestand/entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <jujubestand/entry/entry_state.hpp>
+#include <jujubestand/process/caller_limits.hpp>
 #include <jujubestand/quarantine/call_keys.hpp>
 #include <prometheus/counter.h>
 
@@ -11,14 +12,18 @@
 namespace
 {
 
-http::server_options server_options_of(settings::settings const& read)
+http::server_options server_options_of(process::context& shared)
 {
-    http::server_options options;
-    options.header_limit_bytes =
-        static_cast<std::size_t>(read.header_limit_bytes);
-    options.body_limit_bytes = static_cast<std::size_t>(read.body_limit_bytes);
-    options.read_timeout = std::chrono::duration_cast<std::chrono::seconds>(
-        std::chrono::milliseconds(read.read_timeout_ms));
+    auto options = process::server_options_of(shared.settings);
+    options.refusal_of = [&shared](reason const& why)
+    {
+        problem refused;
+        refused.request = process::next_request_id(shared);
+        refused.why = why;
+        auto told = to_answer(refused);
+        return http1::server_refusal{told.status, std::move(told.headers),
+                                     std::move(told.body)};
+    };
     return options;
 }
 
@@ -28,7 +33,7 @@
     : shared(&context)
     , counts(context.metrics)
     , links(context.base, process::node_options_of(context), context.clock)
-    , front(context.base, server_options_of(context.settings))
+    , front(context.base, server_options_of(context))
     , platform_http(context.base)
     , list(context.base, this->platform_http, process::list_options_of(context))
     , log(context.base, this->platform_http, process::log_options_of(context))
@@ -45,6 +50,12 @@
 void entry::state::connect_signals()
 {
     this->front.requested.connect(sigc::mem_fun(*this, &state::on_request));
+    this->front.refused.connect(sigc::mem_fun(*this, &state::on_no_room));
+    this->front.limited.connect(
+        [this](http1::limited_clients const& limited)
+        {
+            process::note_limited(*this->shared, limited);
+        });
     this->front.closed.connect(sigc::mem_fun(*this, &state::on_caller_closed));
     this->front.drained.connect(
         sigc::mem_fun(*this, &state::on_caller_drained));
@@ -91,6 +102,18 @@
     this->accept(caller, asked);
 }
 
+void entry::state::on_no_room(http::caller_id caller)
+{
+    constexpr std::uint64_t retry_after_us = 1'000'000;
+    problem refused;
+    refused.request = process::next_request_id(*this->shared);
+    refused.why = {reason_code::entry_full, "no room for the request", {}};
+    refused.retry_after_us = retry_after_us;
+    this->counts.refused(refused.why.code);
+    auto const told = to_answer(refused);
+    this->front.reply(caller, told.status, told.headers, told.body);
+}
+
 void entry::state::accept(http::caller_id caller, http::request const& asked)
 {
     request_id const id = process::next_request_id(*this->shared);
--- a/jujubestand/entry/entry_state.hpp
+++ b/jujubestand/entry/entry_state.hpp
@@ -76,6 +76,7 @@
     // entry.cpp
     void connect_signals();
     void on_request(http::caller_id caller, http::request const& asked);
+    void on_no_room(http::caller_id caller);
     void accept(http::caller_id caller, http::request const& asked);
     void on_caller_closed(http::caller_id caller);
     void on_list(platform::instance_list const& list);
--- a/jujubestand/http/server.hpp
+++ b/jujubestand/http/server.hpp
@@ -1,12 +1,13 @@
 #ifndef JUJUBESTAND_HTTP_SERVER_HPP
 #define JUJUBESTAND_HTTP_SERVER_HPP
 
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <jujubestand/core/address.hpp>
 #include <jujubestand/core/slot_map.hpp>
 #include <jujubestand/http/message.hpp>
+#include <jujubestand/http1/server.hpp>
 #include <memory>
 #include <optional>
 #include <sigc++/sigc++.h>
@@ -25,16 +26,25 @@
 /// \brief Limits of a server.
 struct server_options
 {
-    std::size_t header_limit_bytes = 32U << 10U;
-    std::size_t body_limit_bytes = 8U << 20U;
-    std::chrono::seconds read_timeout{30};
+    http1::server_limits requests{{32U << 10U, 8U << 20U},
+                                  std::chrono::seconds{30},
+                                  std::chrono::seconds{30},
+                                  std::chrono::seconds{30}};
+    /// Connections that are open; 0: no limit.
+    std::size_t connections = 0;
+    /// Bytes of all requests together that are being read or wait for the end
+    /// of their answer; 0: no limit.
+    std::size_t held_requests_bytes = 0;
+    /// Makes the response to a request that can't be read.
+    std::function<http1::server_refusal(reason const&)> refusal_of;
 };
 
-/// \brief evhttp's server, with the gaps in its handling of callers closed.
+/// \brief Server of requests that are received whole, with signals.
 ///
-/// A caller's going away is noticed at once, what a caller may leave unread
-/// is for the user to bound by `buffered_bytes`, and an answer that ends in
-/// the middle is cut, never closed by an empty chunk.
+/// Another request of a connection is read once the one before is answered.
+/// What a caller may leave unread is for the user to bound by `buffered_bytes`,
+/// and an answer that ends in the middle is cut, never closed as if it were
+/// complete.
 class server
 {
 public:
@@ -74,14 +84,19 @@
 
     /// \brief Callers that are waiting for an answer or its last bytes; a
     /// process that ends while there are any cuts them off.
-    [[nodiscard]] std::size_t open_callers() const noexcept;
+    [[nodiscard]] std::size_t open_callers() const;
 
     /// \brief A whole request came; the receiver owes an answer.
     sigc::signal<void(caller_id, request)> requested;
+    /// \brief There is no room for a request's body, which is not given; the
+    /// receiver owes a refusal.
+    sigc::signal<void(caller_id)> refused;
     /// \brief All written bytes have gone to the socket.
     sigc::signal<void(caller_id)> drained;
     /// \brief The caller went away before its answer ended.
     sigc::signal<void(caller_id)> closed;
+    /// \brief Callers were limited; at most once a second.
+    sigc::signal<void(http1::limited_clients)> limited;
 
 private:
     struct state;
--- a/jujubestand/settings/settings.hpp
+++ b/jujubestand/settings/settings.hpp
@@ -93,6 +93,9 @@
     std::int64_t read_timeout_ms = 30'000;
     std::int64_t caller_buffer_bytes = 256 << 10;
     std::int64_t calls_limit = 8'192;
+    std::int64_t body_timeout_ms = 30'000;
+    std::int64_t connections_limit = 0;
+    std::int64_t held_requests_bytes = 32 << 20;
     std::int64_t drain_limit_ms = 120'000;
     std::int64_t drain_notice_ms = 2'000;
     std::int64_t pin_header = 0;
--- a/jujubestand/sidecar/sidecar.cpp
+++ b/jujubestand/sidecar/sidecar.cpp
@@ -1,5 +1,6 @@
 #include <jujubestand/sidecar/sidecar.hpp>
 
+#include <jujubestand/process/caller_limits.hpp>
 #include <jujubestand/sidecar/sidecar_state.hpp>
 
 namespace jujubestand::sidecar
@@ -9,6 +10,7 @@
 {
 
 constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
 
 http::client_options client_options_of(settings::settings const& read)
 {
@@ -48,7 +50,7 @@
     : shared(&context)
     , links(context.base, process::node_options_of(context), context.clock)
     , answers(context.base, this->links, replay_limits_of(context.settings))
-    , front(context.base, http::server_options{})
+    , front(context.base, process::server_options_of(context.settings))
     , upstream(context.base, client_options_of(context.settings))
     , platform_http(context.base)
     , log(context.base, this->platform_http, process::log_options_of(context))
@@ -69,6 +71,17 @@
 {
     this->connect_claims();
     this->front.requested.connect(sigc::mem_fun(*this, &state::on_http));
+    this->front.refused.connect(
+        [this](http::caller_id caller)
+        {
+            this->front.reply(caller, status_unavailable, {},
+                              "no room for the request\n");
+        });
+    this->front.limited.connect(
+        [this](http1::limited_clients const& limited)
+        {
+            process::note_limited(*this->shared, limited);
+        });
     this->links.received.connect(sigc::mem_fun(*this, &state::on_frame));
     this->links.drained.connect(
         [this](link::stream_id stream)
