--- a/jujubestand/dispatch/choice.cpp
+++ b/jujubestand/dispatch/choice.cpp
@@ -1,6 +1,7 @@
 #include <jujubestand/dispatch/choice.hpp>
 
 #include <algorithm>
+#include <jujubestand/dispatch/engine_sample.hpp>
 #include <jujubestand/dispatch/failures.hpp>
 #include <jujubestand/dispatch/parts.hpp>
 #include <jujubestand/dispatch/speeds.hpp>
@@ -327,20 +328,28 @@
     }
     bool const is_avoiding = avoids_reached(dispatcher, request, now);
     std::optional<choice> best;
+    std::vector<candidate> engines;
     for (auto const& [key, target] : dispatcher.upstreams)
     {
         if (!is_usable(dispatcher, target, request, now) ||
             (is_avoiding && has_reached(request, endpoint_of(target))))
             continue;
-        auto const candidate =
+        auto const evaluated =
             request.model_prompt
                 ? evaluate_engine(dispatcher, target, request, split, sources,
                                   home, find_tally(in_flight, key), now)
                 : evaluate_plain(dispatcher, target, now);
-        if (candidate && (!best || candidate->expected_ms < best->expected_ms))
-            best = candidate;
+        if (evaluated && request.model_prompt)
+            engines.push_back({*evaluated, target.name_hash, &target == home});
+        else if (evaluated &&
+                 (!best || evaluated->expected_ms < best->expected_ms))
+            best = evaluated;
     }
-    return best;
+    if (!request.model_prompt)
+        return best;
+    double const share = sample_share(
+        engines.size(), other_sends(dispatcher, request.pool, now));
+    return choose_sampled(engines, share, request.key, now);
 }
 
 } // namespace jujubestand::dispatch
