--- a/jujubestand/agent/rollout.cpp
+++ b/jujubestand/agent/rollout.cpp
@@ -55,13 +55,16 @@
 // the other: more loads at once would take longer each.
 std::chrono::milliseconds long_call_wait(rollout const& state)
 {
-    auto const groups = (std::max<std::size_t>(state.pool_size, 1) - 1) /
-                            concurrent_loads(state) +
-                        1;
-    auto const turn = std::min(group_of(state) + 1, groups);
-    auto const half = state.limits.long_call_wait_limit / 2;
-    return half + half * static_cast<std::int64_t>(turn) /
-                      static_cast<std::int64_t>(groups);
+    constexpr int late_part = 2;
+    auto const last_group = (std::max<std::size_t>(state.pool_size, 1) - 1) /
+                            concurrent_loads(state);
+    auto const groups_after = static_cast<std::int64_t>(
+        last_group - std::min(group_of(state), last_group));
+    auto const limit = state.limits.long_call_wait_limit;
+    auto const interval =
+        std::max(state.limits.group_interval,
+                 limit / late_part / static_cast<std::int64_t>(last_group + 1));
+    return limit - interval * groups_after;
 }
 
 // Long calls get time to end before the engine stops accepting calls; those
--- a/jujubestand/agent/test/rollout_test.cpp
+++ b/jujubestand/agent/test/rollout_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <jujubestand/agent/rollout.hpp>
+#include <optional>
 
 namespace jujubestand::agent
 {
@@ -105,6 +106,26 @@
     EXPECT_LE(before, 1'000 + 12'000 + 500);
 }
 
+// With a short bound on old weights, an even part of the time would be less
+// than the interval between groups that are not busy.
+TEST(rollout, groups_of_busy_engines_keep_their_interval_where_time_is_short)
+{
+    std::optional<int> before;
+    for (std::size_t const index : {0U, 2U, 4U, 6U, 8U})
+    {
+        auto state = ready(index, 9);
+        state.limits.long_call_wait_limit = std::chrono::milliseconds{2'400};
+        update_running_calls(state, {1}, at(0));
+        record_request(state, "m", 2, at(1'000));
+        int const when = first_order(state, engine(1, 0), 1'000);
+        if (before)
+        {
+            EXPECT_GE(when - *before, state.limits.group_interval.count());
+        }
+        before = when;
+    }
+}
+
 TEST(rollout, an_order_has_the_newest_version_and_the_accepted_count)
 {
     auto state = ready(0, 9);
