--- a/jujubestand/dispatch/engine_sample.cpp
+++ b/jujubestand/dispatch/engine_sample.cpp
@@ -17,20 +17,27 @@
 /// have the same prompt, so that calls with it do not all go to one.
 constexpr double cached_tokens_min = 1'000;
 
-// Another one at each time, so that a call that waits has a new sample in each
-// review.
-double score_of(candidate const& row, call_key call, mono_time now)
+// The score depends on the time, so that a waiting call gets a new sample at
+// each review.
+double score_of(candidate const& engine, call_key call, mono_time now)
 {
     auto const moment =
         static_cast<std::uint64_t>(now.time_since_epoch().count());
     constexpr unsigned half = 32;
     return placement::rendezvous_score(call ^ (moment << half) ^ moment,
-                                       row.name_hash, 1.0);
+                                       engine.name_hash, 1.0);
 }
 
-bool is_sooner(candidate const& row, candidate const* best)
+/// An engine and its score.
+struct scored_engine
 {
-    return best == nullptr || row.chosen.expected_ms < best->chosen.expected_ms;
+    candidate const* engine = nullptr;
+    double score = 0;
+};
+
+bool is_always_compared(candidate const& engine)
+{
+    return engine.is_home || engine.chosen.cached_tokens >= cached_tokens_min;
 }
 
 } // namespace
@@ -63,30 +70,34 @@
 std::optional<choice> choose_sampled(std::vector<candidate> const& candidates,
                                      double share, call_key call, mono_time now)
 {
+    constexpr std::size_t sample_min = 2;
+    std::vector<scored_engine> engines;
+    engines.reserve(candidates.size());
+    for (auto const& engine : candidates)
+        engines.push_back({&engine, score_of(engine, call, now)});
+    auto const sampled = std::min(engines.size(), sample_min);
+    std::partial_sort(engines.begin(),
+                      engines.begin() + static_cast<std::ptrdiff_t>(sampled),
+                      engines.end(),
+                      [](scored_engine const& left, scored_engine const& right)
+                      {
+                          return left.score > right.score;
+                      });
+    // A random score exceeds this with probability `share`.
+    double const score_min = share < 1 ? -1 / std::log(1 - share) : 0;
     candidate const* best = nullptr;
-    candidate const* any = nullptr;
-    double any_score = -1;
-    // A score is over the limit with this probability.
-    double const limit = -1 / std::log(1 - share);
-    for (auto const& row : candidates)
+    for (std::size_t index = 0; index < engines.size(); ++index)
     {
-        double const score = score_of(row, call, now);
-        bool const is_compared = share >= 1 || score > limit || row.is_home ||
-                                 row.chosen.cached_tokens >= cached_tokens_min;
-        if (is_compared && is_sooner(row, best))
-            best = &row;
-        if (score > any_score)
-        {
-            any_score = score;
-            any = &row;
-        }
+        auto const& [engine, score] = engines[index];
+        bool const is_compared =
+            index < sampled || score > score_min || is_always_compared(*engine);
+        if (is_compared && (best == nullptr || engine->chosen.expected_ms <
+                                                   best->chosen.expected_ms))
+            best = engine;
     }
-    // Without a sampled one the call goes to a random engine: the best of all
-    // would again be that of all gateways.
-    auto const* const chosen = best == nullptr ? any : best;
-    if (chosen == nullptr)
+    if (best == nullptr)
         return std::nullopt;
-    return chosen->chosen;
+    return best->chosen;
 }
 
 } // namespace jujubestand::dispatch
--- a/jujubestand/dispatch/engine_sample.hpp
+++ b/jujubestand/dispatch/engine_sample.hpp
@@ -5,9 +5,9 @@
 #include <optional>
 #include <vector>
 
-/// \brief Which engines a call is compared over. Load: many gateways that
-/// choose by the same reports, and would all send to the engine that seemed
-/// idle until the next report.
+/// \brief Selects the engines that are compared for a call. Gateways with the
+/// same reports would otherwise all choose the same idle engine until the next
+/// report.
 namespace jujubestand::dispatch
 {
 
@@ -29,8 +29,8 @@
 [[nodiscard]] double other_sends(state const& dispatcher,
                                  std::string const& pool, mono_time now);
 
-/// \brief The engine with the least expected time among a random sample, the
-/// prompt's home and those with much of the prompt cached.
+/// \brief The engine with the least expected time among a random sample of two
+/// at least, the prompt's home and those with much of the prompt cached.
 /// \returns nothing if there are no candidates
 [[nodiscard]] std::optional<choice>
 choose_sampled(std::vector<candidate> const& candidates, double share,
--- a/jujubestand/dispatch/test/engine_sample_test.cpp
+++ b/jujubestand/dispatch/test/engine_sample_test.cpp
@@ -97,6 +97,17 @@
     }
 }
 
+// An empty sample sent a call to an engine whatever its load.
+TEST(engine_sample, two_engines_are_compared_at_least)
+{
+    std::vector<candidate> engines;
+    for (upstream_key key = 1; key <= engine_count; ++key)
+        engines.push_back(engine_with(key, 50));
+    engines[7].chosen.expected_ms = 4'000;
+    for (int ms = 0; ms < 2'000; ++ms)
+        EXPECT_NE(choose_sampled(engines, 0.01, 1, at(ms))->upstream, 8U);
+}
+
 TEST(engine_sample, a_call_is_sent_though_none_was_sampled)
 {
     EXPECT_FALSE(choose_sampled({}, 0.05, 1, at(0)));
