--- a/jujubestand/http/test/server_test.cpp
+++ b/jujubestand/http/test/server_test.cpp
@@ -105,6 +105,16 @@
     EXPECT_TRUE(this->is_closed);
 }
 
+// It would wait for the end of the connection.
+TEST_F(server_test, an_old_caller_is_told_that_its_connection_stays_open)
+{
+    auto const received = this->ask(
+        "GET /whole HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", "127.0.0.1");
+    EXPECT_NE(received.find("Connection: keep-alive"), std::string::npos)
+        << received;
+    EXPECT_FALSE(this->is_closed);
+}
+
 // Its orderly end would make the part look complete.
 TEST_F(server_test, a_stream_to_an_old_caller_is_cut_by_a_reset)
 {
--- a/jujubestand/http1/server.cpp
+++ b/jujubestand/http1/server.cpp
@@ -144,7 +144,7 @@
         return;
     // Without its last chunk the answer is incomplete, but what was sent of
     // it still arrives. An answer that ends with its connection is incomplete
-    // only if that is reset.
+    // only if that is reset, which drops what has not been written.
     if (open->is_started && open->framing == body_framing::chunked)
     {
         this->self->close_after_write(*open);
--- a/jujubestand/http1/server_answers.cpp
+++ b/jujubestand/http1/server_answers.cpp
@@ -125,6 +125,9 @@
 {
     if (!open.is_keep_alive || this->is_draining)
         fields.push_back({"Connection", "close"});
+    else if (open.framing == body_framing::close)
+        // A caller of HTTP/1.0 expects the connection to close otherwise.
+        fields.push_back({"Connection", "keep-alive"});
     return fields;
 }
 
