--- /dev/null
+++ b/programs/test/odd_tables_test.cpp
@@ -0,0 +1,125 @@
+#include <programs/test/gateways_fixture.hpp>
+#include <set>
+#include <standins/service/recording_service.hpp>
+
+// Versions of the configuration of which gateways can't read a part, or that
+// have an unusual form. Checks which keys are accepted from then on.
+namespace jujubestand::programs::test
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int status_unauthorized = 401;
+
+json team(std::string const& name, std::set<std::string> const& keys)
+{
+    return {{"name", name}, {"api-keys", keys}};
+}
+
+/// \brief A configuration whose routes need keys of these teams.
+json configuration_of(std::uint64_t version, json const& teams)
+{
+    auto result = json::parse(configuration(version));
+    for (auto& route : result["routes"])
+        route["public"] = false;
+    result["tenants"] = teams;
+    return result;
+}
+
+class odd_tables : public gateways_test
+{
+protected:
+    static constexpr std::size_t gateway_count = 3;
+
+    /// \brief Starts gateways, of which two read the store, and the last gets
+    /// the records from these.
+    /// \param teams one of them has the key `gone`
+    void start(json const& teams)
+    {
+        this->store.put("keyed.op", "config",
+                        configuration_of(1, teams).dump());
+        this->start_gateways(gateway_count);
+        this->add_engine("v1", near);
+        standins::service_events events;
+        events.arrived = [](std::string const&) {};
+        events.run = [this](std::string const& id)
+        {
+            this->runs.insert(id);
+        };
+        constexpr std::uint64_t seed = 20261207;
+        this->service = std::make_unique<standins::recording_service>(
+            this->base.get(), address{host(service_number), 0}, seed,
+            standins::service_faults{}, events);
+        this->add_service("book-0", this->service->bound());
+        this->wait_ready();
+        for (std::size_t number = 0; number < gateway_count; ++number)
+            EXPECT_EQ(this->ask_of(number, "gone"), HTTP_OK) << number;
+    }
+
+    void configure(json const& content)
+    {
+        this->store.put("keyed.op", "config", content.dump());
+        for (std::size_t number = 0; number < gateway_count; ++number)
+            this->wait_logged(number, "tables_applied",
+                              "version=" + content["version"].dump());
+    }
+
+    /// \brief Status of a call that is to run at most once.
+    int ask_of(std::size_t gateway, std::string const& key,
+               std::string const& target = "/book/new")
+    {
+        stream_call asked{"call-" + std::to_string(++this->calls), "", ""};
+        asked.target = target;
+        asked.key = key;
+        auto const answer = this->ask(gateway, asked);
+        EXPECT_TRUE(this->run_to_end(answer));
+        EXPECT_EQ(this->runs.contains(asked.request_id),
+                  answer->status == HTTP_OK)
+            << key;
+        return answer->status;
+    }
+
+    /// \brief Checks the status of calls with a key at each gateway, and at
+    /// one that has started since.
+    void expect_of_all(std::string const& key, int status)
+    {
+        for (std::size_t number = 0; number < gateway_count; ++number)
+            EXPECT_EQ(this->ask_of(number, key), status)
+                << key << " at " << number;
+        this->restart_gateway(0);
+        EXPECT_TRUE(this->run_until(
+            [this]
+            {
+                return this->is_ready(this->gateways[0]);
+            }));
+        EXPECT_EQ(this->ask_of(0, key), status) << key << " after a start";
+    }
+
+private:
+    static constexpr std::size_t service_number = 200;
+
+    std::set<std::string> runs;
+    std::size_t calls = 0;
+    std::unique_ptr<standins::recording_service> service;
+};
+
+} // namespace
+
+// The version that lifted a team's limit in this form was rejected as a whole,
+// and a key that it took away went on running (CONFIG, review/8).
+TEST_F(odd_tables, a_key_goes_beside_a_burst_without_a_rate)
+{
+    auto limited = team("a", {"kept"});
+    limited["rate-per-s"] = 1'000;
+    limited["burst"] = 1'000;
+    this->start({limited, team("b", {"gone"})});
+    limited.erase("rate-per-s");
+    this->configure(configuration_of(2, {limited, team("b", {})}));
+    this->expect_of_all("gone", status_unauthorized);
+    this->expect_of_all("kept", HTTP_OK);
+}
+
+} // namespace jujubestand::programs::test
