--- a/jujubestand/core/reason.cpp
+++ b/jujubestand/core/reason.cpp
@@ -3,7 +3,7 @@
 namespace jujubestand
 {
 
-std::array<enum_name<reason_code>, 66> const reason_names{{
+std::array<enum_name<reason_code>, 67> const reason_names{{
     {reason_code::none, "none"},
     {reason_code::malformed_request, "malformed_request"},
     {reason_code::body_too_large, "body_too_large"},
@@ -57,6 +57,7 @@
     {reason_code::wrong_upstream, "wrong_upstream"},
     {reason_code::stale_fence, "stale_fence"},
     {reason_code::lease_lost, "lease_lost"},
+    {reason_code::tables_unreadable, "tables_unreadable"},
     {reason_code::upstream_leaving, "upstream_leaving"},
     {reason_code::upstream_restarted, "upstream_restarted"},
     {reason_code::log_unavailable, "log_unavailable"},
--- a/jujubestand/core/reason.hpp
+++ b/jujubestand/core/reason.hpp
@@ -79,6 +79,7 @@
     wrong_upstream = 604,
     stale_fence = 605,
     lease_lost = 606,
+    tables_unreadable = 607,
 
     // Membership.
     upstream_leaving = 700,
@@ -105,7 +106,7 @@
 };
 
 /// \brief Names of the reasons, stable for scripts.
-extern std::array<enum_name<reason_code>, 66> const reason_names;
+extern std::array<enum_name<reason_code>, 67> const reason_names;
 
 /// \brief Name of a reason.
 [[nodiscard]] std::string_view to_name(reason_code code) noexcept;
--- a/jujubestand/gateway/apply_records.cpp
+++ b/jujubestand/gateway/apply_records.cpp
@@ -82,15 +82,21 @@
     }
 }
 
-void apply_tables(gateway_state& state, follow::record const& row)
+// A configuration that can't be read may take any key away. The tables are then
+// as old as the last confirmation without it.
+void apply_tables(gateway_state& state, follow::record const& row,
+                  std::optional<mono_time> confirmed_before)
 {
     reason why;
     auto tables = platform::decode_tables(row.value, why);
     if (!tables)
     {
         reject(state, row, why);
+        if (!state.superseded_at)
+            state.superseded_at = confirmed_before.value_or(mono_time{});
         return;
     }
+    state.superseded_at.reset();
     if (state.tables && tables->version <= state.tables->version)
         return;
     auto const now = mono_now();
@@ -104,6 +110,8 @@
     apply_cache_owners(state);
     apply_queue_discipline(state.dispatch, *state.tables);
     apply_quotas(state);
+    for (auto const& part : state.tables->unreadable)
+        reject(state, row, part);
     state.log->write(
         event_number::tables_applied, {},
         {{"version", static_cast<std::int64_t>(state.tables->version)},
@@ -201,7 +209,7 @@
         if (row.value.empty())
             continue;
         if (row.key == platform::names::configuration_key)
-            apply_tables(state, row);
+            apply_tables(state, row, confirmed_before);
         else if (row.key.starts_with(platform::names::weights_key_prefix))
             apply_weights(state, row, confirmed_before);
     }
@@ -225,9 +233,22 @@
         remove_upstream(state, id);
 }
 
+std::optional<mono_time> tables_as_of(gateway_state const& state)
+{
+    return state.superseded_at ? state.superseded_at
+                               : state.operator_topic->known().current_as_of;
+}
+
+std::optional<microseconds> tables_age(gateway_state const& state,
+                                       mono_time now)
+{
+    auto const as_of = tables_as_of(state);
+    return as_of ? std::optional(now - *as_of) : std::nullopt;
+}
+
 bool check_freshness(gateway_state& state, mono_time now)
 {
-    auto const age = follow::staleness(state.operator_topic->known(), now);
+    auto const age = tables_age(state, now);
     bool const is_fresh =
         age && *age < state.settings.limits.key_removal - freshness_margin;
     if (is_fresh != state.is_fresh)
--- a/jujubestand/gateway/apply_records.hpp
+++ b/jujubestand/gateway/apply_records.hpp
@@ -25,6 +25,15 @@
 /// \brief Removes upstreams whose records have been absent for too long.
 void remove_lapsed_upstreams(gateway_state& state);
 
+/// \brief When the configuration in force was last confirmed to be the newest;
+/// empty: never.
+[[nodiscard]] std::optional<mono_time> tables_as_of(gateway_state const& state);
+
+/// \brief Upper bound of the age of the configuration in force; empty if it was
+/// never confirmed.
+[[nodiscard]] std::optional<microseconds> tables_age(gateway_state const& state,
+                                                     mono_time now);
+
 /// \brief Whether keys and routes are confirmed recent enough to accept
 /// requests; logs each change.
 [[nodiscard]] bool check_freshness(gateway_state& state, mono_time now);
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -23,6 +23,9 @@
 
 constexpr std::chrono::milliseconds stale_tables_retry_after{500};
 
+/// An operator has to write another version first.
+constexpr std::chrono::milliseconds unreadable_retry_after{5'000};
+
 /// Bodies that are kept make room as their calls end.
 constexpr std::chrono::milliseconds no_room_retry_after{500};
 
@@ -44,6 +47,16 @@
     return error;
 }
 
+problem unreadable_tables_problem()
+{
+    problem error;
+    error.why = reason{reason_code::tables_unreadable,
+                       "team or route can't be read in the configuration",
+                       {}};
+    error.retry_after = unreadable_retry_after;
+    return error;
+}
+
 problem unknown(int status, reason_code code, char const* text)
 {
     problem error;
@@ -57,10 +70,39 @@
 problem unknown_or_stale(gateway_state const& state, problem const& error,
                          mono_time now)
 {
-    auto const age = follow::staleness(state.operator_topic->known(), now);
+    auto const age = tables_age(state, now);
     return age && *age <= unknown_age_limit ? error : stale_tables_problem();
 }
 
+std::optional<problem> refusal_of_route(gateway_state const& state,
+                                        traffic::route const* route,
+                                        mono_time now)
+{
+    if (route == nullptr && state.tables->knows_all_routes)
+        return unknown_or_stale(state,
+                                unknown(status_not_found,
+                                        reason_code::unknown_route,
+                                        "no matching route"),
+                                now);
+    if (route == nullptr || route->shares.empty())
+        return unreadable_tables_problem();
+    return std::nullopt;
+}
+
+std::optional<problem> refusal_of_team(gateway_state const& state,
+                                       traffic::team const* team, mono_time now)
+{
+    if (team == nullptr && state.tables->knows_all_keys)
+        return unknown_or_stale(state,
+                                unknown(status_unauthorized,
+                                        reason_code::unknown_team,
+                                        "unknown API key"),
+                                now);
+    if (team == nullptr || !team->is_readable)
+        return unreadable_tables_problem();
+    return std::nullopt;
+}
+
 dispatch::call to_dispatch_call(gateway_state const& state,
                                 active_call const& call, dispatch::call_key key,
                                 std::string_view pool)
@@ -165,27 +207,21 @@
     }
     auto const* const route = traffic::find_route(
         *state.tables, call.caller_request.host, call.caller_request.path);
-    if (route == nullptr)
+    auto const route_refusal = refusal_of_route(state, route, call.arrived_at);
+    if (route_refusal)
     {
-        refuse_request(state, exchange, id,
-                       unknown_or_stale(state,
-                                        unknown(status_not_found,
-                                                reason_code::unknown_route,
-                                                "no matching route"),
-                                        call.arrived_at));
+        refuse_request(state, exchange, id, *route_refusal);
         return;
     }
     auto const* const team =
         traffic::find_team(*state.tables, call.caller_request.key);
     bool const needs_key = !route->is_public && state.tables->needs_keys;
-    if (needs_key && team == nullptr)
+    auto const team_refusal =
+        needs_key ? refusal_of_team(state, team, call.arrived_at)
+                  : std::nullopt;
+    if (team_refusal)
     {
-        refuse_request(state, exchange, id,
-                       unknown_or_stale(state,
-                                        unknown(status_unauthorized,
-                                                reason_code::unknown_team,
-                                                "unknown API key"),
-                                        call.arrived_at));
+        refuse_request(state, exchange, id, *team_refusal);
         return;
     }
     call.route = *route;
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -4,6 +4,7 @@
 #include <jujubestand/dispatch/standing.hpp>
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/answers.hpp>
+#include <jujubestand/gateway/apply_records.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <utility>
@@ -126,7 +127,7 @@
 std::optional<mono_time> records_as_of(gateway_state const& state)
 {
     auto const upstreams = state.upstream_topic->known().current_as_of;
-    auto const tables = state.operator_topic->known().current_as_of;
+    auto const tables = tables_as_of(state);
     if (!upstreams || !tables)
         return std::nullopt;
     return std::min(*upstreams, *tables);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -224,6 +224,9 @@
     bool is_review_scheduled = false;
     follow::lapses lapses;
     std::optional<traffic::tables> tables;
+    /// When `tables` were last confirmed current, if a configuration came since
+    /// that can't be read.
+    std::optional<mono_time> superseded_at;
     /// Owner of the cached parts of teams that are not isolated, by `tables`.
     std::string shared_cache_owner;
     dispatch::state dispatch;
--- a/jujubestand/gateway/team_quotas.cpp
+++ b/jujubestand/gateway/team_quotas.cpp
@@ -264,13 +264,19 @@
         limits::remove_waiting(holder->second, call.dispatch_call.key);
 }
 
+// Gateways that have not read this version yet go on to use a quota that can't
+// be read in it.
 void apply_quotas(gateway_state& state)
 {
+    auto const& known = state.quotas.exchange.teams;
     std::map<std::string, limits::quota_terms> quotas;
     for (auto const& team : state.tables->teams)
     {
+        auto const former = known.find(team.name);
         if (team.quota)
             quotas[team.name] = terms_of(state, *team.quota);
+        else if (!team.is_readable && former != known.end())
+            quotas[team.name] = former->second.quota;
     }
     apply_effects(
         state, limits::set_quotas(state.quotas.exchange, quotas, mono_now()));
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <jujubestand/core/address.hpp>
 #include <jujubestand/core/enum_table.hpp>
+#include <jujubestand/core/reason.hpp>
 #include <map>
 #include <optional>
 #include <string>
@@ -63,6 +64,7 @@
     std::uint8_t priority = 5;
     /// Upstreams that one call may be sent to.
     std::uint32_t attempts_limit = 1;
+    /// Empty: the pools could not be read, and no call may be sent to any.
     std::vector<pool_share> shares;
 };
 
@@ -118,6 +120,9 @@
     bool is_isolated = false;
     /// Empty: any number of calls.
     std::optional<team_quota> quota;
+    /// Whether its name and quota could be read; otherwise no call of the team
+    /// may run.
+    bool is_readable = true;
 };
 
 /// \brief What callers may send, and how slowly.
@@ -143,6 +148,13 @@
     /// Index into `teams` by key.
     std::unordered_map<std::string, std::size_t> keys;
     caller_limits limits;
+    /// Parts that could not be read, and why.
+    std::vector<reason> unreadable;
+    /// Whether all keys could be read; otherwise an unknown one may be a
+    /// team's.
+    bool knows_all_keys = true;
+    /// The same for hosts and paths of routes.
+    bool knows_all_routes = true;
 };
 
 /// \brief The route of a host whose prefix is the longest that begins
--- a/programs/test/odd_tables_test.cpp
+++ b/programs/test/odd_tables_test.cpp
@@ -122,4 +122,56 @@
     this->expect_of_all("kept", HTTP_OK);
 }
 
+// Another part that couldn't be read kept the whole version from being in force
+// (CONFIG).
+TEST_F(odd_tables, a_key_goes_beside_a_part_that_cannot_be_read)
+{
+    json const teams = {team("a", {"kept"}), team("b", {"gone"})};
+    this->start(teams);
+    auto odd_quota = team("odd", {"odd"});
+    odd_quota["rate-per-s"] = "many";
+    auto next = configuration_of(2, {team("a", {"kept"}), odd_quota});
+    next["routes"].push_back({{"name", "odd"},
+                              {"host", "engines.example"},
+                              {"path-prefix", "/odd/"}});
+    this->configure(next);
+    this->expect_of_all("gone", status_unauthorized);
+    this->expect_of_all("odd", HTTP_SERVUNAVAIL);
+    this->expect_of_all("kept", HTTP_OK);
+    EXPECT_EQ(this->ask_of(0, "kept", "/odd/new"), HTTP_SERVUNAVAIL);
+    for (std::size_t number = 0; number < gateway_count; ++number)
+        this->wait_logged(number, "record_rejected", "key=config");
+    this->configure(configuration_of(3, teams));
+    this->expect_of_all("gone", HTTP_OK);
+}
+
+// Gateways went on to confirm the tables before as current, without end
+// (CONFIG).
+TEST_F(odd_tables, no_key_is_accepted_for_long_once_nothing_can_be_read)
+{
+    this->revoke_ms = 2'000;
+    auto const teams = json::array({team("a", {"kept", "gone"})});
+    this->start(teams);
+    this->store.put("keyed.op", "config", R"({"version":2,"routes":)");
+    auto const acked_at = mono_now();
+    for (std::size_t number = 0; number < gateway_count; ++number)
+        this->wait_logged(number, "record_rejected", "key=config");
+    EXPECT_EQ(this->ask_of(1, "kept"), HTTP_OK);
+    // A second one must not extend the time.
+    this->store.put("keyed.op", "config", R"({"version":"3","routes":[]})");
+    this->run_until(
+        [&]
+        {
+            return mono_now() - acked_at > milliseconds(this->revoke_ms);
+        });
+    for (std::size_t number = 0; number < gateway_count; ++number)
+    {
+        EXPECT_EQ(this->ask_of(number, "gone"), HTTP_SERVUNAVAIL) << number;
+        EXPECT_FALSE(this->is_ready(this->gateways[number])) << number;
+    }
+    this->configure(configuration_of(4, json::array({team("a", {"kept"})})));
+    this->expect_of_all("gone", status_unauthorized);
+    this->expect_of_all("kept", HTTP_OK);
+}
+
 } // namespace jujubestand::programs::test
