--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -271,6 +271,16 @@
     end_call(state, key);
 }
 
+void make_review_timer(gateway_state& state)
+{
+    state.review_timer.emplace(state.base,
+                               [&state]
+                               {
+                                   state.is_review_scheduled = false;
+                                   review_waiting(state);
+                               });
+}
+
 // Agents send hundreds of status datagrams per second; a review for each would
 // use all CPU time of a small gateway.
 void schedule_review(gateway_state& state)
--- a/jujubestand/gateway/calls.hpp
+++ b/jujubestand/gateway/calls.hpp
@@ -23,6 +23,9 @@
 /// where the stream began that it resumes.
 void begin_call(gateway_state& state, dispatch::call_key key);
 
+/// \brief Makes the timer of `schedule_review`.
+void make_review_timer(gateway_state& state);
+
 /// \brief Schedules a review of the waiting calls unless one is already
 /// scheduled.
 void schedule_review(gateway_state& state);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -267,12 +267,7 @@
                                  on_tick(state);
                              });
     state.tick_timer->start_every(tick_interval);
-    state.review_timer.emplace(state.base,
-                               [&state]
-                               {
-                                   state.is_review_scheduled = false;
-                                   review_waiting(state);
-                               });
+    make_review_timer(state);
     state.stop_timer.emplace(state.base,
                              [&state]
                              {
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -166,6 +166,7 @@
             {{"pool", call->dispatch_call.pool},
              {"waiting",
               static_cast<std::int64_t>(state.dispatch.waiting.size())}});
+        schedule_review(state);
         return;
     }
     problem error;
@@ -184,7 +185,6 @@
     apply_decision(state, dispatch_decision);
     if (request_permits(state))
         review_waiting(state);
-    schedule_review(state);
 }
 
 void retry_call(gateway_state& state, dispatch::call_key key)
--- a/jujubestand/gateway/test/retries_test.cpp
+++ b/jujubestand/gateway/test/retries_test.cpp
@@ -71,6 +71,7 @@
             std::make_unique<http1::client>(this->base.get());
         this->state.caller_server = std::make_unique<http1::server>(
             this->base.get(), http1::server_events{});
+        make_review_timer(this->state);
         limit_retries(this->state);
         auto call = stream_call();
         call.is_response_started = true;
