--- a/programs/test/odd_tables_test.cpp
+++ b/programs/test/odd_tables_test.cpp
@@ -174,4 +174,21 @@
     this->expect_of_all("kept", HTTP_OK);
 }
 
+// An empty list of teams opened all routes to any key (ROUTE, CONFIG,
+// review/4).
+TEST_F(odd_tables, a_list_of_teams_that_is_empty_or_none_opens_no_route)
+{
+    this->start(json::array({team("a", {"gone"})}));
+    this->configure(configuration_of(2, json::array()));
+    for (auto const* key : {"gone", "none", ""})
+        this->expect_of_all(key, status_unauthorized);
+    std::uint64_t version = 2;
+    for (json const& odd : {json(nullptr), json::object(), json("none")})
+    {
+        this->configure(configuration_of(++version, odd));
+        for (auto const* key : {"gone", "none", ""})
+            this->expect_of_all(key, HTTP_SERVUNAVAIL);
+    }
+}
+
 } // namespace jujubestand::programs::test
