--- a/jujubestand/gateway/apply_records.hpp
+++ b/jujubestand/gateway/apply_records.hpp
@@ -10,8 +10,8 @@
 namespace jujubestand::gateway
 {
 
-/// \brief Applies operator records; a record that cannot be decoded is logged
-/// and ignored.
+/// \brief Applies operator records; one that cannot be decoded is logged. After
+/// such a configuration the tables in force age from `confirmed_before` on.
 /// \param confirmed_before when the copy of the topic was last confirmed
 /// current without the changes; empty: never
 void apply_operator_records(gateway_state& state,
