--- a/review/support-3/cases.hpp
+++ b/review/support-3/cases.hpp
@@ -23,8 +23,9 @@
 /// back within the lease of that machine.
 verdict play_restarted_agent(record& log, bool has_trouble);
 
-/// \brief Consumers send requests to a path that a route of theirs covers.
-verdict play_ready_path(record& log, bool has_trouble);
+/// \brief The operator raises the limit of bodies while consumers keep their
+/// connections.
+verdict play_raised_limit(record& log, bool has_trouble);
 
 /// \brief A request crashes each worker that runs it, and the operator adds a
 /// route.
@@ -34,8 +35,8 @@
 /// versions serve, and consumers take up their streams.
 verdict play_killed_processes(record& log, bool has_trouble);
 
-/// \brief An isolated tenant and another one send prompts that begin with the
-/// same part, whose id is long.
+/// \brief A tenant becomes isolated. It and another one send prompts that begin
+/// with the same parts, whose ids are long.
 verdict play_long_ids(record& log, bool has_trouble);
 
 } // namespace review
--- a/review/support-3/main.cpp
+++ b/review/support-3/main.cpp
@@ -14,7 +14,7 @@
     std::map<std::string, verdict (*)(record&, bool)> const cases{
         {"frozen-agent", play_frozen_agent},
         {"restarted-agent", play_restarted_agent},
-        {"ready-path", play_ready_path},
+        {"raised-limit", play_raised_limit},
         {"added-route", play_added_route},
         {"killed-processes", play_killed_processes},
         {"long-ids", play_long_ids}};
--- a/review/support-3/requests.cpp
+++ b/review/support-3/requests.cpp
@@ -20,14 +20,16 @@
            R"("sticky":false})";
 }
 
-std::string config(std::uint64_t version, std::string const& routes)
+std::string config(std::uint64_t version, std::string const& routes,
+                   std::size_t body_bytes = 4'194'304)
 {
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
            routes +
            R"(],"services":[{"name":"app","health-path":"/health",)"
            R"("max-conns":100,"protocol":"h1","tls":false}],)"
-           R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
-           R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+           R"("limits":{"max-header-bytes":16384,"max-body-bytes":)" +
+           std::to_string(body_bytes) +
+           R"(,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
 }
 
 request post(std::string const& target, std::string const& id,
@@ -69,6 +71,7 @@
         traits.id = "i-app-" + std::to_string(number);
         traits.service = "app";
         traits.crashing = crashing;
+        traits.event_interval = milliseconds{150};
         all.add_service(traits);
     }
 }
@@ -92,6 +95,17 @@
     return result;
 }
 
+std::size_t lost_requests(world const& all, milliseconds from)
+{
+    std::size_t result = 0;
+    for (auto const& service : all.services)
+    {
+        for (auto const at : service->unanswered())
+            result += at > from ? 1 : 0;
+    }
+    return result;
+}
+
 /// Starts services again some time after they have crashed, under other ids.
 class supervisor
 {
@@ -190,58 +204,6 @@
 
 } // namespace
 
-verdict play_ready_path(record& log, bool has_trouble)
-{
-    constexpr unsigned requests = 10;
-    bounds const limits;
-    world all(log, limits);
-    all.platform.put("keyed.op", "config",
-                     config(1, route("r-orders", "/orders/")));
-    all.add_front();
-    all.add_front();
-    add_services(all, 3, "");
-    all.wait_ready();
-    pause_for(milliseconds{1'500});
-    if (has_trouble)
-    {
-        all.platform.put("keyed.op", "config",
-                         config(2, route("r-orders", "/orders/") + ',' +
-                                       route("r-all", "/")));
-        log.write("the operator adds a route with the prefix /");
-    }
-    pause_for(milliseconds{2 * limits.config_apply_ms});
-    bool is_served = true;
-    bool is_broken = false;
-    for (unsigned number = 1; number <= requests; ++number)
-    {
-        auto const id = "order-" + std::to_string(number);
-        auto const got =
-            send(all, number, post("/orders/2f", id, "an order"), log);
-        is_served = is_served && is_success(got);
-        if (!has_trouble)
-            continue;
-        auto const other = send(
-            all, number,
-            post("/prepared", "prepared-" + std::to_string(number), "it"), log);
-        is_served = is_served && is_success(other);
-        auto const ready =
-            send(all, number,
-                 post("/ready", "ready-" + std::to_string(number), "it"), log);
-        if (!is_success(ready) ||
-            !value_of(ready.fields, "X-Response-Stamp").empty())
-            continue;
-        is_broken = true;
-        log.write("MIXED: a success without the worker's stamp; runs of "
-                  "ready-" +
-                  std::to_string(number) + ": " +
-                  std::to_string(
-                      runs_of(all, "ready-" + std::to_string(number)).size()));
-    }
-    if (!is_served)
-        return verdict::not_run;
-    return is_broken ? verdict::broken : verdict::held;
-}
-
 verdict play_added_route(record& log, bool has_trouble)
 {
     constexpr char const* crashing_path = "/book/eu/2f";
@@ -297,6 +259,9 @@
                       {
                           return begun.at > counted_from;
                       }));
+    log.write(std::to_string(lost_requests(all, counted_from)) +
+              " sound requests ran later than that at workers that ended with "
+              "them");
     log.write("the request reached workers " + std::to_string(runs.size()) +
               " times, of these " + std::to_string(retries) +
               " later than contact-ms after its third crash");
@@ -305,4 +270,73 @@
     return retries > retries_allowed ? verdict::broken : verdict::held;
 }
 
+// Consumers keep their connections and send a request on each of them before
+// and after the change.
+verdict play_raised_limit(record& log, bool has_trouble)
+{
+    constexpr std::size_t first_limit = 1'000'000;
+    constexpr std::size_t second_limit = 4'194'304;
+    constexpr std::size_t small_body = 600;
+    constexpr std::size_t large_body = 1'200'000;
+    constexpr unsigned connection_count = 24;
+    constexpr milliseconds limit{3'000};
+    bounds const limits;
+    world all(log, limits);
+    auto const routes = route("r-orders", "/orders/");
+    all.platform.put(
+        "keyed.op", "config",
+        config(1, routes, has_trouble ? first_limit : second_limit));
+    all.add_front();
+    all.add_front();
+    add_services(all, 3, "");
+    all.wait_ready();
+    pause_for(milliseconds{1'500});
+    std::vector<std::unique_ptr<kept_connection>> kept;
+    for (unsigned number = 0; number < connection_count; ++number)
+        kept.push_back(std::make_unique<kept_connection>(
+            all.fronts[number % all.fronts.size()]->callers));
+    auto const send_all = [&](std::string const& prefix, std::size_t size)
+    {
+        std::map<int, unsigned> result;
+        for (unsigned number = 0; number < connection_count; ++number)
+        {
+            auto const id = prefix + std::to_string(number + 1);
+            auto const got = kept[number]->call(
+                post("/orders/2f", id, std::string(size, 'x')), limit);
+            ++result[got.status];
+            log.write(id + ", " + std::to_string(size) +
+                      " bytes on kept connection " +
+                      std::to_string(number + 1) + ", is answered " +
+                      std::to_string(got.status));
+        }
+        return result;
+    };
+    auto const before = send_all("before-", small_body);
+    if (has_trouble)
+    {
+        all.platform.put("keyed.op", "config", config(2, routes, second_limit));
+        log.write("the operator raises max-body-bytes to " +
+                  std::to_string(second_limit));
+    }
+    pause_for(milliseconds{2 * limits.config_apply_ms});
+    auto after = send_all("after-", large_body);
+    auto const on_new =
+        call(all.fronts.front()->callers,
+             post("/orders/2f", "new-1", std::string(large_body, 'x')), limit);
+    log.write("new-1, on a new connection, is answered " +
+              std::to_string(on_new.status));
+    if (before.count(200) == 0 || before.at(200) != connection_count ||
+        on_new.status != 200)
+        return verdict::not_run;
+    constexpr unsigned allowed = 5;
+    unsigned const all_requests = 2 * connection_count + 1;
+    unsigned const denied = after[413];
+    log.write(std::to_string(denied) + " of " + std::to_string(all_requests) +
+              " requests are ended with a 413 of the gateway's own");
+    if (denied <= allowed + all_requests / 500)
+        return verdict::held;
+    log.write("DENIED: more than 5 + one in 500");
+    return verdict::broken;
+}
+
 } // namespace review
--- a/review/support-3/wire.cpp
+++ b/review/support-3/wire.cpp
@@ -443,30 +443,66 @@
     return this->where;
 }
 
-answer call(address const& where, request const& sent, milliseconds limit,
-            body_seen const& on_body)
+namespace
+{
+
+int connect_to(address const& where)
 {
-    answer result;
     int const made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto const remote = to_socket_address(where);
     if (::connect(made, reinterpret_cast<sockaddr const*>(&remote),
                   sizeof remote) != 0)
     {
         ::close(made);
-        return result;
+        return -1;
     }
     set_options(made);
+    return made;
+}
+
+answer exchange(int descriptor, request const& sent, milliseconds limit,
+                body_seen const& on_body)
+{
+    answer result;
     auto text =
         head_text(sent.method + ' ' + sent.target + " HTTP/1.1", sent.fields);
     if (sent.method == "POST")
         text += "Content-Length: " + std::to_string(sent.body.size()) + "\r\n";
-    if (write_all(made, text + "\r\n" + sent.body))
-    {
-        input from(made, steady::now() + limit);
-        read_answer(from, result, on_body);
-    }
+    // An answer may come before the whole body is written.
+    (void)write_all(descriptor, text + "\r\n" + sent.body);
+    input from(descriptor, steady::now() + limit);
+    read_answer(from, result, on_body);
+    return result;
+}
+
+} // namespace
+
+answer call(address const& where, request const& sent, milliseconds limit,
+            body_seen const& on_body)
+{
+    int const made = connect_to(where);
+    if (made < 0)
+        return {};
+    auto const result = exchange(made, sent, limit, on_body);
     ::close(made);
     return result;
 }
 
+kept_connection::kept_connection(address const& where)
+    : socket(connect_to(where))
+{
+}
+
+kept_connection::~kept_connection()
+{
+    if (this->socket >= 0)
+        ::close(this->socket);
+}
+
+answer kept_connection::call(request const& sent, milliseconds limit)
+{
+    return this->socket < 0 ? answer{}
+                            : exchange(this->socket, sent, limit, {});
+}
+
 } // namespace review
--- a/review/support-3/wire.hpp
+++ b/review/support-3/wire.hpp
@@ -144,6 +144,22 @@
 call(address const& where, request const& sent, milliseconds limit,
      std::function<bool(std::string const&)> const& on_body = {});
 
+/// \brief A connection of a consumer that is kept for many requests.
+class kept_connection
+{
+public:
+    explicit kept_connection(address const& where);
+    ~kept_connection();
+    kept_connection(kept_connection const&) = delete;
+    kept_connection& operator=(kept_connection const&) = delete;
+
+    /// \brief Sends a request; its answer has a length.
+    [[nodiscard]] answer call(request const& sent, milliseconds limit);
+
+private:
+    int socket = -1;
+};
+
 } // namespace review
 
 #endif
--- a/review/support-3/world.cpp
+++ b/review/support-3/world.cpp
@@ -400,6 +400,12 @@
     return this->uses;
 }
 
+std::vector<milliseconds> worker::unanswered() const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->unanswered_times;
+}
+
 std::vector<milliseconds> worker::crashes() const
 {
     std::lock_guard const lock(this->mutex);
@@ -612,7 +618,12 @@
         return;
     }
     pause_for(this->traits.event_interval);
-    peer.answer(200, answer_fields(asked), "whole body\n");
+    if (this->is_up && peer.answer(200, answer_fields(asked), "whole body\n"))
+        return;
+    std::lock_guard const lock(this->mutex);
+    this->unanswered_times.push_back(this->log.now());
+    this->log.write("worker " + this->traits.id + " has ended with " +
+                    value_of(asked.fields, "X-Request-Id"));
 }
 
 process::process(std::vector<std::string> command, std::string settings,
--- a/review/support-3/world.hpp
+++ b/review/support-3/world.hpp
@@ -163,6 +163,10 @@
     /// \brief Cached parts that runs of other tenants than their makers used.
     [[nodiscard]] std::vector<part_use> shared_parts() const;
 
+    /// \brief Times at which it ended with a request that it had run but not
+    /// answered.
+    [[nodiscard]] std::vector<milliseconds> unanswered() const;
+
     /// \brief Times at which it crashed by itself.
     [[nodiscard]] std::vector<milliseconds> crashes() const;
 
@@ -197,6 +201,7 @@
     std::map<std::pair<std::string, std::string>, std::string> cache;
     std::vector<part_use> uses;
     std::vector<milliseconds> crash_times;
+    std::vector<milliseconds> unanswered_times;
     std::thread beats;
     std::thread crasher;
     server front;
