--- a/review/support-3/world.cpp
+++ b/review/support-3/world.cpp
@@ -745,7 +745,7 @@
 
 void world::add_front()
 {
-    // Two hosts whose delays in taking a lease are short.
+    // Hosts whose delays in taking a lease are short, so that a run is.
     constexpr unsigned first_hosts[] = {203, 226, 248};
     auto const number = this->fronts.size();
     auto made = std::make_unique<front_machine>();
