--- a/review/support-3/orders.cpp
+++ b/review/support-3/orders.cpp
@@ -208,7 +208,7 @@
 
 verdict play_restarted_agent(record& log, bool has_trouble)
 {
-    constexpr milliseconds down{3'800};
+    constexpr milliseconds down{3'500};
     constexpr milliseconds until_named{1'000};
     constexpr milliseconds until_named_again{500};
     auto const limits = unfenced_bounds();
