--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review cases 11 to 15 into target/review-3, after the
-# build of the deploy file. Needs a C++20 compiler and no library.
+# Builds the stand-ins of review cases 11, 12, 14 and 15 into target/review-3, after
+# the build of the deploy file. Needs a C++20 compiler and no library.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
