--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -29,6 +29,7 @@
     {event_number::hedge_started, "hedge_started"},
     {event_number::request_waits, "request_waits"},
     {event_number::resume_decided, "resume_decided"},
+    {event_number::origins_unstored, "origins_unstored"},
     {event_number::call_received, "call_received"},
     {event_number::call_refused, "call_refused"},
     {event_number::call_started, "call_started"},
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -40,6 +40,7 @@
     hedge_started = 1108,
     request_waits = 1109,
     resume_decided = 1110,
+    origins_unstored = 1111,
 
     // Sidecar.
     call_received = 1200,
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include <jujubestand/gateway/engine_orders.hpp>
 #include <jujubestand/gateway/learned_speeds.hpp>
 #include <jujubestand/gateway/migration.hpp>
+#include <jujubestand/gateway/origin_records.hpp>
 #include <jujubestand/gateway/peers.hpp>
 #include <jujubestand/gateway/quarantine_records.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
@@ -53,6 +54,7 @@
     if (topic == quarantine_name)
         write_quarantine_records_again(state);
     state.software.stored.clear();
+    write_origins_again(state.origin_writes);
 }
 
 follow::follower_events follower_events_of(
@@ -247,6 +249,7 @@
     review_retry_sharers(state, mono_now());
     review_suspended_calls(state);
     expire_origin_queries(state);
+    review_origin_writes(state);
     review_crashes(state);
     review_limits(state);
     report_wasted_work(state);
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -5,6 +5,8 @@
 #include <jujubestand/gateway/agents.hpp>
 #include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/apply_records.hpp>
+#include <jujubestand/gateway/origin_notices.hpp>
+#include <jujubestand/gateway/origin_records.hpp>
 #include <jujubestand/gateway/sends.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <utility>
@@ -25,6 +27,12 @@
 /// of the configuration.
 constexpr std::chrono::milliseconds records_timeout{1'000};
 
+/// Age of a call after which the store is not read for it any more.
+constexpr std::chrono::milliseconds look_up_timeout{1'500};
+
+/// Longest wait of a resumed stream for a read of the store.
+constexpr std::chrono::milliseconds look_up_wait{1'000};
+
 /// Retry-After of a stream whose version is not known here.
 constexpr std::chrono::milliseconds unknown_origin_retry_after{200};
 
@@ -35,23 +43,6 @@
                           datagram);
 }
 
-using hosts_by_software = std::map<std::string, std::vector<std::string>>;
-
-// IP addresses of the agents beside the engines of a pool, by software version.
-hosts_by_software agents_by_software(gateway_state const& state,
-                                     std::string const& pool)
-{
-    hosts_by_software result;
-    for (auto const& [key, target] : state.dispatch.upstreams)
-    {
-        if (target.record.pool == pool && !target.versions.empty() &&
-            !target.is_replaced)
-            result[target.record.software_version].push_back(
-                target.record.where.host);
-    }
-    return result;
-}
-
 // Returns the IP addresses of the queried gateways and agents.
 std::set<std::string> query_origin(gateway_state& state, origin_key stream,
                                    std::vector<std::string> const& pools)
@@ -122,6 +113,24 @@
     return true;
 }
 
+void on_look_up_end(gateway_state& state, mono_time began_at,
+                    look_up_state result);
+
+// Holds the stream until the store was read for it.
+bool start_look_up(gateway_state& state, dispatch::call_key key,
+                   active_call const& call, mono_time now)
+{
+    if (now - call.arrived_at >= look_up_timeout)
+        return false;
+    open_origin_query waiting;
+    waiting.stream = origin_key_of(call.caller_request.resumed_request);
+    waiting.sent_at = now;
+    waiting.awaits_look_up = true;
+    state.origin_queries[key] = std::move(waiting);
+    look_up_origins(state, on_look_up_end);
+    return true;
+}
+
 // A configuration that is not known yet may have moved the route to another
 // pool, and the stream may have begun there through another gateway.
 std::optional<mono_time> records_as_of(gateway_state const& state)
@@ -133,26 +142,56 @@
     return std::min(*upstreams, *tables);
 }
 
+/// What was done so far to learn the version of a resumed stream.
+struct resume_progress
+{
+    bool was_queried = false;
+    look_up_state look_up = look_up_state::none;
+};
+
 resumed_stream resumed_by(gateway_state const& state, active_call const& call,
-                          bool was_queried, mono_time now)
+                          resume_progress const& progress, mono_time now)
 {
     resumed_stream result;
     result.pools =
         possible_pools(state.former_pools, *state.tables, call.route, now);
     result.request_id = call.caller_request.resumed_request;
     result.arrived_at = call.arrived_at;
-    result.was_queried = was_queried;
+    result.was_queried = progress.was_queried;
+    result.look_up = progress.look_up;
+    result.knows_gateways = !known_gateways(state, now).empty();
     return result;
 }
 
+void log_decision(gateway_state& state, active_call const& call,
+                  resumed_stream const& stream, resume_decision const& decided)
+{
+    state.log->write(
+        event_number::resume_decided, call.caller_request.request_id,
+        {{"resumes", stream.request_id},
+         {"software", decided.software_version.value_or("unknown")},
+         {"step", to_name(resume_step_names, decided.step)},
+         {"pools", static_cast<std::int64_t>(stream.pools.size())},
+         {"store", to_name(look_up_state_names, stream.look_up)}});
+}
+
+// The caller may resume the stream once more, and name the same request.
+void keep_resumed_origin(gateway_state& state, std::string const& request_id,
+                         std::string const& software_version, mono_time now)
+{
+    auto const stream = origin_key_of(request_id);
+    record_origin(state.origins, stream, software_version);
+    keep_begun(state.origin_writes, {stream, software_version, now});
+}
+
 void apply_resume(gateway_state& state, dispatch::call_key key,
-                  bool was_queried)
+                  resume_progress const& progress)
 {
     active_call* const call = find_call(state, key);
     if (call == nullptr)
         return;
     auto const now = mono_now();
-    auto stream = resumed_by(state, *call, was_queried, now);
+    auto stream = resumed_by(state, *call, progress, now);
     for (auto const& pool : stream.pools)
         record_registered_software(state.origins, state.dispatch, pool, now);
     auto decided =
@@ -164,21 +203,16 @@
         stream.was_queried = true;
         decided =
             decide_resume(state.origins, stream, records_as_of(state), now);
-        if (known_gateways(state, now).empty())
-            decided.step = resume_step::refuse;
     }
-    if (decided.step == resume_step::wait)
-    {
-        if (start_wait(state, key, *call, now))
-            return;
+    bool const is_held = (decided.step == resume_step::wait &&
+                          start_wait(state, key, *call, now)) ||
+                         (decided.step == resume_step::look_up &&
+                          start_look_up(state, key, *call, now));
+    if (is_held)
+        return;
+    if (decided.step != resume_step::proceed)
         decided.step = resume_step::refuse;
-    }
-    state.log->write(
-        event_number::resume_decided, call->caller_request.request_id,
-        {{"resumes", stream.request_id},
-         {"software", decided.software_version.value_or("unknown")},
-         {"step", to_name(resume_step_names, decided.step)},
-         {"pools", static_cast<std::int64_t>(stream.pools.size())}});
+    log_decision(state, *call, stream, decided);
     if (decided.step == resume_step::refuse)
     {
         refuse_unknown_origin(state, key);
@@ -187,29 +221,60 @@
     call->dispatch_call.software_version = decided.software_version;
     select_resume_pool(state, *call);
     if (!stream.request_id.empty())
-        record_origin(state.origins, origin_key_of(stream.request_id),
-                      *decided.software_version);
+        keep_resumed_origin(state, stream.request_id, *decided.software_version,
+                            now);
     submit_call(state, key);
 }
 
 // Takes the waiting calls of a stream out of the table before it decides on
 // them, since a decision may change the table.
 template <class Condition>
-void end_queries(gateway_state& state, Condition const& is_over)
+void end_queries(gateway_state& state, Condition const& is_over,
+                 look_up_state look_up = look_up_state::failed)
 {
-    std::map<dispatch::call_key, bool> was_sent_by_key;
+    std::map<dispatch::call_key, resume_progress> ended;
     for (auto const& [key, query] : state.origin_queries)
     {
         if (is_over(query))
-            was_sent_by_key[key] = query.is_sent;
+            ended[key] = {query.is_sent,
+                          query.awaits_look_up ? look_up : look_up_state::none};
     }
-    for (auto const& [key, was_sent] : was_sent_by_key)
+    for (auto const& [key, progress] : ended)
     {
         state.origin_queries.erase(key);
-        apply_resume(state, key, was_sent);
+        apply_resume(state, key, progress);
     }
 }
 
+// Streams that came during a look-up need one that begins after them.
+void on_look_up_end(gateway_state& state, mono_time began_at,
+                    look_up_state result)
+{
+    end_queries(
+        state,
+        [began_at](open_origin_query const& query)
+        {
+            return query.awaits_look_up && query.sent_at <= began_at;
+        },
+        result);
+    bool const is_awaited =
+        std::any_of(state.origin_queries.begin(), state.origin_queries.end(),
+                    [](auto const& row)
+                    {
+                        return row.second.awaits_look_up;
+                    });
+    if (is_awaited)
+        look_up_origins(state, on_look_up_end);
+}
+
+void on_origin_notice(gateway_state& state, status::origin_notice const& notice)
+{
+    record_origin(state.origins, notice.stream, notice.software_version);
+    if (!notice.is_sender_writing)
+        keep_begun(state.origin_writes,
+                   {notice.stream, notice.software_version, mono_now(), true});
+}
+
 void on_origin_query(gateway_state& state, address const& sender,
                      status::origin_query const& query)
 {
@@ -241,7 +306,8 @@
                 {
                     return query.stream == response.stream &&
                            (response.is_known ||
-                            (query.open.empty() && !query.awaits_records));
+                            (query.open.empty() && !query.awaits_records &&
+                             !query.awaits_look_up));
                 });
 }
 
@@ -255,7 +321,7 @@
 
 void begin_resumed(gateway_state& state, dispatch::call_key key)
 {
-    apply_resume(state, key, false);
+    apply_resume(state, key, {});
 }
 
 void select_resume_pool(gateway_state& state, active_call& call)
@@ -269,29 +335,11 @@
         call.dispatch_call.pool = std::move(pool);
 }
 
-void announce_origin(gateway_state& state, active_call const& call)
-{
-    auto const stream = origin_key_of(call.caller_request.request_id);
-    record_origin(state.origins, stream, call.software_version);
-    status::origin_notice notice;
-    notice.stream = stream;
-    notice.software_version = call.software_version;
-    auto const datagram = status::to_datagram(notice);
-    for (auto const& host :
-         origin_holders(known_gateways(state, mono_now()), state.settings.ip,
-                        stream, origin_replicas))
-        send_to(state, host, datagram);
-    auto agents = agents_by_software(state, call.dispatch_call.pool);
-    for (auto const& host : origin_holders(agents[call.software_version], {},
-                                           stream, origin_agents))
-        send_to(state, host, datagram);
-}
-
 void on_origin_datagram(gateway_state& state, address const& sender,
                         std::string_view bytes)
 {
     if (auto const notice = status::from_datagram<status::origin_notice>(bytes))
-        record_origin(state.origins, notice->stream, notice->software_version);
+        on_origin_notice(state, *notice);
     else if (auto const query =
                  status::from_datagram<status::origin_query>(bytes))
         on_origin_query(state, sender, *query);
@@ -304,13 +352,15 @@
 {
     auto const now = mono_now();
     auto const as_of = records_as_of(state);
-    end_queries(state,
-                [now, as_of](open_origin_query const& query)
-                {
-                    return now - query.sent_at >= origin_query_timeout ||
-                           (query.awaits_records && as_of &&
-                            *as_of >= query.sent_at);
-                });
+    end_queries(
+        state,
+        [now, as_of](open_origin_query const& query)
+        {
+            auto const timeout =
+                query.awaits_look_up ? look_up_wait : origin_query_timeout;
+            return now - query.sent_at >= timeout ||
+                   (query.awaits_records && as_of && *as_of >= query.sent_at);
+        });
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/resumed_streams.hpp
+++ b/jujubestand/gateway/resumed_streams.hpp
@@ -20,10 +20,6 @@
 /// route if its own has no upstream of that version that can take it.
 void select_resume_pool(gateway_state& state, active_call& call);
 
-/// \brief Records and announces the version of a stream whose first event is
-/// about to be forwarded.
-void announce_origin(gateway_state& state, active_call const& call);
-
 /// \brief Handles a datagram on the origin of a stream from another gateway.
 void on_origin_datagram(gateway_state& state, address const& sender,
                         std::string_view bytes);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -13,6 +13,7 @@
 #include <jujubestand/gateway/query_pacing.hpp>
 #include <jujubestand/gateway/route_pools.hpp>
 #include <jujubestand/gateway/software_history.hpp>
+#include <jujubestand/gateway/stored_origins.hpp>
 #include <jujubestand/gateway/stream_origins.hpp>
 #include <jujubestand/gateway/wasted_work.hpp>
 #include <jujubestand/http1/client.hpp>
@@ -122,6 +123,8 @@
     /// Nobody knows the version; the stream waits for the records of all
     /// upstreams that may have begun it, and of its route.
     bool awaits_records = false;
+    /// Nobody knows the version; the stream waits for a read of the store.
+    bool awaits_look_up = false;
 };
 
 /// \brief Evidence of this gateway on calls that crash upstreams, and what it
@@ -251,6 +254,8 @@
     stream_origins origins;
     route_pools former_pools;
     software_history software;
+    origin_write_queue origin_writes;
+    origin_look_up origin_reads;
     /// Resumed streams that wait for their software version.
     std::map<dispatch::call_key, open_origin_query> origin_queries;
     /// Paths of the record fetches in flight.
--- a/jujubestand/gateway/stream_origins.cpp
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <jujubestand/placement/rendezvous.hpp>
-#include <set>
 #include <utility>
 
 namespace jujubestand::gateway
@@ -11,7 +10,23 @@
 namespace
 {
 
-// Software versions that upstreams of the pools have or had of late.
+// The software version that all upstreams of the pools have and had of late.
+std::optional<std::string> only_version(stream_origins const& state,
+                                        std::vector<std::string> const& pools,
+                                        mono_time now)
+{
+    if (state.lacks_history)
+        return std::nullopt;
+    auto versions = recent_versions(state, pools, now);
+    // Entries without a version name no other one.
+    if (versions.size() > 1)
+        versions.erase("");
+    return versions.size() == 1 ? std::optional(*versions.begin())
+                                : std::nullopt;
+}
+
+} // namespace
+
 std::set<std::string> recent_versions(stream_origins const& state,
                                       std::vector<std::string> const& pools,
                                       mono_time now)
@@ -31,23 +46,6 @@
     return result;
 }
 
-// The software version that all upstreams of the pools have and had of late.
-std::optional<std::string> only_version(stream_origins const& state,
-                                        std::vector<std::string> const& pools,
-                                        mono_time now)
-{
-    if (state.lacks_history)
-        return std::nullopt;
-    auto versions = recent_versions(state, pools, now);
-    // Entries without a version name no other one.
-    if (versions.size() > 1)
-        versions.erase("");
-    return versions.size() == 1 ? std::optional(*versions.begin())
-                                : std::nullopt;
-}
-
-} // namespace
-
 origin_key origin_key_of(std::string_view request_id) noexcept
 {
     return placement::name_hash_of(request_id);
@@ -62,7 +60,9 @@
 
 std::optional<std::string> find_origin(stream_origins& state, origin_key stream)
 {
-    auto const* const known = state.versions.find(stream);
+    auto const* known = state.versions.find(stream);
+    if (known == nullptr)
+        known = state.stored.find(stream);
     return known == nullptr ? std::nullopt : std::optional(*known);
 }
 
@@ -92,7 +92,8 @@
     }
 }
 
-// A version that no gateway knows any more can still be inferred while the
+// A version that no gateway knows any more can still be inferred, once some
+// gateway is known that could be queried, while the
 // pools have had only one that the stream can have begun at. A gateway that was
 // cut off or has stood still lacks the upstreams that joined meanwhile, and the
 // stream may have begun at one of these through another gateway.
@@ -116,9 +117,14 @@
         result.step = resume_step::query;
         return result;
     }
-    result.software_version = only_version(state, stream.pools, now);
+    if (!is_named || stream.knows_gateways)
+        result.software_version = only_version(state, stream.pools, now);
     if (!result.software_version)
+    {
+        if (is_named && stream.look_up == look_up_state::none)
+            result.step = resume_step::look_up;
         return result;
+    }
     bool const is_current = known_as_of && *known_as_of >= stream.arrived_at;
     result.step = is_current ? resume_step::proceed : resume_step::wait;
     if (!is_current)
--- a/jujubestand/gateway/stream_origins.hpp
+++ b/jujubestand/gateway/stream_origins.hpp
@@ -9,6 +9,7 @@
 #include <jujubestand/dispatch/types.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,8 @@
 /// resume streams at any gateway. The gateway that begins a stream keeps its
 /// version and sends it to a few other gateways and to a few agents, chosen by
 /// the request's id; the gateway at which the stream is resumed queries these.
+/// All of them may be killed at once, so that versions are stored as well while
+/// several are in use; see `stored_origins.hpp`.
 namespace jujubestand::gateway
 {
 
@@ -50,6 +53,8 @@
     /// Software version by request, of the streams of this gateway and those
     /// that it keeps for others; the least recently used are dropped.
     recent_map<origin_key, std::string> versions{16'384};
+    /// The same, as read from the store; the newest are kept.
+    recent_map<origin_key, std::string> stored{32'768};
     /// By pool and software version: when an upstream was last registered.
     std::map<std::string, std::map<std::string, mono_time>> software_in_use;
     /// Other versions may have been in use of late that are not known here.
@@ -61,17 +66,33 @@
 {
     proceed, ///< send to an upstream of the software version
     query,   ///< query the gateways that may know the version
+    look_up, ///< read the store, which may have the version
     wait,    ///< wait until all upstreams that may have begun it are known
     refuse,  ///< the version can't be known
 };
 
-inline constexpr std::array<enum_name<resume_step>, 4> resume_step_names{{
+inline constexpr std::array<enum_name<resume_step>, 5> resume_step_names{{
     {resume_step::proceed, "proceed"},
     {resume_step::query, "query"},
+    {resume_step::look_up, "look_up"},
     {resume_step::wait, "wait"},
     {resume_step::refuse, "refuse"},
 }};
 
+/// \brief Progress of the look-up of a stream in the store.
+enum class look_up_state : std::uint8_t
+{
+    none,   ///< not begun
+    read,   ///< all records that were written before its start are known
+    failed, ///< the store could not be read in time
+};
+
+inline constexpr std::array<enum_name<look_up_state>, 3> look_up_state_names{{
+    {look_up_state::none, "none"},
+    {look_up_state::read, "read"},
+    {look_up_state::failed, "failed"},
+}};
+
 /// \brief A stream that a caller resumes.
 struct resumed_stream
 {
@@ -83,6 +104,10 @@
     mono_time arrived_at{};
     /// Other gateways were queried and none knew the version.
     bool was_queried = false;
+    /// Whether the store was read for it.
+    look_up_state look_up = look_up_state::none;
+    /// Some gateway is known, this one included.
+    bool knows_gateways = true;
 };
 
 /// \brief Decision for a stream that a caller resumes.
@@ -114,6 +139,11 @@
                                 dispatch::state const& dispatcher,
                                 std::string const& pool, mono_time now);
 
+/// \brief Software versions that upstreams of the pools have or had of late.
+[[nodiscard]] std::set<std::string>
+recent_versions(stream_origins const& state,
+                std::vector<std::string> const& pools, mono_time now);
+
 /// \brief Decides on a stream that a caller resumes.
 /// \param known_as_of all upstreams that had registered by then are known, and
 /// all pools of the stream's route
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -130,9 +130,9 @@
         record_registered_software(this->state.origins, this->state.dispatch,
                                    "engines", mono_now());
         auto const now = mono_now();
-        return decide_resume(this->state.origins,
-                             {{"engines"}, "first", now, was_queried}, now,
-                             now);
+        resumed_stream const stream{
+            {"engines"}, "first", now, was_queried, look_up_state::read};
+        return decide_resume(this->state.origins, stream, now, now);
     }
 
     event_base* base = event_base_new();
--- a/jujubestand/gateway/test/software_history_test.cpp
+++ b/jujubestand/gateway/test/software_history_test.cpp
@@ -30,9 +30,9 @@
 
 resume_step step_of(stream_origins& origins)
 {
-    return decide_resume(origins, {{"engines"}, "first", now(), true}, now(),
-                         now())
-        .step;
+    resumed_stream const stream{
+        {"engines"}, "first", now(), true, look_up_state::read};
+    return decide_resume(origins, stream, now(), now()).step;
 }
 
 } // namespace
--- a/jujubestand/gateway/test/stream_origins_test.cpp
+++ b/jujubestand/gateway/test/stream_origins_test.cpp
@@ -53,6 +53,33 @@
     EXPECT_EQ(result.software_version, "old");
 }
 
+// What the store has of it (LOST).
+TEST(stream_origins, a_stored_version_is_taken)
+{
+    auto state = two_versions();
+    state.stored.insert(origin_key_of("first"), "old");
+    auto const result = decide(state, "engines", "first", true, at(10));
+    EXPECT_EQ(result.step, resume_step::proceed);
+    EXPECT_EQ(result.software_version, "old");
+}
+
+// A gateway that has just started has queried none (ORDER).
+TEST(stream_origins, nothing_is_inferred_before_any_gateway_is_known)
+{
+    stream_origins state;
+    record_software(state, "engines", "old", at(0));
+    resumed_stream stream{{"engines"},         "first", at(10), true,
+                          look_up_state::none, false};
+    EXPECT_EQ(decide_resume(state, stream, at(10), at(10)).step,
+              resume_step::look_up);
+    stream.look_up = look_up_state::read;
+    EXPECT_EQ(decide_resume(state, stream, at(10), at(10)).step,
+              resume_step::refuse);
+    stream.knows_gateways = true;
+    EXPECT_EQ(decide_resume(state, stream, at(10), at(10)).step,
+              resume_step::proceed);
+}
+
 TEST(stream_origins, the_version_that_began_a_stream_is_not_replaced)
 {
     auto state = two_versions();
@@ -69,7 +96,13 @@
     EXPECT_EQ(decide(state, "engines", "first", false, at(10)).step,
               resume_step::query);
     EXPECT_EQ(decide(state, "engines", "first", true, at(10)).step,
-              resume_step::refuse);
+              resume_step::look_up);
+    for (auto const result : {look_up_state::read, look_up_state::failed})
+    {
+        resumed_stream const stream{{"engines"}, "first", at(10), true, result};
+        EXPECT_EQ(decide_resume(state, stream, at(10), at(10)).step,
+                  resume_step::refuse);
+    }
     EXPECT_EQ(decide(state, "engines", "", false, at(10)).step,
               resume_step::refuse);
 }
--- a/jujubestand/gateway/upstream_responses.cpp
+++ b/jujubestand/gateway/upstream_responses.cpp
@@ -6,6 +6,7 @@
 #include <jujubestand/gateway/answers.hpp>
 #include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/crashes.hpp>
+#include <jujubestand/gateway/origin_notices.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
--- a/jujubestand/node/settings.hpp
+++ b/jujubestand/node/settings.hpp
@@ -59,6 +59,10 @@
     std::string upstream_pool;
     /// The platform's store.
     address store;
+    /// Partitions of the store's topics without keys.
+    std::size_t store_partitions = 1;
+    /// How long the store keeps the records of topics without keys.
+    std::chrono::milliseconds store_retention{300'000};
     /// The process is ended if it takes more.
     std::size_t memory_bytes = 128U << 20U;
     /// The process may open no more, files among them; 0: as many as the system
--- a/jujubestand/status/messages.hpp
+++ b/jujubestand/status/messages.hpp
@@ -193,8 +193,11 @@
     /// Hash of the id of the request that began the stream.
     std::uint64_t stream = 0;
     std::string software_version;
+    /// The sender writes the version to the store if that becomes necessary.
+    /// If not, gateways that receive the notice do.
+    bool is_sender_writing = false;
 
-    MSGPACK_DEFINE_ARRAY(format, stream, software_version)
+    MSGPACK_DEFINE_ARRAY(format, stream, software_version, is_sender_writing)
 };
 
 /// \brief Query for the software version at which a stream began.
--- a/programs/test/rejoined_streams_test.cpp
+++ b/programs/test/rejoined_streams_test.cpp
@@ -1,9 +1,13 @@
 #include <algorithm>
+#include <jujubestand/gateway/stored_origins.hpp>
 #include <programs/test/gateways_fixture.hpp>
+#include <set>
+#include <standins/relay/tcp_relay.hpp>
 
-// All gateways are killed at once around a change of the engines' software, and
-// callers resume their streams at the gateways that start in their place.
-// Counts the streams that go on and those that are joined from two versions.
+// All gateways, or these and all agents, are killed at once around a change of
+// the engines' software, and callers resume their streams at the gateways that
+// start in their place. Counts the streams that go on and those that are joined
+// from two versions.
 namespace jujubestand::programs::test
 {
 
@@ -12,6 +16,8 @@
 
 constexpr std::uint64_t begun = 3;
 
+constexpr char const* origin_topic = "origins";
+
 constexpr auto whole = standins::stream_engine::stream_events;
 
 /// What became of streams that callers resumed.
@@ -39,12 +45,13 @@
     }
 
     /// \brief Starts gateways and a pool of one version.
-    void start_pool(std::string const& version)
+    /// \param other_pool pool of an engine that only names the gateways
+    void start_pool(std::string const& version,
+                    std::string const& other_pool = "engines")
     {
         this->start_gateways(gateway_count);
         this->add_version(version, far);
-        // Names the gateways; it is sent nothing.
-        this->add_engine("none", far);
+        this->add_engine("none", far, other_pool);
         this->write_engine(2, "draining");
         this->wait_ready();
         this->wait_live(1);
@@ -84,6 +91,74 @@
                 }));
     }
 
+    /// \brief Kills all gateways and agents, and starts them again.
+    void kill_all_processes()
+    {
+        for (auto const& gateway : this->gateways)
+            gateway.process->kill();
+        for (auto const& engine : this->engines)
+        {
+            if (engine.agent_process)
+                engine.agent_process->kill();
+        }
+        for (std::size_t number = 0; number < this->engines.size(); ++number)
+        {
+            if (this->engines[number].agent_process)
+                this->start_agent(number);
+        }
+        this->kill_all_gateways();
+        this->wait_live(this->engines.size() - 1);
+    }
+
+    /// \brief Number of streams whose versions are stored.
+    std::size_t stored_streams() const
+    {
+        std::set<gateway::origin_key> result;
+        for (auto const& record : this->store.records(origin_topic))
+        {
+            auto const batch = msgpack::unpack(record.data(), record.size())
+                                   .get()
+                                   .as<gateway::origin_batch>();
+            for (auto const& [version, streams] : batch.streams)
+                result.insert(streams.begin(), streams.end());
+        }
+        return result.size();
+    }
+
+    /// \brief Waits until the store has so many streams.
+    void wait_stored(std::size_t count)
+    {
+        EXPECT_TRUE(this->run_until(
+            [&]
+            {
+                return this->stored_streams() >= count;
+            }))
+            << this->stored_streams();
+    }
+
+    /// \brief Begins streams at a version, and as many at one that comes then.
+    /// \param before_second called before those
+    void begin_at_two_versions(std::function<void()> const& before_second = {})
+    {
+        this->start_pool("v1", "unused");
+        this->begin_streams("v1");
+        this->add_version("v2", near);
+        this->wait_live(4);
+        if (before_second)
+            before_second();
+        this->begin_streams("v2");
+    }
+
+    void expect_all_go_on(std::vector<std::string> const& versions)
+    {
+        for (auto const& version : versions)
+        {
+            auto const result = this->resume_streams(version, true);
+            EXPECT_EQ(result.served, result.resumed) << version;
+            EXPECT_EQ(result.joined, 0U) << version;
+        }
+    }
+
     /// \brief Resumes the streams of a version at other gateways than before.
     /// \param is_patient whether callers come back while they are refused
     outcome resume_streams(std::string const& version, bool is_patient)
@@ -131,12 +206,55 @@
     this->begin_streams("v2");
     this->kill_all_gateways();
     this->wait_live(4);
-    for (char const* version : {"v1", "v2"})
-    {
-        auto const result = this->resume_streams(version, true);
-        EXPECT_EQ(result.served, result.resumed) << version;
-        EXPECT_EQ(result.joined, 0U) << version;
-    }
+    this->expect_all_go_on({"v1", "v2"});
+}
+
+// The versions that streams had begun at were lost with the gateways and the
+// agents: all were refused, though engines of their version served (LOST).
+TEST_F(rejoined_streams, streams_go_on_after_all_processes_were_killed)
+{
+    this->begin_at_two_versions();
+    this->wait_stored(2 * stream_count);
+    this->store.append(origin_topic, "not a batch");
+    this->kill_all_processes();
+    this->expect_all_go_on({"v1", "v2"});
+}
+
+// A gateway that can't reach the store has the others write its streams (LOST).
+TEST_F(rejoined_streams, streams_of_a_gateway_without_the_store_go_on)
+{
+    constexpr std::size_t relay_number = 5;
+    address const where{host(relay_number), 0};
+    standins::tcp_relay relay(this->base.get(), where, this->store.bound(),
+                              where, standins::relay_switches{});
+    this->store_addresses["front-0"] = relay.bound();
+    this->begin_at_two_versions(
+        [&]
+        {
+            standins::relay_switches faults;
+            faults.stall = true;
+            relay.set(faults);
+        });
+    this->wait_stored(2 * stream_count);
+    relay.set({});
+    this->kill_all_processes();
+    this->expect_all_go_on({"v1", "v2"});
+}
+
+// The store is away when callers resume: they are refused as not run, soon, and
+// go on once it is back.
+TEST_F(rejoined_streams, streams_go_on_once_the_store_is_back)
+{
+    this->begin_at_two_versions();
+    this->wait_stored(2 * stream_count);
+    this->kill_all_processes();
+    this->store.set_away(true);
+    auto const refused = this->ask(1, {"early", std::to_string(begun), "v1-0"});
+    ASSERT_TRUE(this->run_to_end(refused));
+    EXPECT_EQ(refused->status, HTTP_SERVUNAVAIL);
+    EXPECT_TRUE(this->has_logged(1, "resume_decided", "store=failed"));
+    this->store.set_away(false);
+    this->expect_all_go_on({"v1", "v2"});
 }
 
 // Gateways that had just started took the only version that they saw for that
--- a/programs/test/surroundings.hpp
+++ b/programs/test/surroundings.hpp
@@ -92,7 +92,7 @@
     return "node-name = \"" + name + "\"\nzone = \"" + near + "\"\nip = \"" +
            callers.host + "\"\ninternal-port-range = [" + port + ", " + port +
            "]\n[listen-addrs]\nfront = \"" + to_text(callers) +
-           "\"\n[platform]\naddress = \"" + to_text(store) + "\"\n";
+           "\"\n[platform]\nparts = 16\naddress = \"" + to_text(store) + "\"\n";
 }
 
 /// \brief Settings of the agent beside an engine.
--- a/standins/keyed/keyed_store.cpp
+++ b/standins/keyed/keyed_store.cpp
@@ -37,6 +37,14 @@
     return result;
 }
 
+// Topic of a call, with its partition unless it is the first.
+std::string topic_of(http_call const& call)
+{
+    auto const partition = call.number("part", 0);
+    return call.text("topic") +
+           (partition == 0 ? "" : '#' + std::to_string(partition));
+}
+
 } // namespace
 
 keyed_store::keyed_store(event_base* loop, address const& where)
@@ -131,7 +139,7 @@
 
 void keyed_store::handle_read(http_call const& call)
 {
-    waiting_read const read{call.text("topic"), call.number("from", 0)};
+    waiting_read const read{topic_of(call), call.number("from", 0)};
     if (read.from > this->topics[read.topic].records.size())
     {
         constexpr int gone = 410;
@@ -158,7 +166,7 @@
 void keyed_store::handle_append(http_call const& call)
 {
     auto const record = call.body().substr(length_bytes);
-    auto const topic = call.text("topic");
+    auto const topic = topic_of(call);
     auto const end_before = this->topics[topic].records.size();
     if (!call.text("at").empty() && call.number("at", 0) != end_before)
     {
@@ -180,6 +188,23 @@
     this->answer(call.request, HTTP_OK, body.dump());
 }
 
+std::vector<std::string> keyed_store::records(std::string const& topic) const
+{
+    std::vector<std::string> result;
+    for (auto const& [name, rows] : this->topics)
+    {
+        if (name == topic || name.starts_with(topic + '#'))
+            result.insert(result.end(), rows.records.begin(),
+                          rows.records.end());
+    }
+    return result;
+}
+
+void keyed_store::append(std::string const& topic, std::string const& record)
+{
+    this->topics[topic].records.push_back(record);
+}
+
 std::vector<std::string> keyed_store::keys(std::string const& topic) const
 {
     std::vector<std::string> result;
--- a/standins/keyed/keyed_store.hpp
+++ b/standins/keyed/keyed_store.hpp
@@ -12,9 +12,8 @@
 namespace jujubestand::standins
 {
 
-/// \brief The platform's store as far as gateways and agents use it: topics of
-/// one partition, keyed ones and others, written by the test itself and by
-/// them.
+/// \brief The platform's store as far as gateways and agents use it: topics,
+/// keyed ones and others, written by the test itself and by them.
 class keyed_store
 {
 public:
@@ -29,6 +28,13 @@
     void put(std::string const& topic, std::string const& key,
              std::string const& value);
 
+    /// \brief Records of a topic, of all its partitions.
+    [[nodiscard]] std::vector<std::string>
+    records(std::string const& topic) const;
+
+    /// \brief Appends a record to a topic without keys.
+    void append(std::string const& topic, std::string const& record);
+
     /// \brief While the store is away it answers all calls with 503; what the
     /// test writes is kept.
     void set_away(bool is_away);
