--- a/jujubestand/core/event.cpp
+++ b/jujubestand/core/event.cpp
@@ -30,6 +30,7 @@
     {event_number::request_waits, "request_waits"},
     {event_number::resume_decided, "resume_decided"},
     {event_number::origins_unstored, "origins_unstored"},
+    {event_number::prompts_unreadable, "prompts_unreadable"},
     {event_number::call_received, "call_received"},
     {event_number::call_refused, "call_refused"},
     {event_number::call_started, "call_started"},
--- a/jujubestand/core/event.hpp
+++ b/jujubestand/core/event.hpp
@@ -41,6 +41,7 @@
     request_waits = 1109,
     resume_decided = 1110,
     origins_unstored = 1111,
+    prompts_unreadable = 1112,
 
     // Sidecar.
     call_received = 1200,
--- a/jujubestand/dispatch/parts.cpp
+++ b/jujubestand/dispatch/parts.cpp
@@ -170,4 +170,10 @@
     return owner + "." + std::to_string(weights);
 }
 
+// Ends like no scope of weights does.
+std::string one_call_scope(std::string const& owner, std::uint64_t draw)
+{
+    return owner + "." + std::to_string(draw) + ".once";
+}
+
 } // namespace jujubestand::dispatch
--- a/jujubestand/dispatch/parts.hpp
+++ b/jujubestand/dispatch/parts.hpp
@@ -60,6 +60,12 @@
 [[nodiscard]] std::string cache_scope(std::string const& owner,
                                       std::uint64_t weights);
 
+/// \brief Key prefix of the cached parts of one call whose model is not known,
+/// and so its weights: no other call finds them.
+/// \param draw random bits of the caller's
+[[nodiscard]] std::string one_call_scope(std::string const& owner,
+                                         std::uint64_t draw);
+
 } // namespace jujubestand::dispatch
 
 #endif
--- a/jujubestand/gateway/calls.cpp
+++ b/jujubestand/gateway/calls.cpp
@@ -8,6 +8,7 @@
 #include <jujubestand/gateway/apply_records.hpp>
 #include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/crashes.hpp>
+#include <jujubestand/gateway/prompts.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/sends.hpp>
@@ -103,26 +104,6 @@
     return std::nullopt;
 }
 
-dispatch::call to_dispatch_call(gateway_state const& state,
-                                active_call const& call, dispatch::call_key key,
-                                std::string_view pool)
-{
-    dispatch::call result;
-    result.key = key;
-    result.pool = pool;
-    result.team = call.team.name;
-    if (call.route.has_prompts)
-        result.model_prompt = call.caller_request.asked;
-    result.cache_owner =
-        traffic::cache_owner_of(call.team, state.shared_cache_owner);
-    result.priority = call.team.priority.value_or(call.route.priority);
-    result.arrived_at = call.arrived_at;
-    result.deadline = output_deadline(call);
-    result.target_latency = call.route.target_latency;
-    result.is_repeatable = is_retryable(call);
-    return result;
-}
-
 /// The shared parts of a prompt, for the log.
 std::string parts_text(active_call const& call)
 {
@@ -146,8 +127,11 @@
 {
     auto const key = ++state.last_call_key;
     auto const pool = traffic::choose_pool(call.route, state.random_engine());
-    call.dispatch_call = to_dispatch_call(state, call, key, pool);
+    call.dispatch_call = make_dispatch_call(state, call, key, pool);
     call.suspect_keys = suspect_keys_of(call);
+    if (!call.caller_request.asked &&
+        is_for_engines(call, pool_of(state, pool)))
+        count_unreadable_prompt(state, call);
     // A call with a quota counts for retries once it has been charged.
     if (!call.team.quota)
         record_call(state, call.dispatch_call.pool, call.arrived_at);
@@ -176,6 +160,25 @@
 
 } // namespace
 
+dispatch::call make_dispatch_call(gateway_state const& state,
+                                  active_call const& call,
+                                  dispatch::call_key key, std::string_view pool)
+{
+    dispatch::call result;
+    result.key = key;
+    result.pool = pool;
+    result.team = call.team.name;
+    result.model_prompt = dispatch_prompt(call, pool_of(state, pool));
+    result.cache_owner =
+        traffic::cache_owner_of(call.team, state.shared_cache_owner);
+    result.priority = call.team.priority.value_or(call.route.priority);
+    result.arrived_at = call.arrived_at;
+    result.deadline = output_deadline(call);
+    result.target_latency = call.route.target_latency;
+    result.is_repeatable = is_retryable(call);
+    return result;
+}
+
 void begin_call(gateway_state& state, dispatch::call_key key)
 {
     if (is_resumed(state.active_calls.at(key)))
--- a/jujubestand/gateway/calls.hpp
+++ b/jujubestand/gateway/calls.hpp
@@ -7,6 +7,12 @@
 namespace jujubestand::gateway
 {
 
+/// \brief The call as dispatch sees it.
+[[nodiscard]] dispatch::call make_dispatch_call(gateway_state const& state,
+                                                active_call const& call,
+                                                dispatch::call_key key,
+                                                std::string_view pool);
+
 /// \brief Handles a completely received caller request.
 void on_request(gateway_state& state, http1::exchange_id exchange,
                 http1::server_request request);
--- a/jujubestand/gateway/gateway.cpp
+++ b/jujubestand/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include <jujubestand/gateway/migration.hpp>
 #include <jujubestand/gateway/origin_records.hpp>
 #include <jujubestand/gateway/peers.hpp>
+#include <jujubestand/gateway/prompts.hpp>
 #include <jujubestand/gateway/quarantine_records.hpp>
 #include <jujubestand/gateway/resumed_streams.hpp>
 #include <jujubestand/gateway/retries.hpp>
@@ -253,6 +254,7 @@
     review_crashes(state);
     review_limits(state);
     report_wasted_work(state);
+    report_unreadable_prompts(state, mono_now());
     review_team_quotas(state);
     review_learned_speeds(state);
     review_software_history(state);
--- a/jujubestand/gateway/sends.cpp
+++ b/jujubestand/gateway/sends.cpp
@@ -6,6 +6,7 @@
 #include <jujubestand/gateway/call_limits.hpp>
 #include <jujubestand/gateway/calls.hpp>
 #include <jujubestand/gateway/crashes.hpp>
+#include <jujubestand/gateway/prompts.hpp>
 #include <jujubestand/gateway/retries.hpp>
 #include <jujubestand/gateway/team_quotas.hpp>
 #include <jujubestand/gateway/upstream_responses.hpp>
@@ -36,25 +37,14 @@
     return call.caller_request.last_event;
 }
 
-traffic::send_terms terms_of(active_call const& call,
-                             dispatch::decision const& dispatch_decision,
-                             mono_time now)
+// An upstream may be an engine though nothing but the call tells so: the
+// configuration or its record may not be readable.
+bool may_be_engine(gateway_state const& state, active_call const& call,
+                   dispatch::upstream const& target)
 {
-    traffic::send_terms terms;
-    terms.upstream = call.upstream;
-    terms.team = call.team.name;
-    terms.time_left = time_left(call, now);
-    terms.last_event = last_event_of(call);
-    if (!dispatch_decision.weights)
-        return terms;
-    constexpr std::uint8_t urgency_limit = 9;
-    terms.weights = dispatch_decision.weights;
-    terms.cache_scope = dispatch::cache_scope(call.dispatch_call.cache_owner,
-                                              *dispatch_decision.weights);
-    terms.priority = std::min(call.dispatch_call.priority, urgency_limit);
-    terms.fetch_from = dispatch_decision.fetch_from;
-    terms.save_to = dispatch_decision.save_to;
-    return terms;
+    auto const* const pool = pool_of(state, target.record.pool);
+    return is_for_engines(call, pool) || !target.versions.empty() ||
+           call.caller_request.stated.has_fields;
 }
 
 // Weights of the engine that the call is sent to, compared with those wanted.
@@ -88,7 +78,8 @@
     request.method = call->caller_request.method;
     request.target = call->caller_request.target;
     request.fields = platform::upstream_fields(
-        call->caller_request, terms_of(*call, dispatch_decision, now));
+        call->caller_request,
+        send_terms_of(state, *call, dispatch_decision, now));
     request.body = call->caller_request.body;
     request.connect_timeout = connect_timeout;
     request.timeout =
@@ -139,6 +130,35 @@
 
 } // namespace
 
+traffic::send_terms send_terms_of(gateway_state& state, active_call const& call,
+                                  dispatch::decision const& dispatch_decision,
+                                  mono_time now)
+{
+    traffic::send_terms terms;
+    terms.upstream = call.upstream;
+    terms.team = call.team.name;
+    terms.time_left = time_left(call, now);
+    terms.last_event = last_event_of(call);
+    auto const& owner = call.dispatch_call.cache_owner;
+    auto const& target =
+        state.dispatch.upstreams.at(dispatch_decision.upstream);
+    if (!dispatch_decision.weights)
+    {
+        if (may_be_engine(state, call, target))
+            terms.cache_scope =
+                dispatch::one_call_scope(owner, state.random_engine());
+        return terms;
+    }
+    constexpr std::uint8_t urgency_limit = 9;
+    terms.weights = dispatch_decision.weights;
+    terms.cache_scope =
+        dispatch::cache_scope(owner, *dispatch_decision.weights);
+    terms.priority = std::min(call.dispatch_call.priority, urgency_limit);
+    terms.fetch_from = dispatch_decision.fetch_from;
+    terms.save_to = dispatch_decision.save_to;
+    return terms;
+}
+
 active_call* find_call(gateway_state& state, dispatch::call_key key)
 {
     auto const found = state.active_calls.find(key);
--- a/jujubestand/gateway/sends.hpp
+++ b/jujubestand/gateway/sends.hpp
@@ -12,6 +12,12 @@
 [[nodiscard]] active_call* find_call(gateway_state& state,
                                      dispatch::call_key key);
 
+/// \brief Terms of a send by a dispatch decision. Calls that may run at an
+/// engine have the cache scope of their team, whatever their prompts are.
+[[nodiscard]] traffic::send_terms
+send_terms_of(gateway_state& state, active_call const& call,
+              dispatch::decision const& dispatch_decision, mono_time now);
+
 /// \brief Executes a dispatch decision: sends, holds or fails the call.
 void apply_decision(gateway_state& state,
                     dispatch::decision const& dispatch_decision);
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -183,6 +183,16 @@
     mono_time end_announced_at{};
 };
 
+/// \brief Calls for engines whose prompts can't be read, not logged yet.
+struct unreadable_prompts
+{
+    std::int64_t calls = 0;
+    /// Field and team of the last one.
+    traffic::prompt_field field = traffic::prompt_field::none;
+    std::string team;
+    mono_time logged_at{};
+};
+
 /// \brief The gateways that share the reserve of retries.
 struct retry_group
 {
@@ -215,6 +225,7 @@
     limit_exchange limits;
     /// Under `queue_discipline::useful_first`.
     wasted_work wasted;
+    unreadable_prompts unreadable;
     team_quotas quotas;
     /// Status datagrams to and from agents and other gateways.
     std::unique_ptr<loop::datagrams> datagrams;
--- a/jujubestand/traffic/call.hpp
+++ b/jujubestand/traffic/call.hpp
@@ -28,7 +28,9 @@
     std::string key;
     /// Time until the caller's timeout, from when the call was read.
     std::optional<std::chrono::milliseconds> time_left;
+    /// The prompt, if all its fields can be read.
     std::optional<prompt> asked;
+    stated_prompt stated;
     /// Tokens of the prompt and limit of those of the output, if stated.
     std::optional<std::uint64_t> stated_tokens;
     /// Last event that the caller has of a stream which it resumes.
--- a/jujubestand/traffic/prompt.hpp
+++ b/jujubestand/traffic/prompt.hpp
@@ -1,7 +1,10 @@
 #ifndef JUJUBESTAND_TRAFFIC_PROMPT_HPP
 #define JUJUBESTAND_TRAFFIC_PROMPT_HPP
 
+#include <array>
 #include <cstdint>
+#include <jujubestand/core/enum_table.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +30,41 @@
     std::uint32_t output_tokens_expected = 0;
 };
 
+/// \brief Field of a request that states something of its prompt.
+enum class prompt_field : std::uint8_t
+{
+    none,
+    model,
+    token_counts,
+    parts,
+};
+
+/// \brief Names of the fields.
+inline constexpr std::array<enum_name<prompt_field>, 4> prompt_field_names{{
+    {prompt_field::none, "none"},
+    {prompt_field::model, "model"},
+    {prompt_field::token_counts, "token_counts"},
+    {prompt_field::parts, "parts"},
+}};
+
+/// \brief What a request states of its prompt, as far as it can be read. Each
+/// field may be missing, malformed or there twice.
+struct stated_prompt
+{
+    /// Some field is there.
+    bool has_fields = false;
+    /// The first field that can't be read; `none` if all are readable.
+    prompt_field unreadable = prompt_field::model;
+    /// Some model is named, though it may not be readable.
+    bool names_model = false;
+    /// Empty if it is not readable.
+    std::string model;
+    std::optional<std::uint32_t> input_tokens;
+    std::optional<std::uint32_t> output_tokens_limit;
+    /// The parts as they were stated, of a prompt that can't be read.
+    std::string unread_parts;
+};
+
 } // namespace jujubestand::traffic
 
 #endif
--- a/jujubestand/traffic/tables.cpp
+++ b/jujubestand/traffic/tables.cpp
@@ -28,6 +28,12 @@
                                        : &content.teams[found->second];
 }
 
+pool const* find_pool(tables const& content, std::string_view name)
+{
+    auto const found = content.pools.find(name);
+    return found == content.pools.end() ? nullptr : &found->second;
+}
+
 // A function of the configuration in force alone, so that instances agree which
 // know no earlier one. Parts of an owner were cached by teams outside its list
 // of isolated teams, and only such teams use them.
--- a/jujubestand/traffic/tables.hpp
+++ b/jujubestand/traffic/tables.hpp
@@ -166,6 +166,10 @@
 [[nodiscard]] team const* find_team(tables const& content,
                                     std::string_view key);
 
+/// \brief The pool of a name; null if there is none that can be read.
+[[nodiscard]] pool const* find_pool(tables const& content,
+                                    std::string_view name);
+
 /// \brief Owner of the cached parts of prompts that all teams share which are
 /// not isolated.
 ///
--- a/programs/test/changed_teams_test.cpp
+++ b/programs/test/changed_teams_test.cpp
@@ -69,6 +69,25 @@
         return this->ask(gateway, asked);
     }
 
+    /// \brief Salt of a team's call with these fields of its prompt.
+    std::string salt_with(std::string const& team,
+                          std::vector<http::field> const& prompt)
+    {
+        stream_call asked{"call-" + std::to_string(++this->calls), "", ""};
+        asked.key = team;
+        http1::client_request request;
+        request.server = this->gateways[0].callers;
+        request.method = "POST";
+        request.target = asked.target;
+        request.fields = fields_of(asked);
+        request.fields.insert(request.fields.end(), prompt.begin(),
+                              prompt.end());
+        auto const answer = start_call(this->caller, std::move(request));
+        EXPECT_TRUE(this->run_to_end(answer));
+        EXPECT_EQ(answer->status, HTTP_OK) << team;
+        return this->last_salt();
+    }
+
     /// \brief Salt of the only engine's latest call.
     std::string last_salt()
     {
@@ -98,6 +117,63 @@
 
 } // namespace
 
+// A prompt that can't be read was sent without a salt, so that isolated teams
+// shared its parts with all others (WALL).
+TEST_F(changed_teams, the_salt_depends_on_no_field_of_the_prompt)
+{
+    this->start();
+    this->configure(2, {"a"});
+    http::field const model{"X-Model", "m1"};
+    http::field const counts{"X-Token-Usage", "100,8"};
+    http::field const parts{"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:200"};
+    http::field const long_ids{
+        "X-Prompt-Prefix",
+        "5c1e07a29f3b64d80a7be1c455d2f1e9:800,91bd3f06c2a84e17:200"};
+    std::vector<std::vector<http::field>> const prompts{
+        {model, counts, parts},
+        {model, counts, long_ids},
+        {model, counts, {"X-Prompt-Prefix", "5c1e07a2,91bd3f06:200"}},
+        {model, counts, {"X-Prompt-Prefix", "5c1e07a2:800,,91bd3f06:200"}},
+        {model, counts, {"X-Prompt-Prefix", "not:hexadecimal"}},
+        {model, counts, {"X-Prompt-Prefix", "5c1e07a2:99999999999"}},
+        {model, counts, parts, parts},
+        {model, parts},
+        {model, {"X-Token-Usage", "100"}, parts},
+        {model, {"X-Token-Usage", "99999999999,8"}, parts},
+        {model, counts, counts, parts},
+        {counts, parts},
+        {parts},
+        {}};
+    auto const alone = this->salt(0, "a");
+    auto const shared = this->salt(0, "b");
+    ASSERT_NE(alone, shared);
+    for (std::size_t row = 0; row < prompts.size(); ++row)
+    {
+        EXPECT_EQ(this->salt_with("a", prompts[row]), alone) << row;
+        EXPECT_EQ(this->salt_with("b", prompts[row]), shared) << row;
+    }
+    this->wait_logged(0, "prompts_unreadable", std::string{});
+}
+
+// The models of two fields may have other weights than one another.
+TEST_F(changed_teams, calls_whose_model_is_not_known_share_nothing)
+{
+    this->start();
+    this->configure(2, {"a"});
+    std::vector<http::field> const two_models{
+        {"X-Model", "m1"},
+        {"X-Model", "m2"},
+        {"X-Token-Usage", "100,8"},
+        {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:200"}};
+    std::set<std::string> salts;
+    for (std::string const team : {"a", "a", "b", "b"})
+    {
+        auto const salt = this->salt_with(team, two_models);
+        EXPECT_FALSE(salt.empty());
+        EXPECT_TRUE(salts.insert(salt).second) << salt;
+    }
+}
+
 // Other teams went on to use what a team's calls had cached before it became
 // isolated (WALL).
 TEST_F(changed_teams, what_a_team_cached_before_is_used_by_no_other)
