--- a/jujubestand/gateway/suspect_keys.cpp
+++ b/jujubestand/gateway/suspect_keys.cpp
@@ -23,6 +23,9 @@
                 keys.push_back({quarantine::fingerprint_of_part(id), depth++});
         }
     }
+    // Calls that differ in their prompts alone are not one.
+    else if (!call.caller_request.stated.unread_parts.empty())
+        append_part(content, call.caller_request.stated.unread_parts);
     keys.push_back(
         {quarantine::fingerprint_of(team_id{call.team.name},
                                     route_id{call.route.name}, content),
