--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -116,15 +116,18 @@
 void on_look_up_end(gateway_state& state, mono_time began_at,
                     look_up_state result);
 
-// Holds the stream until the store was read for it.
+// Holds the stream until the store was read for it. Gateways that become known
+// meanwhile are queried after that.
 bool start_look_up(gateway_state& state, dispatch::call_key key,
-                   active_call const& call, mono_time now)
+                   active_call const& call, resumed_stream const& stream,
+                   mono_time now)
 {
     if (now - call.arrived_at >= look_up_timeout)
         return false;
     open_origin_query waiting;
     waiting.stream = origin_key_of(call.caller_request.resumed_request);
     waiting.sent_at = now;
+    waiting.is_sent = stream.knows_gateways;
     waiting.awaits_look_up = true;
     state.origin_queries[key] = std::move(waiting);
     look_up_origins(state, on_look_up_end);
@@ -207,7 +210,7 @@
     bool const is_held = (decided.step == resume_step::wait &&
                           start_wait(state, key, *call, now)) ||
                          (decided.step == resume_step::look_up &&
-                          start_look_up(state, key, *call, now));
+                          start_look_up(state, key, *call, stream, now));
     if (is_held)
         return;
     if (decided.step != resume_step::proceed)
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -238,6 +238,26 @@
     EXPECT_FALSE(this->state.active_calls.contains(2));
 }
 
+// The list of gateways came while the store was read: the version was inferred
+// without a query to them (ORDER).
+TEST_F(origin_exchange, gateways_that_become_known_in_a_look_up_are_queried)
+{
+    this->write_entry("e1", "1", R"("version":"new",)");
+    auto& call = this->add_stream(1, "second");
+    call.caller_request.resumed_request = "first";
+    call.caller_request.last_event = "3";
+    call.arrived_at = mono_now() - std::chrono::milliseconds{600};
+    begin_resumed(this->state, 1);
+    ASSERT_TRUE(this->state.origin_queries.contains(1));
+    ASSERT_TRUE(this->state.origin_queries.at(1).awaits_look_up);
+    this->report_gateways("10.0.1.1", {"10.0.0.1", "10.0.0.2"});
+    this->state.origin_queries.at(1).sent_at = mono_time{};
+    expire_origin_queries(this->state);
+    ASSERT_TRUE(this->state.origin_queries.contains(1));
+    EXPECT_TRUE(this->state.origin_queries.at(1).open.contains("10.0.0.2"));
+    EXPECT_FALSE(call.dispatch_call.software_version);
+}
+
 // A version whose upstreams are registered but whose entries were not written
 // for a minute (the store is down) counted as gone, and the other one was
 // inferred (ORDER).
