--- a/jujubestand/gateway/stream_origins.cpp
+++ b/jujubestand/gateway/stream_origins.cpp
@@ -95,8 +95,8 @@
 // A version that no gateway knows any more can still be inferred, once some
 // gateway is known that could be queried, while the pools have had only one
 // that the stream can have begun at. A gateway that was cut off or has stood
-// still lacks the upstreams that joined meanwhile, and the stream may have begun
-// at one of these through another gateway.
+// still lacks the upstreams that joined meanwhile, and the stream may have
+// begun at one of these through another gateway.
 resume_decision decide_resume(stream_origins& state,
                               resumed_stream const& stream,
                               std::optional<mono_time> known_as_of,
--- a/jujubestand/gateway/test/stored_origins_test.cpp
+++ b/jujubestand/gateway/test/stored_origins_test.cpp
@@ -202,7 +202,7 @@
 TEST(stored_origins, the_writes_of_all_gateways_fit_into_the_partitions)
 {
     constexpr double append_s = 0.003;
-    for (std::size_t const gateways : {3, 24, 103, 390})
+    for (std::size_t const gateways : {3U, 24U, 103U, 390U})
     {
         auto const partitions = origin_partitions(16);
         double const interval_s =
--- a/programs/test/rejoined_streams_test.cpp
+++ b/programs/test/rejoined_streams_test.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 #include <jujubestand/gateway/stored_origins.hpp>
-#include <programs/test/gateways_fixture.hpp>
+#include <programs/test/versions_fixture.hpp>
 #include <set>
 #include <standins/relay/tcp_relay.hpp>
 
@@ -28,42 +28,11 @@
     std::size_t joined = 0;
 };
 
-class rejoined_streams : public gateways_test
+class rejoined_streams : public versions_test
 {
 protected:
-    static constexpr std::size_t gateway_count = 3;
     static constexpr std::size_t stream_count = 20;
 
-    /// \brief Adds two engines of a version, with agents.
-    void add_version(std::string const& version, std::string const& data_centre)
-    {
-        for (int count = 0; count < 2; ++count)
-        {
-            auto const number = this->add_engine(version, data_centre);
-            this->start_agent(number);
-        }
-    }
-
-    /// \brief Starts gateways and a pool of one version.
-    /// \param other_pool pool of an engine that only names the gateways
-    void start_pool(std::string const& version,
-                    std::string const& other_pool = "engines")
-    {
-        this->start_gateways(gateway_count);
-        this->add_version(version, far);
-        this->add_engine("none", far, other_pool);
-        this->write_engine(2, "draining");
-        this->wait_ready();
-        this->wait_live(1);
-    }
-
-    void wait_live(std::size_t engine)
-    {
-        for (std::size_t gateway = 0; gateway < this->gateways.size();
-             ++gateway)
-            this->wait_logged(gateway, "member_live", engine);
-    }
-
     /// \brief Begins streams at all gateways, and breaks them off.
     void begin_streams(std::string const& version)
     {
@@ -80,36 +49,6 @@
         this->pause_no_more();
     }
 
-    void kill_all_gateways()
-    {
-        this->restart_gateways();
-        for (auto const& gateway : this->gateways)
-            ASSERT_TRUE(this->run_until(
-                [&]
-                {
-                    return this->is_ready(gateway);
-                }));
-    }
-
-    /// \brief Kills all gateways and agents, and starts them again.
-    void kill_all_processes()
-    {
-        for (auto const& gateway : this->gateways)
-            gateway.process->kill();
-        for (auto const& engine : this->engines)
-        {
-            if (engine.agent_process)
-                engine.agent_process->kill();
-        }
-        for (std::size_t number = 0; number < this->engines.size(); ++number)
-        {
-            if (this->engines[number].agent_process)
-                this->start_agent(number);
-        }
-        this->kill_all_gateways();
-        this->wait_live(this->engines.size() - 1);
-    }
-
     /// \brief Number of streams whose versions are stored.
     std::size_t stored_streams() const
     {
