--- a/jujubestand/gateway/origin_notices.cpp
+++ b/jujubestand/gateway/origin_notices.cpp
@@ -7,6 +7,29 @@
 namespace jujubestand::gateway
 {
 
+namespace
+{
+
+void send_to_all(gateway_state& state, std::vector<std::string> const& hosts,
+                 status::origin_notice const& notice)
+{
+    auto const datagram = status::to_datagram(notice);
+    for (auto const& host : hosts)
+        state.datagrams->send(address{host, state.settings.internal_port},
+                              datagram);
+}
+
+status::origin_notice notice_of(origin_key stream,
+                                std::string const& software_version)
+{
+    status::origin_notice result;
+    result.stream = stream;
+    result.software_version = software_version;
+    return result;
+}
+
+} // namespace
+
 hosts_by_software agents_by_software(gateway_state const& state,
                                      std::string const& pool)
 {
@@ -24,16 +47,12 @@
 void send_origin_notice(gateway_state& state, origin_key stream,
                         std::string const& software_version, bool is_writing)
 {
-    status::origin_notice notice;
-    notice.stream = stream;
-    notice.software_version = software_version;
+    auto notice = notice_of(stream, software_version);
     notice.is_sender_writing = is_writing;
-    auto const datagram = status::to_datagram(notice);
-    for (auto const& host :
-         origin_holders(known_gateways(state, mono_now()), state.settings.ip,
-                        stream, origin_replicas))
-        state.datagrams->send(address{host, state.settings.internal_port},
-                              datagram);
+    send_to_all(state,
+                origin_holders(known_gateways(state, mono_now()),
+                               state.settings.ip, stream, origin_replicas),
+                notice);
 }
 
 void announce_origin(gateway_state& state, active_call const& call)
@@ -47,15 +66,11 @@
     send_origin_notice(state, stream, call.software_version,
                        !is_resumable ||
                            is_writing_origins(state, call.software_version));
-    status::origin_notice notice;
-    notice.stream = stream;
-    notice.software_version = call.software_version;
-    auto const datagram = status::to_datagram(notice);
     auto agents = agents_by_software(state, call.dispatch_call.pool);
-    for (auto const& host : origin_holders(agents[call.software_version], {},
-                                           stream, origin_agents))
-        state.datagrams->send(address{host, state.settings.internal_port},
-                              datagram);
+    send_to_all(state,
+                origin_holders(agents[call.software_version], {}, stream,
+                               origin_agents),
+                notice_of(stream, call.software_version));
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/origin_records.cpp
+++ b/jujubestand/gateway/origin_records.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// Longest look-up; all its callers have been refused before.
+constexpr std::chrono::milliseconds look_up_limit{3'000};
+
 std::size_t partitions_of(gateway_state const& state)
 {
     return origin_partitions(state.settings.store_partitions);
@@ -39,8 +42,8 @@
         send_origin_notice(state, row.stream, row.software_version, false);
 }
 
-void apply_page(gateway_state& state, origin_position& position,
-                platform::log_page const& page)
+read_step apply_page(gateway_state& state, origin_position& position,
+                     platform::log_page const& page)
 {
     for (auto const& record : page.records)
     {
@@ -50,8 +53,16 @@
                 {{"key", std::string(platform::names::origin_topic)},
                  {"why", "not a batch of streams"}});
     }
-    position.next += page.records.size();
-    skip_old_records(position, page.end);
+    return advance(position, {page.first, page.end, page.records.size()});
+}
+
+read_step apply_read(gateway_state& state, origin_position& position,
+                     platform::log_read_end const& end)
+{
+    if (end.page)
+        return apply_page(state, position, *end.page);
+    return end.expired_before ? move_to(position, *end.expired_before)
+                              : read_step::failed;
 }
 
 void read_partition(gateway_state& state, std::size_t partition,
@@ -85,29 +96,17 @@
     auto& position = look_up.partitions[partition];
     bool const is_outdated =
         apply_store_era(look_up, end.era) || position.next != from;
-    if (!end.page && !end.expired_before)
-    {
-        look_up.has_failed = true;
-        end_partition(state, partition, on_end);
-        return;
-    }
-    if (is_outdated)
+    auto const step =
+        is_outdated ? read_step::more : apply_read(state, position, end);
+    bool const is_over = mono_now() - *look_up.began_at >= look_up_limit;
+    if (step == read_step::more && !is_over)
     {
         read_partition(state, partition, on_end);
         return;
     }
-    if (end.expired_before)
-        position.next = *end.expired_before;
-    else if (end.page->first > position.next)
-        position.next = end.page->first;
-    else
-        apply_page(state, position, *end.page);
-    bool const is_at_end =
-        position.next == from || (end.page && position.next >= end.page->end);
-    if (is_at_end)
-        end_partition(state, partition, on_end);
-    else
-        read_partition(state, partition, on_end);
+    if (step != read_step::done)
+        look_up.has_failed = true;
+    end_partition(state, partition, on_end);
 }
 
 void read_partition(gateway_state& state, std::size_t partition,
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -85,16 +85,36 @@
     open_origin_query query;
     query.stream = origin_key_of(stream.request_id);
     query.sent_at = now;
-    query.is_sent = !known_gateways(state, now).empty();
-    if (query.is_sent)
+    bool const is_sent = stream.knows_gateways;
+    if (is_sent)
         query.open = query_origin(state, query.stream, stream.pools);
     bool const has_waited = now - call.arrived_at >= first_list_timeout;
-    if (query.open.empty() && (query.is_sent || has_waited))
+    if (query.open.empty() && (is_sent || has_waited))
         return false;
+    query.wait = is_sent ? origin_wait::answers : origin_wait::gateways;
     state.origin_queries[key] = std::move(query);
     return true;
 }
 
+/// What a stream is held for.
+struct hold_reason
+{
+    origin_wait wait;
+    /// Gateways were queried before.
+    bool was_queried;
+};
+
+void hold(gateway_state& state, dispatch::call_key key, active_call const& call,
+          hold_reason const& why, mono_time now)
+{
+    open_origin_query waiting;
+    waiting.stream = origin_key_of(call.caller_request.resumed_request);
+    waiting.sent_at = now;
+    waiting.wait = why.wait;
+    waiting.was_queried = why.was_queried;
+    state.origin_queries[key] = std::move(waiting);
+}
+
 // Holds the stream until the upstreams and the configuration are known as of
 // its arrival. They are read at once: other gateways' confirmations are up to a
 // second old.
@@ -105,11 +125,7 @@
         return false;
     state.upstream_topic->refresh();
     state.operator_topic->refresh();
-    open_origin_query waiting;
-    waiting.stream = origin_key_of(call.caller_request.resumed_request);
-    waiting.sent_at = now;
-    waiting.awaits_records = true;
-    state.origin_queries[key] = std::move(waiting);
+    hold(state, key, call, {origin_wait::records, true}, now);
     return true;
 }
 
@@ -124,12 +140,7 @@
 {
     if (now - call.arrived_at >= look_up_timeout)
         return false;
-    open_origin_query waiting;
-    waiting.stream = origin_key_of(call.caller_request.resumed_request);
-    waiting.sent_at = now;
-    waiting.is_sent = stream.knows_gateways;
-    waiting.awaits_look_up = true;
-    state.origin_queries[key] = std::move(waiting);
+    hold(state, key, call, {origin_wait::look_up, stream.knows_gateways}, now);
     look_up_origins(state, on_look_up_end);
     return true;
 }
@@ -229,6 +240,13 @@
     submit_call(state, key);
 }
 
+resume_progress progress_of(open_origin_query const& ended,
+                            look_up_state look_up)
+{
+    return {ended.wait == origin_wait::answers || ended.was_queried,
+            ended.wait == origin_wait::look_up ? look_up : look_up_state::none};
+}
+
 // Takes the waiting calls of a stream out of the table before it decides on
 // them, since a decision may change the table.
 template <class Condition>
@@ -239,8 +257,7 @@
     for (auto const& [key, query] : state.origin_queries)
     {
         if (is_over(query))
-            ended[key] = {query.is_sent,
-                          query.awaits_look_up ? look_up : look_up_state::none};
+            ended[key] = progress_of(query, look_up);
     }
     for (auto const& [key, progress] : ended)
     {
@@ -257,14 +274,15 @@
         state,
         [began_at](open_origin_query const& query)
         {
-            return query.awaits_look_up && query.sent_at <= began_at;
+            return query.wait == origin_wait::look_up &&
+                   query.sent_at <= began_at;
         },
         result);
     bool const is_awaited =
         std::any_of(state.origin_queries.begin(), state.origin_queries.end(),
                     [](auto const& row)
                     {
-                        return row.second.awaits_look_up;
+                        return row.second.wait == origin_wait::look_up;
                     });
     if (is_awaited)
         look_up_origins(state, on_look_up_end);
@@ -304,14 +322,14 @@
     if (response.is_known)
         record_origin(state.origins, response.stream,
                       response.software_version);
-    end_queries(state,
-                [&](open_origin_query const& query)
-                {
-                    return query.stream == response.stream &&
-                           (response.is_known ||
-                            (query.open.empty() && !query.awaits_records &&
-                             !query.awaits_look_up));
-                });
+    end_queries(
+        state,
+        [&](open_origin_query const& query)
+        {
+            return query.stream == response.stream &&
+                   (response.is_known ||
+                    (query.open.empty() && query.wait == origin_wait::answers));
+        });
 }
 
 } // namespace
@@ -355,15 +373,17 @@
 {
     auto const now = mono_now();
     auto const as_of = records_as_of(state);
-    end_queries(
-        state,
-        [now, as_of](open_origin_query const& query)
-        {
-            auto const timeout =
-                query.awaits_look_up ? look_up_wait : origin_query_timeout;
-            return now - query.sent_at >= timeout ||
-                   (query.awaits_records && as_of && *as_of >= query.sent_at);
-        });
+    end_queries(state,
+                [now, as_of](open_origin_query const& query)
+                {
+                    auto const timeout = query.wait == origin_wait::look_up
+                                             ? look_up_wait
+                                             : origin_query_timeout;
+                    bool const has_records =
+                        query.wait == origin_wait::records && as_of &&
+                        *as_of >= query.sent_at;
+                    return now - query.sent_at >= timeout || has_records;
+                });
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/state.hpp
+++ b/jujubestand/gateway/state.hpp
@@ -111,20 +111,26 @@
     mono_time next_poll_at{};
 };
 
-/// \brief Query to other gateways for the version that a stream began at; not
-/// sent yet while no gateway is known.
+/// \brief What a resumed stream waits for, to learn the version that it began
+/// at.
+enum class origin_wait : std::uint8_t
+{
+    gateways, ///< the first list of gateways, which are queried then
+    answers,  ///< answers of the queried gateways and agents
+    look_up,  ///< a read of the store
+    records,  ///< records of all upstreams that may have begun it
+};
+
+/// \brief A resumed stream that waits.
 struct open_origin_query
 {
     origin_key stream = 0;
     mono_time sent_at{};
     /// IP addresses of the queried gateways that have not answered.
     std::set<std::string> open;
-    bool is_sent = true;
-    /// Nobody knows the version; the stream waits for the records of all
-    /// upstreams that may have begun it, and of its route.
-    bool awaits_records = false;
-    /// Nobody knows the version; the stream waits for a read of the store.
-    bool awaits_look_up = false;
+    origin_wait wait = origin_wait::answers;
+    /// Gateways were queried before, and none knew the version.
+    bool was_queried = false;
 };
 
 /// \brief Evidence of this gateway on calls that crash upstreams, and what it
--- a/jujubestand/gateway/stored_origins.cpp
+++ b/jujubestand/gateway/stored_origins.cpp
@@ -23,19 +23,18 @@
         rows.pop_front();
 }
 
-// Callers no longer hold streams that began so long ago.
+// Callers no longer hold streams that began so long ago. Later ones may stand
+// before a few of these, which then go a little later.
 void expire(origin_write_queue& state, mono_time now)
 {
     auto const is_over = [now](begun_stream const& row)
     {
         return now - row.begun_at > software_memory;
     };
-    std::erase_if(state.unstored, is_over);
-    std::erase_if(state.stored,
-                  [&](auto const& row)
-                  {
-                      return is_over(row.second);
-                  });
+    while (!state.unstored.empty() && is_over(state.unstored.front()))
+        state.unstored.pop_front();
+    while (!state.stored.empty() && is_over(state.stored.front().second))
+        state.stored.pop_front();
 }
 
 // Records whose retention is half over are written once more.
@@ -220,10 +219,27 @@
     return true;
 }
 
-void skip_old_records(origin_position& position, std::uint64_t end) noexcept
+read_step move_to(origin_position& position, std::uint64_t first) noexcept
 {
-    if (end > origin_records_limit)
-        position.next = std::max(position.next, end - origin_records_limit);
+    if (position.next == first)
+        return read_step::failed;
+    position.next = first;
+    return read_step::more;
+}
+
+read_step advance(origin_position& position, origin_page const& page) noexcept
+{
+    if (page.first > position.next)
+        return move_to(position, page.first);
+    position.next += page.records;
+    if (position.next >= page.end)
+        return read_step::done;
+    if (page.records == 0)
+        return read_step::failed;
+    if (page.end > origin_records_limit)
+        position.next =
+            std::max(position.next, page.end - origin_records_limit);
+    return read_step::more;
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/stored_origins.hpp
+++ b/jujubestand/gateway/stored_origins.hpp
@@ -54,7 +54,8 @@
 /// \brief Writes of begun streams to the store.
 struct origin_write_queue
 {
-    /// In the order of their begin; bounded.
+    /// Those not stored so far in the order of their begin, then those that are
+    /// to be stored again; bounded.
     std::deque<begun_stream> unstored;
     /// Streams of the write in flight.
     std::vector<begun_stream> writing;
@@ -135,8 +136,31 @@
 /// it gives offsets out again. \returns whether it has
 bool apply_store_era(origin_look_up& state, std::uint64_t era);
 
-/// \brief Skips all but the newest records.
-void skip_old_records(origin_position& position, std::uint64_t end) noexcept;
+/// \brief What a read returned of a partition.
+struct origin_page
+{
+    /// Offset of the first record that the store has.
+    std::uint64_t first = 0;
+    std::uint64_t end = 0;
+    std::uint64_t records = 0;
+};
+
+/// \brief What follows a read of a partition.
+enum class read_step : std::uint8_t
+{
+    more,   ///< read on at the new position
+    done,   ///< all records are read
+    failed, ///< the store doesn't return the records that it has
+};
+
+/// \brief Moves the position behind the records of a page; skips all but the
+/// newest ones.
+[[nodiscard]] read_step advance(origin_position& position,
+                                origin_page const& page) noexcept;
+
+/// \brief Moves the position to the first record that the store has.
+[[nodiscard]] read_step move_to(origin_position& position,
+                                std::uint64_t first) noexcept;
 
 } // namespace jujubestand::gateway
 
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -220,7 +220,7 @@
     call.arrived_at = mono_now();
     begin_resumed(this->state, 1);
     ASSERT_TRUE(this->state.origin_queries.contains(1));
-    EXPECT_FALSE(this->state.origin_queries.at(1).is_sent);
+    EXPECT_EQ(this->state.origin_queries.at(1).wait, origin_wait::gateways);
     this->report_gateways("10.0.1.1", {"10.0.0.1"});
     this->state.origin_queries.at(1).sent_at = mono_time{};
     expire_origin_queries(this->state);
@@ -249,7 +249,7 @@
     call.arrived_at = mono_now() - std::chrono::milliseconds{600};
     begin_resumed(this->state, 1);
     ASSERT_TRUE(this->state.origin_queries.contains(1));
-    ASSERT_TRUE(this->state.origin_queries.at(1).awaits_look_up);
+    ASSERT_EQ(this->state.origin_queries.at(1).wait, origin_wait::look_up);
     this->report_gateways("10.0.1.1", {"10.0.0.1", "10.0.0.2"});
     this->state.origin_queries.at(1).sent_at = mono_time{};
     expire_origin_queries(this->state);
--- a/jujubestand/gateway/test/stored_origins_test.cpp
+++ b/jujubestand/gateway/test/stored_origins_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <iostream>
 #include <jujubestand/gateway/stored_origins.hpp>
 #include <jujubestand/status/messages.hpp>
 #include <rapidcheck/gtest.h>
@@ -66,6 +67,62 @@
     return versions_to_store(origins, former, tables, {}, at(10));
 }
 
+/// What a fleet of gateways writes.
+struct fleet_figures
+{
+    std::size_t writes = 0;
+    std::size_t bytes = 0;
+    /// Streams that began in the last second, and those of them that no
+    /// acknowledged write has.
+    std::size_t last = 0;
+    std::size_t unstored = 0;
+};
+
+constexpr int fleet_seconds = 20;
+
+// Streams begin evenly at all gateways; an append takes 5 ms, and a gateway
+// looks each 100 ms whether a write is due.
+fleet_figures play_fleet(std::size_t gateways, std::size_t streams_per_second,
+                         std::set<std::string> const& versions)
+{
+    constexpr int tick_ms = 100;
+    constexpr int append_ms = 5;
+    constexpr int end_ms = fleet_seconds * 1'000;
+    auto const pause = origin_write_interval(
+        gateways, origin_partitions(origin_partitions_limit));
+    std::vector<origin_write_queue> queues(gateways);
+    fleet_figures result;
+    std::size_t begun = 0;
+    for (int ms = 0; ms <= end_ms; ++ms)
+    {
+        auto const due = streams_per_second * static_cast<std::size_t>(ms);
+        for (; begun * 1'000 < due; ++begun)
+        {
+            keep_begun(queues[begun % gateways],
+                       {begun, begun % 2 == 0 ? "old" : "new", at(ms)});
+            result.last += ms > end_ms - 1'000 ? 1 : 0;
+        }
+        for (std::size_t at_gateway = 0; at_gateway < gateways; ++at_gateway)
+        {
+            auto& queue = queues[at_gateway];
+            int const own_ms = ms + static_cast<int>(at_gateway * 7 % tick_ms);
+            if (own_ms % tick_ms == append_ms && !queue.writing.empty())
+                end_origin_write(queue, true, at(ms));
+            if (own_ms % tick_ms != 0)
+                continue;
+            queue.versions = versions;
+            auto const batch =
+                begin_origin_write(queue, pause, retention, at(ms));
+            result.writes += batch.streams.empty() ? 0 : 1;
+            result.bytes +=
+                batch.streams.empty() ? 0 : status::to_bytes(batch).size();
+        }
+    }
+    for (auto const& queue : queues)
+        result.unstored += queue.unstored.size() + queue.writing.size();
+    return result;
+}
+
 } // namespace
 
 // The store was to cost nothing where a version can be inferred.
@@ -189,13 +246,34 @@
 TEST(stored_origins, only_the_newest_records_are_read)
 {
     origin_position position{0};
-    skip_old_records(position, origin_records_limit);
-    EXPECT_EQ(position.next, 0U);
-    skip_old_records(position, origin_records_limit + 5);
+    EXPECT_EQ(advance(position, {0, origin_records_limit, 1}), read_step::more);
+    EXPECT_EQ(position.next, 1U);
+    EXPECT_EQ(advance(position, {0, origin_records_limit + 5, 1}),
+              read_step::more);
     EXPECT_EQ(position.next, 5U);
-    position.next = 9;
-    skip_old_records(position, origin_records_limit + 5);
+    EXPECT_EQ(advance(position, {0, origin_records_limit + 5, 4}),
+              read_step::more);
     EXPECT_EQ(position.next, 9U);
+    EXPECT_EQ(advance(position, {0, 12, 3}), read_step::done);
+    EXPECT_EQ(advance(position, {0, 12, 0}), read_step::done);
+}
+
+TEST(stored_origins, lapsed_records_are_passed_over)
+{
+    origin_position position{3};
+    EXPECT_EQ(advance(position, {7, 9, 0}), read_step::more);
+    EXPECT_EQ(position.next, 7U);
+    EXPECT_EQ(move_to(position, 8), read_step::more);
+    EXPECT_EQ(position.next, 8U);
+}
+
+// A store that returned no record of those that it has was taken for one that
+// has none: the look-up counted as complete.
+TEST(stored_origins, a_read_that_returns_nothing_of_what_there_is_has_failed)
+{
+    origin_position position{3};
+    EXPECT_EQ(advance(position, {0, 9, 0}), read_step::failed);
+    EXPECT_EQ(move_to(position, 3), read_step::failed);
 }
 
 // A partition takes one append at a time, 3 ms each; more are refused.
@@ -216,6 +294,34 @@
     }
 }
 
+// Of the streams that begin in the last second before all processes are killed
+// more than half go on, and the store takes the writes of all gateways.
+TEST(stored_origins, a_fleet_stores_most_streams_of_the_last_second)
+{
+    struct fleet
+    {
+        std::size_t gateways;
+        std::size_t streams_per_second;
+    };
+    // 3 ms for each append, over the partitions that are used.
+    constexpr double appends_limit = origin_partitions_limit / 0.003;
+    for (auto const& [gateways, streams] :
+         std::vector<fleet>{{3, 50}, {24, 340}, {103, 940}, {390, 3'300}})
+    {
+        auto const played = play_fleet(gateways, streams, {"old", "new"});
+        double const writes =
+            static_cast<double>(played.writes) / fleet_seconds;
+        std::cout << gateways << " gateways, " << streams
+                  << " streams/s: writes/s " << writes << ", bytes/s "
+                  << played.bytes / fleet_seconds << ", unstored of "
+                  << played.last << " in the last second " << played.unstored
+                  << '\n';
+        EXPECT_LT(writes, appends_limit) << gateways;
+        EXPECT_LT(2 * played.unstored, played.last) << gateways;
+        EXPECT_EQ(play_fleet(gateways, streams, {}).writes, 0U) << gateways;
+    }
+}
+
 TEST(stored_origins, what_waits_for_the_store_is_bounded)
 {
     constexpr origin_key count = 100'000;
--- a/programs/test/rejoined_faults_test.cpp
+++ b/programs/test/rejoined_faults_test.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <iostream>
 #include <programs/test/versions_fixture.hpp>
-#include <standins/relay/tcp_relay.hpp>
 
 // Engines of two software versions serve, and all processes, or all gateways,
 // are killed at once again and again, while the store goes away, one gateway is
@@ -42,12 +41,7 @@
 
     void start()
     {
-        constexpr std::size_t relay_number = 5;
-        address const where{host(relay_number), 0};
-        this->relay = std::make_unique<standins::tcp_relay>(
-            this->base.get(), where, this->store.bound(), where,
-            standins::relay_switches{});
-        this->store_addresses["front-0"] = this->relay->bound();
+        this->relay_store_of_first();
         this->start_pool("v1", "unused");
     }
 
@@ -87,13 +81,6 @@
         return result;
     }
 
-    void set_stalled(bool is_stalled)
-    {
-        standins::relay_switches faults;
-        faults.stall = is_stalled;
-        this->relay->set(faults);
-    }
-
     /// \brief Does one thing that delays what the gateways write, or loses
     /// what they remember. \returns whether all is stored in time all the same
     bool disturb_writes()
@@ -165,7 +152,6 @@
         }
     }
 
-    std::unique_ptr<standins::tcp_relay> relay;
     std::size_t streams = 0;
     std::size_t resumed = 0;
     std::size_t gone_on = 0;
--- a/programs/test/rejoined_streams_test.cpp
+++ b/programs/test/rejoined_streams_test.cpp
@@ -2,7 +2,6 @@
 #include <jujubestand/gateway/stored_origins.hpp>
 #include <programs/test/versions_fixture.hpp>
 #include <set>
-#include <standins/relay/tcp_relay.hpp>
 
 // All gateways, or these and all agents, are killed at once around a change of
 // the engines' software, and callers resume their streams at the gateways that
@@ -162,24 +161,75 @@
 // A gateway that can't reach the store has the others write its streams (LOST).
 TEST_F(rejoined_streams, streams_of_a_gateway_without_the_store_go_on)
 {
-    constexpr std::size_t relay_number = 5;
-    address const where{host(relay_number), 0};
-    standins::tcp_relay relay(this->base.get(), where, this->store.bound(),
-                              where, standins::relay_switches{});
-    this->store_addresses["front-0"] = relay.bound();
+    this->relay_store_of_first();
     this->begin_at_two_versions(
-        [&]
+        [this]
         {
-            standins::relay_switches faults;
-            faults.stall = true;
-            relay.set(faults);
+            this->set_stalled(true);
         });
     this->wait_stored(2 * stream_count);
-    relay.set({});
+    this->wait_logged(0, "origins_unstored", std::string{});
+    this->set_stalled(false);
     this->kill_all_processes();
     this->expect_all_go_on({"v1", "v2"});
 }
 
+// The store doesn't answer a gateway: its caller is refused as not run while it
+// still waits, and goes on at another gateway.
+TEST_F(rejoined_streams, a_store_that_stands_still_holds_no_caller)
+{
+    this->relay_store_of_first();
+    this->begin_at_two_versions();
+    this->wait_stored(2 * stream_count);
+    this->kill_all_processes();
+    this->set_stalled(true);
+    stream_call const asked{"early", std::to_string(begun), "v1-0"};
+    auto const refused = this->ask(0, asked);
+    ASSERT_TRUE(this->run_to_end(refused));
+    EXPECT_EQ(refused->status, HTTP_SERVUNAVAIL);
+    EXPECT_TRUE(this->has_logged(0, "resume_decided", "store=failed"));
+    auto const again =
+        this->ask_until_accepted(1, {"later", std::to_string(begun), "v1-0"});
+    ASSERT_TRUE(this->run_to_end(again));
+    EXPECT_EQ(again->events(), events_of("v1", begun + 1, whole));
+}
+
+// The store returned from a copy without the records (LOST).
+TEST_F(rejoined_streams,
+       versions_are_written_again_when_the_store_has_lost_them)
+{
+    this->start_pool("v1", "unused");
+    this->begin_streams("v1");
+    this->add_version("v2", near);
+    this->wait_live(4);
+    this->store.keep_copy();
+    this->begin_streams("v2");
+    this->wait_stored(2 * stream_count);
+    this->store.return_from_copy();
+    ASSERT_LT(this->stored_streams(), 2 * stream_count);
+    this->wait_stored(2 * stream_count);
+    this->kill_all_processes();
+    this->expect_all_go_on({"v1", "v2"});
+}
+
+// Where a version can be inferred, the store is not written to.
+TEST_F(rejoined_streams, nothing_is_stored_while_one_version_serves)
+{
+    constexpr milliseconds several_writes{1'000};
+    this->start_pool("v1", "unused");
+    this->begin_streams("v1");
+    this->run_until(
+        []
+        {
+            return false;
+        },
+        several_writes);
+    EXPECT_TRUE(this->store.records(origin_topic).empty());
+    this->kill_all_processes();
+    this->expect_all_go_on({"v1"});
+    EXPECT_TRUE(this->store.records(origin_topic).empty());
+}
+
 // The store is away when callers resume: they are refused as not run, soon, and
 // go on once it is back.
 TEST_F(rejoined_streams, streams_go_on_once_the_store_is_back)
--- a/programs/test/versions_fixture.hpp
+++ b/programs/test/versions_fixture.hpp
@@ -2,6 +2,7 @@
 #define JUJUBESTAND_PROGRAMS_TEST_VERSIONS_FIXTURE_HPP
 
 #include <programs/test/faulty_gateways.hpp>
+#include <standins/relay/tcp_relay.hpp>
 #include <string>
 
 namespace jujubestand::programs::test
@@ -12,6 +13,26 @@
 class versions_test : public faulty_gateways_test
 {
 protected:
+    /// \brief Puts a relay between the first gateway and the store; before the
+    /// gateways start.
+    void relay_store_of_first()
+    {
+        constexpr std::size_t relay_number = 5;
+        address const where{host(relay_number), 0};
+        this->relay = std::make_unique<standins::tcp_relay>(
+            this->base.get(), where, this->store.bound(), where,
+            standins::relay_switches{});
+        this->store_addresses["front-0"] = this->relay->bound();
+    }
+
+    /// \brief Whether the store stands still for the first gateway.
+    void set_stalled(bool is_stalled)
+    {
+        standins::relay_switches faults;
+        faults.stall = is_stalled;
+        this->relay->set(faults);
+    }
+
     static constexpr std::size_t gateway_count = 3;
 
     /// \brief Adds two engines of a version, with agents.
@@ -74,6 +95,9 @@
         this->kill_all_gateways();
         this->wait_live(this->engines.size() - 1);
     }
+
+private:
+    std::unique_ptr<standins::tcp_relay> relay;
 };
 
 } // namespace jujubestand::programs::test
