--- a/jujubestand/gateway/origin_records.cpp
+++ b/jujubestand/gateway/origin_records.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+/// Shortest time between the beginnings of two look-ups: the store limits the
+/// reads of all gateways together.
+constexpr std::chrono::milliseconds look_up_interval{100};
+
 /// Longest look-up; all its callers have been refused before.
 constexpr std::chrono::milliseconds look_up_limit{3'000};
 
@@ -161,9 +165,11 @@
 void look_up_origins(gateway_state& state, look_up_end on_end)
 {
     auto& look_up = state.origin_reads;
-    if (look_up.began_at)
+    auto const now = mono_now();
+    if (look_up.began_at || now < look_up.due_at)
         return;
-    look_up.began_at = mono_now();
+    look_up.began_at = now;
+    look_up.due_at = now + look_up_interval;
     look_up.has_failed = false;
     look_up.partitions.resize(partitions_of(state));
     for (auto& position : look_up.partitions)
--- a/jujubestand/gateway/origin_records.hpp
+++ b/jujubestand/gateway/origin_records.hpp
@@ -19,7 +19,8 @@
 using look_up_end = void (*)(gateway_state& state, mono_time began_at,
                              look_up_state result);
 
-/// \brief Reads the records that this gateway lacks, unless it is doing so.
+/// \brief Reads the records that this gateway lacks, unless it is doing so or
+/// began to a short time ago: the caller has to ask again then.
 /// \param on_end called once all records that were written before the start of
 /// the look-up are known, or some can't be read
 void look_up_origins(gateway_state& state, look_up_end on_end);
--- a/jujubestand/gateway/resumed_streams.cpp
+++ b/jujubestand/gateway/resumed_streams.cpp
@@ -266,6 +266,18 @@
     }
 }
 
+void look_up_if_awaited(gateway_state& state)
+{
+    bool const is_awaited =
+        std::any_of(state.origin_queries.begin(), state.origin_queries.end(),
+                    [](auto const& row)
+                    {
+                        return row.second.wait == origin_wait::look_up;
+                    });
+    if (is_awaited)
+        look_up_origins(state, on_look_up_end);
+}
+
 // Streams that came during a look-up need one that begins after them.
 void on_look_up_end(gateway_state& state, mono_time began_at,
                     look_up_state result)
@@ -278,14 +290,7 @@
                    query.sent_at <= began_at;
         },
         result);
-    bool const is_awaited =
-        std::any_of(state.origin_queries.begin(), state.origin_queries.end(),
-                    [](auto const& row)
-                    {
-                        return row.second.wait == origin_wait::look_up;
-                    });
-    if (is_awaited)
-        look_up_origins(state, on_look_up_end);
+    look_up_if_awaited(state);
 }
 
 void on_origin_notice(gateway_state& state, status::origin_notice const& notice)
@@ -384,6 +389,7 @@
                         *as_of >= query.sent_at;
                     return now - query.sent_at >= timeout || has_records;
                 });
+    look_up_if_awaited(state);
 }
 
 } // namespace jujubestand::gateway
--- a/jujubestand/gateway/stored_origins.hpp
+++ b/jujubestand/gateway/stored_origins.hpp
@@ -84,6 +84,8 @@
     std::uint64_t era = 0;
     /// Start of the look-up in progress.
     std::optional<mono_time> began_at;
+    /// When the next one may begin.
+    mono_time due_at{};
     /// Some partition could not be read in this look-up.
     bool has_failed = false;
 };
--- a/jujubestand/gateway/test/origin_exchange_test.cpp
+++ b/jujubestand/gateway/test/origin_exchange_test.cpp
@@ -238,6 +238,34 @@
     EXPECT_FALSE(this->state.active_calls.contains(2));
 }
 
+// Each resumed stream began a look-up as soon as the last one had ended: a
+// burst of them exceeded what the store answers to all gateways.
+TEST_F(origin_exchange, look_ups_of_many_streams_are_few)
+{
+    this->write_entry("e1", "1", R"("version":"old",)");
+    this->write_entry("e2", "2", R"("version":"new",)");
+    auto const begin = [this](dispatch::call_key key)
+    {
+        auto& call = this->add_stream(key, "again-" + std::to_string(key));
+        call.caller_request.resumed_request = "s" + std::to_string(key);
+        call.caller_request.last_event = "3";
+        call.arrived_at = mono_now() - std::chrono::milliseconds{600};
+        begin_resumed(this->state, key);
+    };
+    begin(1);
+    auto& reads = this->state.origin_reads;
+    ASSERT_TRUE(reads.began_at);
+    // The look-up ends; the next stream comes at once.
+    reads.began_at.reset();
+    begin(2);
+    EXPECT_FALSE(reads.began_at);
+    ASSERT_TRUE(this->state.origin_queries.contains(2));
+    reads.due_at = mono_now();
+    expire_origin_queries(this->state);
+    EXPECT_TRUE(reads.began_at);
+    EXPECT_TRUE(this->state.origin_queries.contains(2));
+}
+
 // The list of gateways came while the store was read: the version was inferred
 // without a query to them (ORDER).
 TEST_F(origin_exchange, gateways_that_become_known_in_a_look_up_are_queried)
--- a/jujubestand/gateway/test/stored_origins_test.cpp
+++ b/jujubestand/gateway/test/stored_origins_test.cpp
@@ -99,7 +99,8 @@
         for (; begun * 1'000 < due; ++begun)
         {
             keep_begun(queues[begun % gateways],
-                       {begun, begun % 2 == 0 ? "old" : "new", at(ms)});
+                       {origin_key_of(std::to_string(begun)),
+                        begun % 2 == 0 ? "old" : "new", at(ms)});
             result.last += ms > end_ms - 1'000 ? 1 : 0;
         }
         for (std::size_t at_gateway = 0; at_gateway < gateways; ++at_gateway)
